Lay out the workspace and the interfaces between modules

Cause: an empty repository, and parts that have to be filled in side by side. Conclusion: the interfaces are fixed enough for separate work on each module.

--- /dev/null
+++ b/buckthorn/src/admission/mod.rs
@@ -0,0 +1,4 @@
+//! Admission of calls by the owner of a backend server.
+
+pub mod door;
+pub mod gate;
--- /dev/null
+++ b/buckthorn/src/config/mod.rs
@@ -0,0 +1,5 @@
+//! Routing intent: what operators publish.
+
+pub mod change;
+pub mod intent;
+pub mod sheet;
--- /dev/null
+++ b/buckthorn/src/config/sheet.rs
@@ -0,0 +1,1 @@
+//! The planners' CSV sheet.
--- /dev/null
+++ b/buckthorn/src/counter.rs
@@ -0,0 +1,159 @@
+//! Counters of every refusal, retry and notable decision.
+//!
+//! The set is closed so that the operators' page lists each counter from the first second, zero
+//! included.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+macro_rules! counters {
+    ($($variant:ident $name:literal $help:literal,)*) => {
+        /// What a counter counts.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub enum Counter {
+            $(#[doc = $help] $variant,)*
+        }
+
+        impl Counter {
+            /// Every counter, in the order of the documentation.
+            pub const ALL: &'static [Self] = &[$(Self::$variant,)*];
+
+            /// Name on the operators' page and in statsd.
+            pub const fn name(self) -> &'static str {
+                match self { $(Self::$variant => $name,)* }
+            }
+
+            /// One-line description.
+            pub const fn help(self) -> &'static str {
+                match self { $(Self::$variant => $help,)* }
+            }
+        }
+    };
+}
+
+counters! {
+    // Callers and the path of a call.
+    Calls "call.total" "Calls taken from callers.",
+    CallsOk "call.ok" "Calls answered in full by a backend server.",
+    CallsUnknown "call.unknown" "Calls answered as unknown outcome.",
+    CallerGone "call.caller_gone" "Callers that left before their answer.",
+    RefusedNoRoute "refused.no_route" "Calls for a service or path that no route names.",
+    RefusedNoBackendServer "refused.no_backend_server" "Calls whose route has no usable backend server.",
+    RefusedNotReady "refused.not_ready" "Calls that came before the first snapshot.",
+    RefusedDraining "refused.draining" "Calls refused by a node that is shutting down.",
+    RefusedDeadline "refused.deadline" "Calls whose deadline could not be met.",
+    RefusedQueueFull "refused.queue_full" "Calls refused by a full owner queue.",
+    RefusedShed "refused.shed" "Calls displaced by calls of higher priority.",
+    RefusedOutOfService "refused.out_of_service" "Calls refused because the failure domain is out.",
+    RefusedQuarantined "refused.quarantined" "Calls refused because the version is quarantined.",
+    RefusedHeaderSize "refused.header_size" "Requests with headers over the limit.",
+    RefusedHeaderTimeout "refused.header_timeout" "Requests whose headers took too long.",
+    RefusedBodySize "refused.body_size" "Requests with a body over the limit.",
+    RefusedBodyTimeout "refused.body_timeout" "Requests whose body stalled.",
+    RefusedConnections "refused.connections" "Connections over the limit.",
+    RefusedBadRequest "refused.bad_request" "Requests that are malformed.",
+    RefusedUnauthenticated "refused.unauthenticated" "Peers or clients without the shared secret.",
+    RefusedKeyInProgress "refused.key_in_progress" "Repeats of an idempotency key still in progress.",
+    AnsweredFromKey "call.answered_from_key" "Repeats answered with the first outcome of their key.",
+    BrokenAnswers "answer.broken" "Answers shorter or longer than declared.",
+    LateAnswers "answer.late" "Answers that came after the call had ended.",
+    ConnectionsSilent "connection.silent" "Connections dropped because they went silent.",
+    ConnectionsOpened "connection.opened" "Connections opened to backend servers and peers.",
+    // Retries.
+    RetryNotRun "retry.not_run" "Retries of a call that was refused as not run.",
+    RetryConnect "retry.connect" "Retries after a connection could not be opened.",
+    RetryReset "retry.reset" "Retries of an idempotent call after a broken connection.",
+    RetryTimeout "retry.timeout" "Retries of an idempotent call after a timeout.",
+    RetryStatus "retry.status" "Retries of an idempotent call after a server error.",
+    RetryHedge "retry.hedge" "Hedged second attempts of an idempotent call.",
+    RetryDeniedBudget "retry_denied.budget" "Retries denied because the budget was spent.",
+    RetryDeniedNotIdempotent "retry_denied.not_idempotent" "Retries denied because the call is not idempotent.",
+    RetryDeniedDeadline "retry_denied.deadline" "Retries denied because the deadline is too near.",
+    RetryDeniedAttempts "retry_denied.attempts" "Retries denied because no attempts remain.",
+    RetryDeniedLayer "retry_denied.layer" "Retries denied because an outer layer retries.",
+    RetryDeniedBody "retry_denied.body" "Retries denied because the body was not kept.",
+    // Admission and routing.
+    LimitRaised "limit.raised" "Raises of the concurrency limit.",
+    LimitCut "limit.cut" "Cuts of the concurrency limit.",
+    EjectedOutlier "eject.outlier" "Ejections of a backend server as an outlier.",
+    EjectDenied "eject.denied" "Ejections denied because too few would remain.",
+    PanicRouting "route.panic" "Choices made among ejected backend servers for want of others.",
+    SpilledOver "route.spilled" "Calls sent to another failure domain.",
+    // Configuration.
+    RecordsApplied "config.applied" "Log records accepted by the fold.",
+    RecordsRefused "config.refused" "Log records refused by the fold.",
+    RecordsDuplicate "config.duplicate" "Log records received more than once.",
+    SnapshotsInstalled "config.snapshots" "Snapshots installed from a peer or a checkpoint.",
+    SnapshotsRefused "config.snapshots_refused" "Snapshots refused as older or invalid.",
+    LogReadFailures "log.read_failures" "Failed reads of the platform's log.",
+    LogAppendFailures "log.append_failures" "Appends that failed or whose outcome is unknown.",
+    LogTakeovers "log.takeovers" "Times this node became a reader of the log.",
+    LeaseClaims "lease.claims" "Claims of the controller lease appended.",
+    LeaseLost "lease.lost" "Times this node lost the controller lease.",
+    StepsDropped "lease.steps_dropped" "Decisions dropped because their term was wrong.",
+    // Membership and distribution.
+    ProbesFailed "member.probes_failed" "Probes without an answer.",
+    Suspicions "member.suspicions" "Members suspected.",
+    Refutations "member.refutations" "Suspicions of this node refuted.",
+    MembersExpired "member.expired" "Members removed after silence.",
+    AnnouncementsExpired "announce.expired" "Backend servers expired after silence.",
+    AnnouncementsRefused "announce.refused" "Announcements refused as malformed or over a limit.",
+    MessagesRefused "peer.refused" "Messages from peers refused as malformed or too large.",
+    MessagesSent "peer.sent" "Messages sent to peers.",
+    PeersUnreachable "peer.unreachable" "Messages to peers that failed.",
+    ControlBytesIn "peer.bytes_in" "Bytes of control traffic received.",
+    ControlBytesOut "peer.bytes_out" "Bytes of control traffic sent.",
+    // Moves and containment.
+    Accusations "quarantine.accusations" "Accusations raised by this node.",
+    Quarantines "quarantine.entered" "Versions quarantined in this node's view.",
+    StepsTaken "move.steps" "Share steps decided by this node.",
+    MovesHeld "move.held" "Holds decided by this node.",
+    MovesDone "move.done" "Moves completed by this node.",
+    MovesTakenBack "move.taken_back" "Moves taken back by this node.",
+}
+
+/// One atomic per counter.
+#[derive(Debug)]
+pub struct Board {
+    /// Values in the order of [`Counter::ALL`].
+    values: Vec<AtomicU64>,
+}
+
+impl Board {
+    /// Board with every counter at zero.
+    pub fn new() -> Self {
+        Self {
+            values: Counter::ALL.iter().map(|_| AtomicU64::new(0)).collect(),
+        }
+    }
+
+    /// Adds one.
+    #[inline]
+    pub fn hit(&self, counter: Counter) {
+        self.add(counter, 1);
+    }
+
+    /// Adds `amount`.
+    #[inline]
+    pub fn add(&self, counter: Counter, amount: u64) {
+        self.values[counter as usize].fetch_add(amount, Ordering::Relaxed);
+    }
+
+    /// Present value.
+    #[inline]
+    pub fn get(&self, counter: Counter) -> u64 {
+        self.values[counter as usize].load(Ordering::Relaxed)
+    }
+
+    /// Every counter with its value, zero included.
+    pub fn list(&self) -> impl Iterator<Item = (Counter, u64)> + '_ {
+        Counter::ALL
+            .iter()
+            .map(|&counter| (counter, self.get(counter)))
+    }
+}
+
+impl Default for Board {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/buckthorn/src/journal/fold.rs
@@ -0,0 +1,610 @@
+//! Deterministic fold of log records into the configuration state.
+//!
+//! Every node applies the same records in the same order, so equal offsets mean equal states. A
+//! record that is stale, malformed or invalid is refused as a whole and leaves the intent as it
+//! was; the refusal itself is part of the state.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use super::lease::Lease;
+use super::record::{self, Body, Claim, Domain, Record, Step};
+use crate::clock::Time;
+use crate::config::change::{Change, Operation};
+use crate::config::intent::{self, FULL_SHARE, FailureDomain, Intent, Move, Phase, Route, Service};
+use crate::name::Name;
+
+/// Change identifiers remembered for recognising duplicates.
+pub const MAX_RECENT_IDS: usize = 512;
+
+/// Refusals and changes kept for the operators' history.
+pub const MAX_HISTORY: usize = 64;
+
+/// Ended moves kept for the operators' status.
+pub const MAX_ENDED_MOVES: usize = 128;
+
+/// Services that an intent may hold.
+pub const MAX_SERVICES: usize = 4_096;
+
+/// Routes that a service may hold.
+pub const MAX_ROUTES: usize = 256;
+
+/// Length of a name in bytes.
+pub const MAX_NAME_BYTES: usize = 128;
+
+/// State folded from the configuration stream.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct State {
+    /// Offset of the next record to apply.
+    pub next: u64,
+    /// Configuration version: one more than the offset of the last record that changed the intent.
+    pub version: u64,
+    /// Version of the operators' last accepted change.
+    pub intent_version: u64,
+    /// Offset of the last checkpoint record seen.
+    pub checkpoint: u64,
+    /// Intent in force.
+    pub intent: Intent,
+    /// Lease of the move controller.
+    pub lease: Lease,
+    /// Identifiers of the last records that changed something, oldest first.
+    pub recent: Vec<Name>,
+    /// What was accepted and refused, oldest first.
+    pub history: Vec<Entry>,
+}
+
+/// Line of the operators' history.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Offset of the record.
+    pub offset: u64,
+    /// Identifier of the record.
+    pub id: Name,
+    /// When it was made, by its maker's clock.
+    pub at: Time,
+    /// Who made it.
+    pub author: String,
+    /// What it did, or why it was refused.
+    pub text: String,
+    /// Whether it took effect.
+    pub is_accepted: bool,
+}
+
+/// What the fold did with a record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Took effect and changed the configuration version.
+    Applied,
+    /// Took effect without changing the configuration version.
+    Noted,
+    /// Already applied.
+    Duplicate,
+    /// Refused as a whole.
+    Refused(Refusal),
+    /// Lies beyond the next offset; records between are missing.
+    Gap,
+}
+
+/// Why a record was refused.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// Payload could not be read.
+    Malformed(String),
+    /// Planned on an intent that is no longer in force.
+    Stale {
+        /// Version that it was planned on.
+        base: u64,
+        /// Version in force.
+        current: u64,
+    },
+    /// Decided under a term that is not in force.
+    Fenced {
+        /// Term that it names.
+        term: u64,
+        /// Term in force.
+        current: u64,
+    },
+    /// Contradicts the state.
+    Invalid(String),
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Malformed(what) => write!(f, "{what}"),
+            Self::Stale { base, current } => {
+                write!(
+                    f,
+                    "planned on intent version {base}, but {current} is in force"
+                )
+            }
+            Self::Fenced { term, current } => {
+                write!(f, "decided under term {term}, but {current} is in force")
+            }
+            Self::Invalid(what) => write!(f, "{what}"),
+        }
+    }
+}
+
+impl State {
+    /// State before the first record.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Applies one record.
+    pub fn apply(&mut self, record: &Record) -> Outcome {
+        if record.offset < self.next {
+            return Outcome::Duplicate;
+        }
+        if record.offset > self.next {
+            return Outcome::Gap;
+        }
+        let before = self.version;
+        self.next = record.offset + 1;
+        let outcome = match record::decode(&record.payload) {
+            Ok(body) => self.apply_body(record, body),
+            Err(what) => {
+                let refusal = Refusal::Malformed(what);
+                self.note(
+                    record,
+                    Time::default(),
+                    "unknown",
+                    refusal.to_string(),
+                    false,
+                );
+                Outcome::Refused(refusal)
+            }
+        };
+        assert!(
+            self.version >= before,
+            "invariant: configuration version never decreases"
+        );
+        outcome
+    }
+
+    /// Applies a decoded record.
+    fn apply_body(&mut self, record: &Record, body: Body) -> Outcome {
+        match body {
+            Body::Change(change) => self.apply_change(record, &change),
+            Body::Step(step) => self.apply_step(record, &step),
+            Body::Claim(claim) => self.apply_claim(record, &claim),
+            Body::Renewal(renewal) => self.lease.renew(&renewal, record.offset),
+            Body::Domain(domain) => self.apply_domain(record, domain),
+            Body::Checkpoint(state) => self.apply_checkpoint(record, &state),
+        }
+    }
+
+    /// Applies an operators' change, as a whole or not at all.
+    fn apply_change(&mut self, record: &Record, change: &Change) -> Outcome {
+        if self.recent.contains(&record.id) {
+            return Outcome::Duplicate;
+        }
+        let attempt = if change.base == self.intent_version {
+            amend(&self.intent, change).map_err(Refusal::Invalid)
+        } else {
+            Err(Refusal::Stale {
+                base: change.base,
+                current: self.intent_version,
+            })
+        };
+        match attempt {
+            Ok(intent) => {
+                self.intent = intent;
+                self.bump(record);
+                self.intent_version = self.version;
+                self.note(record, change.at, &change.author, summary(change), true);
+                Outcome::Applied
+            }
+            Err(refusal) => {
+                self.note(
+                    record,
+                    change.at,
+                    &change.author,
+                    refusal.to_string(),
+                    false,
+                );
+                Outcome::Refused(refusal)
+            }
+        }
+    }
+
+    /// Applies a controller's decision.
+    fn apply_step(&mut self, record: &Record, step: &Step) -> Outcome {
+        if step.term != self.lease.term {
+            return Outcome::Refused(Refusal::Fenced {
+                term: step.term,
+                current: self.lease.term,
+            });
+        }
+        match advance(&mut self.intent, step) {
+            Ok(()) => {
+                self.bump(record);
+                if step.phase.is_ended() {
+                    let text = format!("move {}: {} ({})", step.id, step.phase, step.reason);
+                    self.note(record, step.at, "controller", text, true);
+                }
+                Outcome::Applied
+            }
+            Err(what) => Outcome::Refused(Refusal::Invalid(what)),
+        }
+    }
+
+    /// Applies a claim of the lease; the first claim of a term in log order wins.
+    fn apply_claim(&mut self, record: &Record, claim: &Claim) -> Outcome {
+        self.lease.claim(claim, record.offset)
+    }
+
+    /// Adds a failure domain.
+    fn apply_domain(&mut self, record: &Record, domain: Domain) -> Outcome {
+        if domain.name.is_empty() || domain.name.len() > MAX_NAME_BYTES {
+            return Outcome::Refused(Refusal::Invalid("bad failure domain name".into()));
+        }
+        let domains = &mut self.intent.failure_domains;
+        match domains.binary_search_by(|d| d.name.cmp(&domain.name)) {
+            Ok(_) => Outcome::Duplicate,
+            Err(index) => {
+                let entry = FailureDomain {
+                    name: domain.name,
+                    region: domain.region,
+                    is_out: false,
+                };
+                domains.insert(index, entry);
+                self.bump(record);
+                Outcome::Applied
+            }
+        }
+    }
+
+    /// Notes a checkpoint; its state must be the one folded here.
+    fn apply_checkpoint(&mut self, record: &Record, state: &State) -> Outcome {
+        // A checkpoint is taken at an offset before its own, so it may lag behind this fold.
+        if state.next > record.offset {
+            return Outcome::Refused(Refusal::Invalid("checkpoint of the future".into()));
+        }
+        self.checkpoint = record.offset;
+        Outcome::Noted
+    }
+
+    /// Moves the configuration version to the record's offset.
+    fn bump(&mut self, record: &Record) {
+        let version = record.offset + 1;
+        assert!(
+            version > self.version,
+            "invariant: configuration version strictly increases"
+        );
+        self.version = version;
+        self.recent.push(record.id.clone());
+        trim(&mut self.recent, MAX_RECENT_IDS);
+    }
+
+    /// Adds a line to the history.
+    fn note(&mut self, record: &Record, at: Time, author: &str, text: String, is_accepted: bool) {
+        let author = author.chars().take(MAX_NAME_BYTES).collect();
+        let text = text.chars().take(1_024).collect();
+        let entry = Entry {
+            offset: record.offset,
+            id: record.id.clone(),
+            at,
+            author,
+            text,
+            is_accepted,
+        };
+        self.history.push(entry);
+        trim(&mut self.history, MAX_HISTORY);
+    }
+}
+
+/// Drops the oldest entries over a limit.
+fn trim<T>(entries: &mut Vec<T>, limit: usize) {
+    if entries.len() > limit {
+        entries.drain(..entries.len() - limit);
+    }
+}
+
+/// One-line summary of a change.
+fn summary(change: &Change) -> String {
+    let words: Vec<String> = change
+        .operations
+        .iter()
+        .map(|operation| match operation {
+            Operation::Serve {
+                service,
+                route,
+                version,
+            } => {
+                format!("serve {service}{route} {version}")
+            }
+            Operation::Move {
+                service,
+                route,
+                from,
+                to,
+                ..
+            } => {
+                format!("move {service}{route} {from} to {to}")
+            }
+            Operation::Cancel { id } => format!("cancel {id}"),
+            Operation::Out { failure_domain } => format!("out {failure_domain}"),
+            Operation::In { failure_domain } => format!("in {failure_domain}"),
+        })
+        .collect();
+    words.join("; ")
+}
+
+/// Intent after a change, or why the change is invalid.
+///
+/// # Errors
+///
+/// Names the first operation that contradicts the intent.
+pub fn amend(intent: &Intent, change: &Change) -> Result<Intent, String> {
+    let mut next = intent.clone();
+    for operation in &change.operations {
+        amend_one(&mut next, operation, change.at)?;
+    }
+    prune_ended(&mut next);
+    Ok(next)
+}
+
+/// Applies one operation to an intent.
+fn amend_one(intent: &mut Intent, operation: &Operation, at: Time) -> Result<(), String> {
+    match operation {
+        Operation::Serve {
+            service,
+            route,
+            version,
+        } => serve(intent, service, route, version),
+        Operation::Move {
+            service,
+            route,
+            from,
+            to,
+            start,
+            deadline,
+        } => {
+            let id = intent::move_id(service, route, from, to, *start, *deadline);
+            let entry = Move {
+                id,
+                service: service.clone(),
+                route: route.clone(),
+                from: from.clone(),
+                to: to.clone(),
+                start: *start,
+                deadline: *deadline,
+                phase: Phase::Waiting,
+                share: 0,
+                reason: "waiting for its start".into(),
+                changed: at,
+            };
+            add_move(intent, entry)
+        }
+        Operation::Cancel { id } => cancel(intent, id, at),
+        Operation::Out { failure_domain } => set_out(intent, failure_domain, true),
+        Operation::In { failure_domain } => set_out(intent, failure_domain, false),
+    }
+}
+
+/// Declares the version of a route.
+fn serve(intent: &mut Intent, service: &Name, route: &Name, version: &Name) -> Result<(), String> {
+    check_name("service", service, false)?;
+    check_name("route", route, true)?;
+    check_name("version", version, false)?;
+    let index = match intent.services.binary_search_by(|s| s.name.cmp(service)) {
+        Ok(index) => index,
+        Err(_) if intent.services.len() >= MAX_SERVICES => {
+            return Err(format!("more than {MAX_SERVICES} services"));
+        }
+        Err(index) => {
+            intent.services.insert(
+                index,
+                Service {
+                    name: service.clone(),
+                    routes: Vec::new(),
+                },
+            );
+            index
+        }
+    };
+    let routes = &mut intent.services[index].routes;
+    match routes.binary_search_by(|r| r.prefix.cmp(route)) {
+        Ok(at) if routes[at].version == *version => Ok(()),
+        Ok(at) => Err(format!(
+            "{service}{route} is served by {}; a move is needed to change it to {version}",
+            routes[at].version
+        )),
+        Err(_) if routes.len() >= MAX_ROUTES => Err(format!("more than {MAX_ROUTES} routes")),
+        Err(at) => {
+            routes.insert(
+                at,
+                Route {
+                    prefix: route.clone(),
+                    version: version.clone(),
+                },
+            );
+            Ok(())
+        }
+    }
+}
+
+/// Adds a move; a move on the same route that has not ended is replaced or followed.
+fn add_move(intent: &mut Intent, entry: Move) -> Result<(), String> {
+    check_name("version", &entry.to, false)?;
+    if entry.deadline <= entry.start {
+        return Err(format!("move {}: deadline is not after start", entry.id));
+    }
+    if entry.from == entry.to {
+        return Err(format!(
+            "move {}: from and to are the same version",
+            entry.id
+        ));
+    }
+    if intent.find_move(&entry.id).is_some() {
+        return Ok(());
+    }
+    let serving = intent
+        .service(&entry.service)
+        .and_then(|service| service.route(&entry.route))
+        .map(|route| route.version.clone())
+        .ok_or_else(|| {
+            format!(
+                "move {}: {}{} is not served",
+                entry.id, entry.service, entry.route
+            )
+        })?;
+
+    // The versions that this move may start from: the serving one, or where an earlier move ends.
+    let open: Vec<usize> = (0..intent.moves.len())
+        .filter(|&i| {
+            let other = &intent.moves[i];
+            !other.phase.is_ended() && other.service == entry.service && other.route == entry.route
+        })
+        .collect();
+    let follows = open
+        .iter()
+        .any(|&i| intent.moves[i].to == entry.from && intent.moves[i].deadline <= entry.start);
+    if serving != entry.from && !follows {
+        return Err(format!(
+            "move {}: {} is not serving {}{}, {serving} is",
+            entry.id, entry.from, entry.service, entry.route
+        ));
+    }
+    if !follows {
+        for &i in &open {
+            let other = &mut intent.moves[i];
+            other.phase = if other.phase.is_active() {
+                Phase::TakenBack
+            } else {
+                Phase::Cancelled
+            };
+            other.share = 0;
+            other.reason = format!("replaced by {}", entry.id);
+            other.changed = entry.changed;
+        }
+    }
+    let index = match intent.moves.binary_search_by(|m| m.id.cmp(&entry.id)) {
+        Ok(_) => return Ok(()),
+        Err(index) => index,
+    };
+    intent.moves.insert(index, entry);
+    Ok(())
+}
+
+/// Withdraws a move; traffic on its new version returns to the old one.
+fn cancel(intent: &mut Intent, id: &Name, at: Time) -> Result<(), String> {
+    let index = intent
+        .moves
+        .binary_search_by(|m| m.id.cmp(id))
+        .map_err(|_| format!("no move {id}"))?;
+    let entry = &mut intent.moves[index];
+    if entry.phase.is_ended() {
+        return Err(format!("move {id} has ended: {}", entry.phase));
+    }
+    entry.phase = if entry.phase.is_active() {
+        Phase::TakenBack
+    } else {
+        Phase::Cancelled
+    };
+    entry.share = 0;
+    entry.reason = "withdrawn by an operator".into();
+    entry.changed = at;
+    Ok(())
+}
+
+/// Takes a failure domain out of service or brings it back.
+fn set_out(intent: &mut Intent, failure_domain: &Name, is_out: bool) -> Result<(), String> {
+    let index = intent
+        .failure_domains
+        .binary_search_by(|d| d.name.cmp(failure_domain))
+        .map_err(|_| format!("unknown failure domain {failure_domain}"))?;
+    intent.failure_domains[index].is_out = is_out;
+    Ok(())
+}
+
+/// Checks a name's length and characters.
+fn check_name(field: &str, name: &str, may_be_empty: bool) -> Result<(), String> {
+    if name.is_empty() && !may_be_empty {
+        return Err(format!("{field} is empty"));
+    }
+    if name.len() > MAX_NAME_BYTES {
+        return Err(format!("{field} is longer than {MAX_NAME_BYTES} bytes"));
+    }
+    if name.chars().any(|c| c.is_control() || c.is_whitespace()) {
+        return Err(format!(
+            "{field} {name:?} holds white space or control characters"
+        ));
+    }
+    if field == "route" && !name.is_empty() && !name.starts_with('/') {
+        return Err(format!("route {name:?} does not start with a slash"));
+    }
+    Ok(())
+}
+
+/// Applies a controller's decision to the intent.
+fn advance(intent: &mut Intent, step: &Step) -> Result<(), String> {
+    let index = intent
+        .moves
+        .binary_search_by(|m| m.id.cmp(&step.id))
+        .map_err(|_| format!("no move {}", step.id))?;
+    let entry = &mut intent.moves[index];
+    if !is_legal(entry, step) {
+        return Err(format!(
+            "move {}: {} at {} cannot become {} at {}",
+            step.id, entry.phase, entry.share, step.phase, step.share
+        ));
+    }
+    entry.phase = step.phase;
+    entry.share = step.share;
+    entry.reason = step.reason.clone();
+    entry.changed = step.at;
+    if step.phase == Phase::Done {
+        let (service, route, to) = (entry.service.clone(), entry.route.clone(), entry.to.clone());
+        set_version(intent, &service, &route, to);
+    }
+    prune_ended(intent);
+    Ok(())
+}
+
+/// Whether a decision is a legal transition of its move.
+fn is_legal(entry: &Move, step: &Step) -> bool {
+    if entry.phase.is_ended() {
+        return false;
+    }
+    match step.phase {
+        Phase::Waiting => false,
+        Phase::Shifting | Phase::Holding => {
+            entry.phase != Phase::Watching && step.share >= entry.share && step.share <= FULL_SHARE
+        }
+        Phase::Watching => step.share == FULL_SHARE,
+        Phase::Done => entry.phase == Phase::Watching && step.share == FULL_SHARE,
+        Phase::TakenBack | Phase::Cancelled => step.share == 0,
+    }
+}
+
+/// Sets the serving version of a route.
+fn set_version(intent: &mut Intent, service: &str, route: &str, version: Name) {
+    let Ok(index) = intent.services.binary_search_by(|s| (*s.name).cmp(service)) else {
+        return;
+    };
+    let routes = &mut intent.services[index].routes;
+    if let Ok(at) = routes.binary_search_by(|r| (*r.prefix).cmp(route)) {
+        routes[at].version = version;
+    }
+}
+
+/// Drops the oldest ended moves over the limit.
+fn prune_ended(intent: &mut Intent) {
+    let mut ended: Vec<(Time, Name)> = intent
+        .moves
+        .iter()
+        .filter(|m| m.phase.is_ended())
+        .map(|m| (m.changed, m.id.clone()))
+        .collect();
+    if ended.len() <= MAX_ENDED_MOVES {
+        return;
+    }
+    ended.sort();
+    let cut = ended.len() - MAX_ENDED_MOVES;
+    let dropped: Vec<Name> = ended.drain(..cut).map(|(_, id)| id).collect();
+    intent.moves.retain(|m| !dropped.contains(&m.id));
+}
--- /dev/null
+++ b/buckthorn/src/journal/mod.rs
@@ -0,0 +1,7 @@
+//! The configuration stream of the platform's log and the state folded from it.
+
+pub mod checkpoint;
+pub mod fold;
+pub mod lease;
+pub mod record;
+pub mod tail;
--- /dev/null
+++ b/buckthorn/src/journal/record.rs
@@ -0,0 +1,139 @@
+//! Records of the configuration stream.
+
+use serde::{Deserialize, Serialize};
+
+use super::fold::State;
+use crate::clock::Time;
+use crate::config::change::Change;
+use crate::config::intent::Phase;
+use crate::name::Name;
+
+/// Schema that this release reads and writes.
+pub const SCHEMA: u32 = 1;
+
+/// Name of the configuration stream in the platform's log.
+pub const CONFIG_STREAM: &str = "config";
+
+/// Name of the stream of per-domain reports.
+pub const REPORT_STREAM: &str = "reports";
+
+/// Name of the stream of addresses for cold starts.
+pub const JOIN_STREAM: &str = "joins";
+
+/// Record as the log holds it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Position in the log.
+    pub offset: u64,
+    /// Identifier made by whoever appended it.
+    pub id: Name,
+    /// Payload, an [`Envelope`] as JSON text.
+    pub payload: Name,
+}
+
+/// Payload of a record.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Envelope {
+    /// Schema of the body.
+    pub schema: u32,
+    /// What the record says.
+    pub body: Body,
+}
+
+/// What a record says.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum Body {
+    /// Operators' change.
+    Change(Change),
+    /// Controller's decision about a move.
+    Step(Step),
+    /// Claim of the controller lease.
+    Claim(Claim),
+    /// Sign of life of the lease's holder.
+    Renewal(Renewal),
+    /// A failure domain makes itself known.
+    Domain(Domain),
+    /// Folded state, from which a fold may start.
+    Checkpoint(Box<State>),
+}
+
+/// Controller's decision about a move, fenced by the lease's term.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Step {
+    /// Term under which it was decided.
+    pub term: u64,
+    /// Move it concerns.
+    pub id: Name,
+    /// Phase that the move enters.
+    pub phase: Phase,
+    /// Share on the new version, in thousandths.
+    pub share: u16,
+    /// Why, in words for the operator.
+    pub reason: String,
+    /// Time of the decision.
+    pub at: Time,
+}
+
+/// Claim of the controller lease.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// Host that claims.
+    pub host: Name,
+    /// Term that the claim replaces.
+    pub replaces: u64,
+    /// Time of the claim.
+    pub at: Time,
+}
+
+/// Sign of life of the lease's holder.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Renewal {
+    /// Term that the holder holds.
+    pub term: u64,
+    /// Time of the renewal.
+    pub at: Time,
+}
+
+/// A failure domain makes itself known.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Domain {
+    /// Name.
+    pub name: Name,
+    /// Region it lies in.
+    pub region: Name,
+}
+
+/// Encodes a body as the payload of a record.
+pub fn encode(body: Body) -> String {
+    serde_json::to_string(&Envelope {
+        schema: SCHEMA,
+        body,
+    })
+    .expect("bodies encode as JSON")
+}
+
+/// Decodes the payload of a record.
+///
+/// # Errors
+///
+/// Says what is wrong with a payload that is malformed or of another schema.
+pub fn decode(payload: &str) -> Result<Body, String> {
+    /// The part of the envelope that every schema shares.
+    #[derive(Deserialize)]
+    struct Head {
+        /// Schema of the body.
+        schema: u32,
+    }
+
+    let head: Head = serde_json::from_str(payload).map_err(|e| format!("malformed: {e}"))?;
+    if head.schema != SCHEMA {
+        return Err(format!(
+            "unknown schema {}, this release reads {SCHEMA}",
+            head.schema
+        ));
+    }
+    let envelope: Envelope =
+        serde_json::from_str(payload).map_err(|e| format!("malformed: {e}"))?;
+    Ok(envelope.body)
+}
--- /dev/null
+++ b/buckthorn/src/journal/tail.rs
@@ -0,0 +1,109 @@
+//! The state together with the last records, kept to answer peers that lag behind.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use super::checkpoint;
+use super::fold::{Outcome, State};
+use super::record::Record;
+
+/// Records kept for peers.
+pub const MAX_RECORDS: usize = 512;
+
+/// Bytes of records in one answer to a peer.
+pub const MAX_BATCH_BYTES: usize = 256 * 1024;
+
+/// State and recent records.
+#[derive(Clone, Debug, Default)]
+pub struct Tail {
+    /// State folded so far.
+    state: Arc<State>,
+    /// Records before `state.next`, oldest first, without gaps.
+    records: VecDeque<Record>,
+}
+
+/// What a node sends to one that lags behind.
+#[derive(Clone, Debug)]
+pub enum Answer {
+    /// Nothing newer is held.
+    Nothing,
+    /// Records from the offset asked for.
+    Records(Vec<Record>),
+    /// The whole state, as the records asked for are no longer held.
+    Snapshot(Arc<State>),
+}
+
+impl Tail {
+    /// Tail before the first record.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// State folded so far.
+    pub fn state(&self) -> &Arc<State> {
+        &self.state
+    }
+
+    /// Applies one record and keeps it.
+    pub fn push(&mut self, record: &Record) -> Outcome {
+        let outcome = Arc::make_mut(&mut self.state).apply(record);
+        if !matches!(outcome, Outcome::Gap) && record.offset + 1 == self.state.next {
+            let is_new = self
+                .records
+                .back()
+                .is_none_or(|last| last.offset < record.offset);
+            if is_new {
+                self.records.push_back(record.clone());
+            }
+        }
+        if self.records.len() > MAX_RECORDS {
+            self.records.pop_front();
+        }
+        outcome
+    }
+
+    /// Replaces the state by one that is further on.
+    ///
+    /// Returns whether it did; an older or equal state is never installed.
+    pub fn install(&mut self, state: State) -> bool {
+        if state.next <= self.state.next || state.version < self.state.version {
+            return false;
+        }
+        self.records.clear();
+        self.state = Arc::new(state);
+        true
+    }
+
+    /// Goes on after a gap, from the newest usable checkpoint among the records.
+    ///
+    /// Returns whether a later state was installed.
+    pub fn resume(&mut self, records: &[Record]) -> bool {
+        checkpoint::resume(records).is_some_and(|state| self.install(state))
+    }
+
+    /// What to send to a node whose next offset is `from`.
+    pub fn answer(&self, from: u64) -> Answer {
+        if from >= self.state.next {
+            return Answer::Nothing;
+        }
+        let Some(first) = self.records.front().map(|r| r.offset) else {
+            return Answer::Snapshot(self.state.clone());
+        };
+        if from < first {
+            return Answer::Snapshot(self.state.clone());
+        }
+        let mut bytes = 0;
+        let batch = self
+            .records
+            .iter()
+            .skip((from - first) as usize)
+            .take_while(|record| {
+                let fits = bytes == 0 || bytes + record.payload.len() <= MAX_BATCH_BYTES;
+                bytes += record.payload.len();
+                fits
+            })
+            .cloned()
+            .collect();
+        Answer::Records(batch)
+    }
+}
--- /dev/null
+++ b/buckthorn/src/kernel/mod.rs
@@ -0,0 +1,276 @@
+//! The kernel: one thread that owns the shared state and the plug-ins that act on it.
+//!
+//! Events come in with the time, actions go out; nothing here performs I/O. Plug-ins register
+//! themselves in a [`Registry`] and see every event in the order of registration. The daemon and
+//! the randomised runs drive the same kernel.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+
+use crate::clock::Time;
+use crate::counter::Board;
+use crate::journal::lease::Keeper;
+use crate::journal::tail::Tail;
+use crate::membership::member::{BackendServer, Member};
+use crate::membership::view::View;
+use crate::name::Name;
+use crate::platform::{Append, Batch};
+use crate::rollout::evidence;
+use crate::rollout::quarantine::Quarantine;
+use crate::rpc::message::Message;
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A regular beat, every [`TICK_INTERVAL`].
+    Tick,
+    /// A node sent messages; replies are given with [`Action::Reply`].
+    Received {
+        /// Host that sent them.
+        from: Name,
+        /// Messages, in order.
+        messages: Vec<Message>,
+    },
+    /// A node answered messages that this one sent.
+    Answered {
+        /// Host that answered.
+        from: Name,
+        /// Messages, in order.
+        messages: Vec<Message>,
+    },
+    /// Messages to a node could not be delivered or were not answered in time.
+    Unreachable {
+        /// Address they were sent to.
+        address: SocketAddr,
+        /// Host they were meant for, empty for a seed whose host is not known.
+        host: Name,
+    },
+    /// A read of the configuration stream returned.
+    LogRead(Batch),
+    /// A read of the configuration stream failed.
+    LogFailed,
+    /// An append returned.
+    Appended {
+        /// Identifier of the record.
+        id: Name,
+        /// What came of it.
+        result: Append,
+    },
+    /// The own backend server announced itself, or expired or left (`None`).
+    Announced(Option<BackendServer>),
+    /// What the owner counted, at most once per tick.
+    Observed(evidence::Report),
+    /// The process was asked to stop.
+    Shutdown,
+}
+
+/// Something to do.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Answer the messages of the event being handled.
+    Reply(Vec<Message>),
+    /// Send messages to a node.
+    Send {
+        /// Host meant, empty for a seed whose host is not known.
+        host: Name,
+        /// Address of its control protocol.
+        address: SocketAddr,
+        /// Messages, in order.
+        messages: Vec<Message>,
+    },
+    /// Read the configuration stream from an offset; answered by `LogRead` or `LogFailed`.
+    ReadLog {
+        /// First offset wanted.
+        from: u64,
+    },
+    /// Append a record to a stream; answered by `Appended`.
+    Append {
+        /// Stream.
+        stream: &'static str,
+        /// Identifier of the record.
+        id: Name,
+        /// Payload.
+        payload: String,
+    },
+    /// The routing table has to be built anew: the state, view or quarantine changed.
+    Rebuild,
+    /// Write a line to the log of decisions.
+    Note {
+        /// What was decided.
+        text: String,
+    },
+}
+
+/// Interval of [`Event::Tick`].
+pub const TICK_INTERVAL: std::time::Duration = std::time::Duration::from_millis(100);
+
+/// What a node is and where it can be reached.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Host.
+    pub host: Name,
+    /// Start time of the process, in microseconds since the Unix epoch.
+    pub incarnation: u64,
+    /// Region.
+    pub region: Name,
+    /// Failure domain.
+    pub failure_domain: Name,
+    /// Address of the control protocol.
+    pub rpc: SocketAddr,
+    /// Address of the data path between nodes.
+    pub hop: SocketAddr,
+    /// Addresses of nodes to join through.
+    pub seeds: Vec<SocketAddr>,
+}
+
+/// State shared by the plug-ins.
+#[derive(Debug)]
+pub struct Shared {
+    /// What this node is.
+    pub identity: Identity,
+    /// Own entry of the view.
+    pub member: Member,
+    /// Folded configuration and recent records.
+    pub tail: Tail,
+    /// Known members.
+    pub view: View,
+    /// Accusations and quarantines.
+    pub quarantine: Quarantine,
+    /// Controller lease as kept by this node.
+    pub keeper: Keeper,
+    /// Counters.
+    pub counters: Arc<Board>,
+    /// Whether the process is stopping.
+    pub is_stopping: bool,
+}
+
+/// What a plug-in is given with an event.
+#[derive(Debug)]
+pub struct Context<'a> {
+    /// Present time.
+    pub now: Time,
+    /// Seeded random numbers.
+    pub rng: &'a mut ChaCha8Rng,
+    /// Shared state.
+    pub shared: &'a mut Shared,
+    /// What is to be done, in order.
+    pub actions: &'a mut Vec<Action>,
+}
+
+impl Context<'_> {
+    /// Adds something to do.
+    pub fn act(&mut self, action: Action) {
+        self.actions.push(action);
+    }
+
+    /// Sends messages to a member.
+    pub fn send(&mut self, member: &Member, messages: Vec<Message>) {
+        let (host, address) = (member.host.clone(), member.rpc);
+        self.act(Action::Send {
+            host,
+            address,
+            messages,
+        });
+    }
+}
+
+/// A part of the node that reacts to events.
+pub trait Plugin: Send {
+    /// Name in logs.
+    fn name(&self) -> &'static str;
+
+    /// Reacts to one event.
+    fn handle(&mut self, cx: &mut Context<'_>, event: &Event);
+}
+
+/// Plug-ins in the order in which they see events.
+#[derive(Default)]
+pub struct Registry {
+    /// Plug-ins registered so far.
+    plugins: Vec<Box<dyn Plugin>>,
+}
+
+impl Registry {
+    /// Adds a plug-in.
+    pub fn add(&mut self, plugin: impl Plugin + 'static) {
+        self.plugins.push(Box::new(plugin));
+    }
+}
+
+/// The decision core of one node.
+pub struct Kernel {
+    /// Plug-ins.
+    plugins: Vec<Box<dyn Plugin>>,
+    /// Shared state.
+    shared: Shared,
+    /// Seeded random numbers.
+    rng: ChaCha8Rng,
+}
+
+impl Kernel {
+    /// Kernel with the given plug-ins.
+    pub fn new(
+        identity: Identity,
+        counters: Arc<Board>,
+        seed: u64,
+        now: Time,
+        registry: Registry,
+    ) -> Self {
+        let member = Member {
+            host: identity.host.clone(),
+            incarnation: identity.incarnation,
+            sequence: 0,
+            region: identity.region.clone(),
+            failure_domain: identity.failure_domain.clone(),
+            rpc: identity.rpc,
+            hop: identity.hop,
+            status: crate::membership::member::Status::Alive,
+            backend_server: None,
+        };
+        let mut view = View::new();
+        view.merge(&member, now);
+        let shared = Shared {
+            keeper: Keeper::new(identity.host.clone(), now),
+            member,
+            tail: Tail::new(),
+            view,
+            quarantine: Quarantine::new(),
+            counters,
+            is_stopping: false,
+            identity,
+        };
+        Self {
+            plugins: registry.plugins,
+            shared,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Shared state.
+    pub fn shared(&self) -> &Shared {
+        &self.shared
+    }
+
+    /// Lets every plug-in react to an event and returns what is to be done.
+    pub fn handle(&mut self, now: Time, event: &Event) -> Vec<Action> {
+        let version = self.shared.tail.state().version;
+        let mut actions = Vec::new();
+        for plugin in &mut self.plugins {
+            let mut cx = Context {
+                now,
+                rng: &mut self.rng,
+                shared: &mut self.shared,
+                actions: &mut actions,
+            };
+            plugin.handle(&mut cx, event);
+        }
+        assert!(
+            self.shared.tail.state().version >= version,
+            "invariant: a node never goes back to an older configuration version"
+        );
+        actions
+    }
+}
--- /dev/null
+++ b/buckthorn/src/lib.rs
@@ -0,0 +1,23 @@
+//! Configuration distribution for a service mesh without a control tier.
+//!
+//! Operators publish routing intent to the platform's append-only log. One node runs beside each
+//! backend server; it folds the log into a configuration state, agrees with its peers on which
+//! backend servers exist, and carries calls between them.
+//!
+//! Decision modules ([`journal`], [`membership`], [`rollout`], [`routing`], [`admission`]) take
+//! events and the time and return what to do; they perform no I/O. [`proxy`], [`rpc`] and
+//! [`platform`] are the edges that do. [`kernel`] connects the two.
+
+pub mod admission;
+pub mod clock;
+pub mod config;
+pub mod counter;
+pub mod journal;
+pub mod kernel;
+pub mod membership;
+pub mod name;
+pub mod platform;
+pub mod proxy;
+pub mod rollout;
+pub mod routing;
+pub mod rpc;
--- /dev/null
+++ b/buckthorn/src/membership/prober.rs
@@ -0,0 +1,1 @@
+//! Probing of members, suspicion and refutation.
--- /dev/null
+++ b/buckthorn/src/proxy/mod.rs
@@ -0,0 +1,1 @@
+//! The path of a call: callers, the hop between nodes, and backend servers.
--- /dev/null
+++ b/buckthorn/src/rollout/controller.rs
@@ -0,0 +1,1 @@
+//! Decisions of the lease's holder about moves.
--- /dev/null
+++ b/buckthorn/src/routing/budget.rs
@@ -0,0 +1,1 @@
+//! Retry budget and the rules of retrying.
--- /dev/null
+++ b/buckthorn/src/rpc/message.rs
@@ -0,0 +1,85 @@
+//! Control messages between nodes.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::journal::fold::State;
+use crate::journal::record::Record;
+use crate::membership::member::Member;
+use crate::name::Name;
+use crate::rollout::evidence;
+use crate::rollout::quarantine::Accusation;
+
+/// Messages that one node sends another in one exchange; the answer is such a list too.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Envelope {
+    /// Host that sends.
+    pub from: Name,
+    /// Messages, in order.
+    pub messages: Vec<Message>,
+}
+
+/// One control message.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Message {
+    /// Asks for a sign of life; tells how far the sender's fold and view are.
+    Ping(Digest),
+    /// Answers a ping.
+    Ack(Digest),
+    /// Asks the receiver to probe a member on the sender's behalf.
+    PingRequest {
+        /// Member to probe.
+        host: Name,
+    },
+    /// Result of a probe made on request.
+    PingResult {
+        /// Member probed.
+        host: Name,
+        /// Whether it answered.
+        is_alive: bool,
+    },
+    /// Entries of the sender's view.
+    Members(Vec<Member>),
+    /// Hashes of the sender's view by bucket, for finding what differs.
+    Buckets(Vec<u64>),
+    /// Asks for the entries of these buckets.
+    WantBuckets(Vec<u16>),
+    /// Asks for everything: a node that has just started.
+    Join(Member),
+    /// Log records, in offset order.
+    Records(Vec<Record>),
+    /// Asks for records from an offset, or a snapshot.
+    Pull {
+        /// First offset wanted.
+        from: u64,
+    },
+    /// Whole folded state.
+    Snapshot(Arc<State>),
+    /// Tells the sender that the receiver is busy sending snapshots.
+    Busy,
+    /// Accusations against versions.
+    Accusations(Vec<Accusation>),
+    /// Cumulative evidence of one owner, for the move controller.
+    Evidence(evidence::Report),
+    /// Tells the domain's reader which configuration version the sender has in force.
+    Applied {
+        /// Configuration version.
+        version: u64,
+    },
+}
+
+/// How far a node's fold and view are.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    /// Next offset of the configuration stream.
+    #[serde(rename = "o")]
+    pub next: u64,
+    /// Hash over the view.
+    #[serde(rename = "v")]
+    pub view: u64,
+    /// Hash over the accusations held.
+    #[serde(rename = "q")]
+    pub quarantine: u64,
+}
--- /dev/null
+++ b/buckthorn_lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins, load and experiments for buckthornworks.
--- /dev/null
+++ b/buckthorn_lab/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line of the lab.
+
+fn main() {}
--- /dev/null
+++ b/buckthornctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Thin program around the `buckthorn` library.
+
+fn main() {}
