Lay out the lab's commands

Cause: several experiments grow side by side and share one command line. Change: one module and one subcommand for each stand-in and experiment; each says that it is not built until it is. Conclusion: parts can be filled in without touching one another.

--- /dev/null
+++ b/buckthorn_lab/src/backend.rs
@@ -0,0 +1,12 @@
+//! Stand-in backend server.
+
+use crate::flags;
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// Fails when a promise broke or an input is bad.
+pub fn run(_flags: &flags::Backend) -> anyhow::Result<()> {
+    anyhow::bail!("this command is not built yet")
+}
--- /dev/null
+++ b/buckthorn_lab/src/demo.rs
@@ -0,0 +1,12 @@
+//! The main job on an embedded deployment.
+
+use crate::flags;
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// Fails when a promise broke or an input is bad.
+pub fn run(_flags: &flags::Demo) -> anyhow::Result<()> {
+    anyhow::bail!("this command is not built yet")
+}
--- /dev/null
+++ b/buckthorn_lab/src/experiment/domain.rs
@@ -0,0 +1,12 @@
+//! A failure domain that leaves and returns.
+
+use crate::flags;
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// Fails when a promise broke or an input is bad.
+pub fn run(_flags: &flags::Domain) -> anyhow::Result<()> {
+    anyhow::bail!("this command is not built yet")
+}
--- /dev/null
+++ b/buckthorn_lab/src/experiment/mod.rs
@@ -0,0 +1,7 @@
+//! Seeded experiments in virtual time; each prints a table and JSON.
+
+pub mod convergence;
+pub mod domain;
+pub mod long;
+pub mod moves;
+pub mod storm;
--- /dev/null
+++ b/buckthorn_lab/src/experiment/moves.rs
@@ -0,0 +1,12 @@
+//! Moves, good and bad, against baselines.
+
+use crate::flags;
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// Fails when a promise broke or an input is bad.
+pub fn run(_flags: &flags::Moves) -> anyhow::Result<()> {
+    anyhow::bail!("this command is not built yet")
+}
--- /dev/null
+++ b/buckthorn_lab/src/experiment/storm.rs
@@ -0,0 +1,12 @@
+//! Retry storms and cold starts.
+
+use crate::flags;
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// Fails when a promise broke or an input is bad.
+pub fn run(_flags: &flags::Storm) -> anyhow::Result<()> {
+    anyhow::bail!("this command is not built yet")
+}
--- a/buckthorn_lab/src/lib.rs
+++ b/buckthorn_lab/src/lib.rs
@@ -1,1 +1,13 @@
 //! Stand-ins, load and experiments for buckthornworks.
+//!
+//! The lab is a test tool. It stands in for what the users run: the platform's log ([`log`]), their
+//! backend servers ([`backend`]) and their callers ([`load`]).
+
+pub mod backend;
+pub mod demo;
+pub mod experiment;
+pub mod flags;
+pub mod load;
+pub mod log;
+pub mod report;
+pub mod scale;
--- /dev/null
+++ b/buckthorn_lab/src/load.rs
@@ -0,0 +1,12 @@
+//! Open-loop load that checks every answer.
+
+use crate::flags;
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// Fails when a promise broke or an input is bad.
+pub fn run(_flags: &flags::Load) -> anyhow::Result<()> {
+    anyhow::bail!("this command is not built yet")
+}
