--- /dev/null
+++ b/buckthorn/src/membership/gossip.rs
@@ -0,0 +1,158 @@
+//! Deltas of the view that are still to be told to others.
+//!
+//! Each delta is sent a bounded number of times, logarithmic in the number of members; those sent
+//! least go first. An allowance of bytes bounds what is pushed at once when many members change.
+
+use std::time::Duration;
+
+use crate::clock::Time;
+use crate::name::Name;
+use crate::rpc::message::{Message, Verdict};
+
+use super::member::Member;
+use super::view::View;
+
+/// Whole members in one message.
+const MAX_MEMBERS: usize = 12;
+
+/// Verdicts in one message.
+const MAX_VERDICTS: usize = 48;
+
+/// Bytes a second that pushes may take on average.
+const BYTES_PER_SECOND: f64 = 1_500.0;
+
+/// Bytes that pushes may take at once.
+const BURST_BYTES: f64 = 16_384.0;
+
+/// Typical size of a whole member on the wire.
+const MEMBER_BYTES: f64 = 330.0;
+
+/// Typical size of a verdict on the wire.
+const VERDICT_BYTES: f64 = 85.0;
+
+/// Typical size of an exchange without its messages.
+const EXCHANGE_BYTES: f64 = 450.0;
+
+/// Whether a delta needs the whole member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Kind {
+    /// Rank only.
+    Verdict,
+    /// Facts too.
+    Member,
+}
+
+/// One delta.
+#[derive(Clone, Debug)]
+struct Delta {
+    /// Host that changed.
+    host: Name,
+    /// What is sent of it.
+    kind: Kind,
+    /// Times it was sent.
+    sent: u32,
+}
+
+/// Deltas to be told, at most one for each host.
+#[derive(Clone, Debug, Default)]
+pub struct Queue {
+    /// Deltas sorted by host.
+    deltas: Vec<Delta>,
+    /// Bytes that may be pushed now.
+    allowance: f64,
+    /// When the allowance was last raised.
+    refilled: Time,
+}
+
+impl Queue {
+    /// Whether nothing is to be told.
+    pub fn is_empty(&self) -> bool {
+        self.deltas.is_empty()
+    }
+
+    /// Adds a delta; one of the same host is replaced.
+    pub fn push(&mut self, host: &Name, kind: Kind) {
+        match self.deltas.binary_search_by(|d| d.host.cmp(host)) {
+            Ok(index) => {
+                let delta = &mut self.deltas[index];
+                delta.kind = delta.kind.max(kind);
+                delta.sent = 0;
+            }
+            Err(index) => {
+                let delta = Delta {
+                    host: host.clone(),
+                    kind,
+                    sent: 0,
+                };
+                self.deltas.insert(index, delta);
+            }
+        }
+    }
+
+    /// Messages that carry the deltas sent least, and counts them as sent.
+    pub fn take(&mut self, view: &View) -> Vec<Message> {
+        let mut order: Vec<usize> = (0..self.deltas.len()).collect();
+        order.sort_by_key(|&i| self.deltas[i].sent);
+        let (mut members, mut verdicts) = (Vec::new(), Vec::new());
+        for index in order {
+            let delta = &mut self.deltas[index];
+            let Some(member) = view.get(&delta.host) else {
+                delta.sent = u32::MAX;
+                continue;
+            };
+            match delta.kind {
+                Kind::Member if members.len() < MAX_MEMBERS => members.push(member.clone()),
+                Kind::Verdict if verdicts.len() < MAX_VERDICTS => verdicts.push(member.verdict()),
+                Kind::Member | Kind::Verdict => continue,
+            }
+            delta.sent += 1;
+        }
+        let limit = max_sends(view.live().count());
+        self.deltas.retain(|delta| delta.sent < limit);
+        messages(members, verdicts)
+    }
+
+    /// Messages for a push, as far as the allowance goes.
+    pub fn push_out(&mut self, view: &View, now: Time) -> Option<Vec<Message>> {
+        let elapsed = now.since(self.refilled).min(Duration::from_secs(60));
+        self.refilled = now;
+        self.allowance =
+            (self.allowance + elapsed.as_secs_f64() * BYTES_PER_SECOND).min(BURST_BYTES);
+        if self.deltas.is_empty() || self.allowance < 0.0 {
+            return None;
+        }
+        let messages = self.take(view);
+        self.allowance -= cost(&messages);
+        (!messages.is_empty()).then_some(messages)
+    }
+}
+
+/// Messages that carry members and verdicts, none for empty lists.
+fn messages(members: Vec<Member>, verdicts: Vec<Verdict>) -> Vec<Message> {
+    let mut messages = Vec::new();
+    if !members.is_empty() {
+        messages.push(Message::Members(members));
+    }
+    if !verdicts.is_empty() {
+        messages.push(Message::Verdicts(verdicts));
+    }
+    messages
+}
+
+/// Estimated bytes of an exchange that carries messages.
+fn cost(messages: &[Message]) -> f64 {
+    messages
+        .iter()
+        .map(|message| match message {
+            Message::Members(members) => members.len() as f64 * MEMBER_BYTES,
+            Message::Verdicts(verdicts) => verdicts.len() as f64 * VERDICT_BYTES,
+            _ => 0.0,
+        })
+        .sum::<f64>()
+        + EXCHANGE_BYTES
+}
+
+/// Times that one node sends a delta among `live` members.
+fn max_sends(live: usize) -> u32 {
+    usize::BITS - live.leading_zeros()
+}
--- a/buckthorn/src/membership/member.rs
+++ b/buckthorn/src/membership/member.rs
@@ -4,7 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::name::Name;
+use crate::name::{self, Name};
+use crate::rpc::message::Verdict;
 
 /// What is known of a host.
 ///
@@ -81,6 +82,30 @@
         (self.incarnation, self.sequence, self.status)
     }
 
+    /// Hash of everything but rank: region, failure domain, addresses and backend server.
+    pub fn facts(&self) -> u32 {
+        let facts = (
+            &self.region,
+            &self.failure_domain,
+            self.rpc,
+            self.hop,
+            &self.backend_server,
+        );
+        let text = serde_json::to_string(&facts).expect("facts encode as JSON");
+        name::hash(&text) as u32
+    }
+
+    /// Liveness without the facts.
+    pub fn verdict(&self) -> Verdict {
+        Verdict {
+            host: self.host.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            status: self.status,
+            facts: self.facts(),
+        }
+    }
+
     /// Whether calls may be sent to the host.
     pub fn is_usable(&self) -> bool {
         matches!(self.status, Status::Alive | Status::Suspect)
--- /dev/null
+++ b/buckthorn/src/membership/sync.rs
@@ -0,0 +1,105 @@
+//! Repair of differing views by their hashes.
+//!
+//! A node whose view hashes differently from a peer's sends its hashes by bucket; the peer answers
+//! with its entries of the buckets that differ and asks for the same in return. Messages are
+//! bounded, so a large difference takes several rounds.
+
+use std::time::Duration;
+
+use crate::clock::Time;
+use crate::rpc::message::Message;
+
+use super::member::Member;
+use super::view::View;
+
+/// Members in one message.
+pub const MAX_MEMBERS: usize = 100;
+
+/// Shortest time between rounds while the view changes anyway.
+const BUSY_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Shortest time between rounds of a quiet view.
+const QUIET_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Shortest time between rounds while catching up after a start or a cut.
+const CATCH_UP_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Time without changes after which deltas on their way explain no difference.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+
+/// When to compare views.
+#[derive(Clone, Debug, Default)]
+pub struct Syncer {
+    /// When the last round began.
+    started: Time,
+    /// Whether the last round brought a full message, so that more is to come.
+    is_behind: bool,
+}
+
+impl Syncer {
+    /// Whether to begin a round with a peer whose digest differs.
+    pub fn is_due(&self, now: Time, changed: Time) -> bool {
+        let interval = if self.is_behind {
+            CATCH_UP_INTERVAL
+        } else if now.since(changed) >= SETTLE_TIME {
+            QUIET_INTERVAL
+        } else {
+            BUSY_INTERVAL
+        };
+        now.since(self.started) >= interval
+    }
+
+    /// Begins a round.
+    pub fn begin(&mut self, view: &View, now: Time) -> Message {
+        self.started = now;
+        self.is_behind = false;
+        Message::Buckets(view.buckets())
+    }
+
+    /// Notes how many members an answer brought.
+    pub fn note(&mut self, members: usize) {
+        self.is_behind = members >= MAX_MEMBERS / 2;
+    }
+}
+
+/// Answer to a peer's hashes.
+pub fn compare(view: &View, theirs: &[u64]) -> Vec<Message> {
+    let mut differing = view.differing(theirs);
+    if differing.is_empty() {
+        return Vec::new();
+    }
+    // A bucket that stays different must not keep the others from their turn.
+    let start = view.digest() % differing.len() as u64;
+    differing.rotate_left(start as usize);
+    let members = collect(view, &mut differing);
+    vec![Message::Members(members), Message::WantBuckets(differing)]
+}
+
+/// Answer to a peer that asks for buckets.
+pub fn send(view: &View, wanted: &[u16]) -> Vec<Message> {
+    let mut buckets = wanted.to_vec();
+    buckets.truncate(super::view::BUCKETS);
+    let members = collect(view, &mut buckets);
+    if members.is_empty() {
+        return Vec::new();
+    }
+    vec![Message::Members(members)]
+}
+
+/// Members of the first buckets that fit one message; `buckets` is cut to those.
+fn collect(view: &View, buckets: &mut Vec<u16>) -> Vec<Member> {
+    let mut members: Vec<Member> = Vec::new();
+    let mut taken = 0;
+    for &bucket in buckets.iter() {
+        let before = members.len();
+        members.extend(view.in_bucket(bucket).cloned());
+        if members.len() > MAX_MEMBERS && before > 0 {
+            members.truncate(before);
+            break;
+        }
+        taken += 1;
+    }
+    members.truncate(MAX_MEMBERS);
+    buckets.truncate(taken);
+    members
+}
--- a/buckthorn/src/membership/view.rs
+++ b/buckthorn/src/membership/view.rs
@@ -1,15 +1,23 @@
 //! Merged knowledge of all members.
+//!
+//! Entries never go back: the higher rank wins. The hashes by bucket cover usable members only, so
+//! that views agree although each forgets the dead at its own time.
 
 use crate::clock::Time;
-use crate::name::Name;
+use crate::name::{self, Name};
 
 use super::member::{Member, Status};
 
+/// Buckets that the hashes of a view are divided into.
+pub const BUCKETS: usize = 64;
+
 /// Members that one node knows, sorted by host.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct View {
     /// Entries sorted by host.
     entries: Vec<Entry>,
+    /// Hash of the usable entries by bucket.
+    buckets: Vec<u64>,
     /// Number of the last change of any entry.
     revision: u64,
 }
@@ -32,12 +40,66 @@
     Unchanged,
 }
 
+impl Default for View {
+    fn default() -> Self {
+        Self {
+            entries: Vec::new(),
+            buckets: vec![0; BUCKETS],
+            revision: 0,
+        }
+    }
+}
+
 impl View {
     /// Empty view.
     pub fn new() -> Self {
         Self::default()
     }
 
+    /// Hash of all usable entries.
+    pub fn digest(&self) -> u64 {
+        self.buckets.iter().fold(0, |sum, hash| sum ^ hash)
+    }
+
+    /// Hashes of the usable entries by bucket, shortened for the wire.
+    pub fn buckets(&self) -> Vec<u64> {
+        self.buckets.iter().map(|hash| hash >> 32).collect()
+    }
+
+    /// Buckets whose hash differs from another view's, in order.
+    pub fn differing(&self, theirs: &[u64]) -> Vec<u16> {
+        if theirs.len() != BUCKETS {
+            return Vec::new();
+        }
+        (0..BUCKETS)
+            .filter(|&i| self.buckets[i] >> 32 != theirs[i])
+            .map(|i| i as u16)
+            .collect()
+    }
+
+    /// Members of one bucket, the dead included.
+    pub fn in_bucket(&self, wanted: u16) -> impl Iterator<Item = &Member> {
+        self.members()
+            .filter(move |member| bucket(&member.host) == usize::from(wanted))
+    }
+
+    /// Number of entries.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether nothing is held.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Adds an entry to the hash of its bucket, or takes it out again.
+    fn toggle(buckets: &mut [u64], member: &Member) {
+        if member.is_usable() {
+            buckets[bucket(&member.host)] ^= fingerprint(member);
+        }
+    }
+
     /// Number that rises with every change.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -78,10 +140,13 @@
                 if member.rank() <= held.member.rank() {
                     return Merge::Unchanged;
                 }
+                Self::toggle(&mut self.buckets, &held.member);
+                Self::toggle(&mut self.buckets, member);
                 held.member = member.clone();
                 held.changed = now;
             }
             Err(index) => {
+                Self::toggle(&mut self.buckets, member);
                 self.entries.insert(
                     index,
                     Entry {
@@ -105,7 +170,9 @@
         if entry.member.status >= status {
             return None;
         }
+        Self::toggle(&mut self.buckets, &entry.member);
         entry.member.status = status;
+        Self::toggle(&mut self.buckets, &entry.member);
         entry.changed = now;
         self.revision += 1;
         Some(&entry.member)
@@ -117,6 +184,7 @@
         self.entries.retain(|entry| {
             let keep = is_kept(entry);
             if !keep {
+                Self::toggle(&mut self.buckets, &entry.member);
                 dropped.push(entry.member.host.clone());
             }
             keep
@@ -127,3 +195,18 @@
         dropped
     }
 }
+
+/// Bucket of a host.
+fn bucket(host: &str) -> usize {
+    (name::hash(host) % BUCKETS as u64) as usize
+}
+
+/// Hash of an entry's host and rank.
+fn fingerprint(member: &Member) -> u64 {
+    let mut bytes = Vec::with_capacity(member.host.len() + 17);
+    bytes.extend_from_slice(member.host.as_bytes());
+    bytes.extend_from_slice(&member.incarnation.to_le_bytes());
+    bytes.extend_from_slice(&member.sequence.to_le_bytes());
+    bytes.push(member.status as u8);
+    xxhash_rust::xxh3::xxh3_64(&bytes)
+}
--- a/buckthorn/src/rpc/message.rs
+++ b/buckthorn/src/rpc/message.rs
@@ -6,7 +6,7 @@
 
 use crate::journal::fold::State;
 use crate::journal::record::Record;
-use crate::membership::member::Member;
+use crate::membership::member::{Member, Status};
 use crate::name::Name;
 use crate::rollout::evidence;
 use crate::rollout::quarantine::Accusation;
@@ -42,6 +42,8 @@
     },
     /// Entries of the sender's view.
     Members(Vec<Member>),
+    /// Liveness of members whose facts the receiver should hold already.
+    Verdicts(Vec<Verdict>),
     /// Hashes of the sender's view by bucket, for finding what differs.
     Buckets(Vec<u64>),
     /// Asks for the entries of these buckets.
@@ -83,3 +85,23 @@
     #[serde(rename = "q")]
     pub quarantine: u64,
 }
+
+/// Liveness of a member without its facts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Verdict {
+    /// Host.
+    #[serde(rename = "h")]
+    pub host: Name,
+    /// Incarnation judged.
+    #[serde(rename = "i")]
+    pub incarnation: u64,
+    /// Sequence judged.
+    #[serde(rename = "n")]
+    pub sequence: u64,
+    /// Liveness.
+    #[serde(rename = "s")]
+    pub status: Status,
+    /// Hash of the facts that the sender holds at this rank.
+    #[serde(rename = "f")]
+    pub facts: u32,
+}
--- /dev/null
+++ b/buckthorn/tests/membership_view.rs
@@ -0,0 +1,79 @@
+//! Merging of members into a view and its hashes.
+
+use buckthorn::clock::Time;
+use buckthorn::membership::member::{Member, Status};
+use buckthorn::membership::readers;
+use buckthorn::membership::view::{Merge, View};
+
+/// Member of a failure domain.
+fn member(host: &str, failure_domain: &str) -> Member {
+    Member {
+        host: host.into(),
+        incarnation: 1,
+        sequence: 0,
+        region: "r1".into(),
+        failure_domain: failure_domain.into(),
+        rpc: "127.0.0.1:1".parse().unwrap(),
+        hop: "127.0.0.1:2".parse().unwrap(),
+        status: Status::Alive,
+        backend_server: None,
+    }
+}
+
+#[test]
+fn entries_never_go_back() {
+    let mut view = View::new();
+    let now = Time::from_secs(1);
+    let mut newer = member("a", "d1");
+    newer.sequence = 2;
+    assert_eq!(view.merge(&newer, now), Merge::Changed);
+    assert_eq!(view.merge(&member("a", "d1"), now), Merge::Unchanged);
+    view.set_status("a", Status::Dead, now);
+    assert_eq!(view.merge(&newer, now), Merge::Unchanged);
+    assert_eq!(view.get("a").unwrap().status, Status::Dead);
+    let mut reborn = member("a", "d1");
+    reborn.incarnation = 2;
+    assert_eq!(view.merge(&reborn, now), Merge::Changed);
+    assert!(view.get("a").unwrap().is_usable());
+}
+
+#[test]
+fn hashes_agree_when_the_usable_members_do() {
+    let now = Time::from_secs(1);
+    let (mut left, mut right) = (View::new(), View::new());
+    for host in ["a", "b", "c"] {
+        left.merge(&member(host, "d1"), now);
+    }
+    for host in ["c", "a", "b"] {
+        right.merge(&member(host, "d1"), now);
+    }
+    assert_eq!(left.digest(), right.digest());
+    assert!(left.differing(&right.buckets()).is_empty());
+
+    // One has forgotten a dead member that the other remembers.
+    left.set_status("b", Status::Dead, now);
+    let differing = left.differing(&right.buckets());
+    assert_eq!(differing.len(), 1);
+    assert!(left.in_bucket(differing[0]).any(|m| &*m.host == "b"));
+    right.retain(|entry| &*entry.member.host != "b");
+    assert_eq!(left.digest(), right.digest());
+    left.retain(|_| false);
+    assert_eq!(left.digest(), View::new().digest());
+}
+
+#[test]
+fn readers_are_live_members_of_the_failure_domain() {
+    let now = Time::from_secs(1);
+    let mut view = View::new();
+    for host in ["a", "b", "c"] {
+        view.merge(&member(host, "d1"), now);
+    }
+    view.merge(&member("x", "d2"), now);
+    let first = readers(&view, "d1");
+    assert_eq!(first.len(), 2);
+    view.set_status(&first[0], Status::Dead, now);
+    let second = readers(&view, "d1");
+    assert_eq!(second[0], first[1]);
+    assert_eq!(second.len(), 2);
+    assert_eq!(readers(&view, "d2"), vec!["x".into()]);
+}
