--- a/buckthorn/src/rollout/evidence.rs
+++ b/buckthorn/src/rollout/evidence.rs
@@ -1,22 +1,71 @@
 //! What owners count of the calls that their backend servers answer.
+//!
+//! The [`Book`] is written on the path of a request: fixed slots, atomics only, no lock once a
+//! route has its slot. Counts are cumulative since the node started; readers take differences, so
+//! a lost or repeated [`Report`] costs nothing. Latencies fall into buckets a quarter of an octave
+//! wide, from [`BUCKET_FLOOR`] upwards.
+//!
+//! On the wire a route's counts are one JSON array: route, the outcomes in the order of
+//! [`Outcome`] without `Cancelled`, the first bucket, and the buckets from there on.
 
+use std::fmt;
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
+use serde::de::{SeqAccess, Visitor};
+use serde::ser::SerializeSeq;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
-use crate::name::Name;
+use crate::name::{self, Name};
+
+/// Routes counted apart; calls on further routes are counted together.
+pub const MAX_ROUTES: usize = 32;
+
+/// Name under which the routes over the limit are counted together.
+pub const OTHER_ROUTES: &str = "*";
+
+/// Latency buckets.
+pub const BUCKETS: usize = 84;
+
+/// Buckets in an octave, so that one is about 19% wide.
+pub const BUCKETS_PER_OCTAVE: f64 = 4.0;
+
+/// Upper edge of the first bucket.
+pub const BUCKET_FLOOR: Duration = Duration::from_micros(64);
+
+/// Outcomes counted, all but `Cancelled`.
+pub const OUTCOMES: usize = 6;
 
 /// Cumulative counts of one owner, since its node started.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
     /// Host of the owner.
+    #[serde(rename = "h")]
     pub host: Name,
     /// Incarnation of the owner's node.
+    #[serde(rename = "i")]
     pub incarnation: u64,
     /// Service.
+    #[serde(rename = "s")]
     pub service: Name,
     /// Version that the backend server runs.
+    #[serde(rename = "v")]
     pub version: Name,
+    /// Counts by route, sorted by route.
+    #[serde(rename = "r", default)]
+    pub routes: Vec<Tally>,
+}
+
+/// Cumulative counts of one route.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Tally {
+    /// Route.
+    pub route: Name,
+    /// Calls by outcome, in the order of [`Outcome`].
+    pub outcomes: [u64; OUTCOMES],
+    /// Calls answered in full by latency bucket.
+    pub buckets: Vec<u64>,
 }
 
 /// How a call to the own backend server ended.
@@ -38,16 +87,263 @@
     Cancelled,
 }
 
+impl Tally {
+    /// Tally without calls.
+    pub fn new(route: Name) -> Self {
+        Self {
+            route,
+            outcomes: [0; OUTCOMES],
+            buckets: vec![0; BUCKETS],
+        }
+    }
+
+    /// Calls that ran.
+    pub fn calls(&self) -> u64 {
+        self.outcomes.iter().sum::<u64>() - self.shed()
+    }
+
+    /// Calls that ran and failed.
+    pub fn failed(&self) -> u64 {
+        self.calls() - self.outcomes[Outcome::Ok as usize]
+    }
+
+    /// Calls refused by the backend server as overloaded.
+    pub fn shed(&self) -> u64 {
+        self.outcomes[Outcome::Shed as usize]
+    }
+
+    /// Calls answered in full in a bucket above `bucket`.
+    pub fn slower_than(&self, bucket: usize) -> u64 {
+        self.buckets.iter().skip(bucket + 1).sum()
+    }
+
+    /// Bucket that holds a quantile of the calls answered in full, if there are any.
+    pub fn quantile(&self, quantile: f64) -> Option<usize> {
+        let total: u64 = self.buckets.iter().sum();
+        let rank = (total as f64 * quantile).ceil() as u64;
+        let mut seen = 0;
+        self.buckets.iter().position(|count| {
+            seen += count;
+            total > 0 && seen >= rank.max(1)
+        })
+    }
+
+    /// Adds another tally.
+    pub fn add(&mut self, other: &Self) {
+        for (sum, count) in self.outcomes.iter_mut().zip(&other.outcomes) {
+            *sum += count;
+        }
+        for (sum, count) in self.buckets.iter_mut().zip(&other.buckets) {
+            *sum += count;
+        }
+    }
+
+    /// What was added since `earlier`; nothing where a count fell, as a counter never does.
+    pub fn since(&self, earlier: &Self) -> Self {
+        let mut difference = self.clone();
+        for (count, before) in difference.outcomes.iter_mut().zip(&earlier.outcomes) {
+            *count = count.saturating_sub(*before);
+        }
+        for (count, before) in difference.buckets.iter_mut().zip(&earlier.buckets) {
+            *count = count.saturating_sub(*before);
+        }
+        difference
+    }
+}
+
+/// Bucket of a latency.
+pub fn bucket(latency: Duration) -> usize {
+    let ratio = latency.as_micros() as f64 / BUCKET_FLOOR.as_micros() as f64;
+    if ratio <= 1.0 {
+        return 0;
+    }
+    ((ratio.log2() * BUCKETS_PER_OCTAVE).ceil() as usize).min(BUCKETS - 1)
+}
+
+/// Upper edge of a bucket.
+pub fn upper_edge(bucket: usize) -> Duration {
+    BUCKET_FLOOR.mul_f64((bucket as f64 / BUCKETS_PER_OCTAVE).exp2())
+}
+
+/// Route under which a call is counted: the table's prefix or the path's first segment, whichever
+/// is longer.
+pub fn key<'a>(prefix: &'a str, path: &'a str) -> &'a str {
+    let end = path
+        .char_indices()
+        .skip(1)
+        .find(|(_, c)| matches!(c, '/' | '?'))
+        .map_or(path.len(), |(index, _)| index);
+    if end > prefix.len() {
+        &path[..end]
+    } else {
+        prefix
+    }
+}
+
+/// Counts of one route.
+#[derive(Debug)]
+struct Slot {
+    /// Hash of the route, zero while the slot is free.
+    hash: AtomicU64,
+    /// Route.
+    route: OnceLock<Name>,
+    /// Calls by outcome.
+    outcomes: [AtomicU64; OUTCOMES],
+    /// Calls answered in full by latency bucket.
+    buckets: [AtomicU64; BUCKETS],
+}
+
+impl Slot {
+    /// Free slot.
+    fn new() -> Self {
+        Self {
+            hash: AtomicU64::new(0),
+            route: OnceLock::new(),
+            outcomes: std::array::from_fn(|_| AtomicU64::new(0)),
+            buckets: std::array::from_fn(|_| AtomicU64::new(0)),
+        }
+    }
+
+    /// Whether the slot holds the route, taking it when it is free.
+    fn claim(&self, hash: u64, route: &str) -> bool {
+        let held = match self
+            .hash
+            .compare_exchange(0, hash, Ordering::AcqRel, Ordering::Acquire)
+        {
+            Ok(_) => {
+                self.route.get_or_init(|| route.into());
+                hash
+            }
+            Err(held) => held,
+        };
+        held == hash
+    }
+
+    /// Counts read now.
+    fn tally(&self) -> Option<Tally> {
+        let route = self.route.get()?;
+        Some(Tally {
+            route: route.clone(),
+            outcomes: std::array::from_fn(|i| self.outcomes[i].load(Ordering::Relaxed)),
+            buckets: self
+                .buckets
+                .iter()
+                .map(|count| count.load(Ordering::Relaxed))
+                .collect(),
+        })
+    }
+}
+
 /// Counts kept by the owner, written on the path of a request.
-#[derive(Debug, Default)]
-pub struct Book {}
+#[derive(Debug)]
+pub struct Book {
+    /// Routes, the last slot for those over the limit.
+    slots: Vec<Slot>,
+}
 
 impl Book {
     /// Empty book.
     pub fn new() -> Self {
-        Self::default()
+        Self {
+            slots: (0..=MAX_ROUTES).map(|_| Slot::new()).collect(),
+        }
     }
 
     /// Counts one call.
-    pub fn record(&self, _route: &str, _outcome: Outcome, _latency: Duration) {}
+    pub fn record(&self, route: &str, outcome: Outcome, latency: Duration) {
+        if outcome == Outcome::Cancelled {
+            return;
+        }
+        let slot = self.slot(route);
+        slot.outcomes[outcome as usize].fetch_add(1, Ordering::Relaxed);
+        if outcome == Outcome::Ok {
+            slot.buckets[bucket(latency)].fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Slot of a route, by linear probing from its hash.
+    fn slot(&self, route: &str) -> &Slot {
+        let hash = name::hash(route).max(1);
+        let first = (hash % MAX_ROUTES as u64) as usize;
+        let found = (0..MAX_ROUTES)
+            .map(|step| &self.slots[(first + step) % MAX_ROUTES])
+            .find(|slot| slot.claim(hash, route));
+        found.unwrap_or_else(|| {
+            let other = &self.slots[MAX_ROUTES];
+            other.claim(name::hash(OTHER_ROUTES), OTHER_ROUTES);
+            other
+        })
+    }
+
+    /// Cumulative counts so far.
+    pub fn report(&self, host: &Name, incarnation: u64, service: &Name, version: &Name) -> Report {
+        let mut routes: Vec<Tally> = self.slots.iter().filter_map(Slot::tally).collect();
+        routes.sort_by(|a, b| a.route.cmp(&b.route));
+        Report {
+            host: host.clone(),
+            incarnation,
+            service: service.clone(),
+            version: version.clone(),
+            routes,
+        }
+    }
+}
+
+impl Default for Book {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Serialize for Tally {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let first = self.buckets.iter().position(|&count| count > 0);
+        let last = self.buckets.iter().rposition(|&count| count > 0);
+        let (first, end) = (first.unwrap_or(0), last.map_or(0, |last| last + 1));
+        let mut seq = serializer.serialize_seq(Some(2 + OUTCOMES + end - first))?;
+        seq.serialize_element(&self.route)?;
+        for count in &self.outcomes {
+            seq.serialize_element(count)?;
+        }
+        seq.serialize_element(&first)?;
+        for count in &self.buckets[first..end] {
+            seq.serialize_element(count)?;
+        }
+        seq.end()
+    }
+}
+
+impl<'de> Deserialize<'de> for Tally {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        /// Reads the array of a tally.
+        struct Counts;
+
+        impl<'de> Visitor<'de> for Counts {
+            type Value = Tally;
+
+            fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str("a route and its counts")
+            }
+
+            fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Tally, A::Error> {
+                let short = || serde::de::Error::custom("counts end early");
+                let mut tally = Tally::new(seq.next_element()?.ok_or_else(short)?);
+                for count in &mut tally.outcomes {
+                    *count = seq.next_element()?.ok_or_else(short)?;
+                }
+                let mut index: usize = seq.next_element()?.ok_or_else(short)?;
+                while let Some(count) = seq.next_element()? {
+                    let slot = tally
+                        .buckets
+                        .get_mut(index)
+                        .ok_or_else(|| serde::de::Error::custom("more buckets than there are"))?;
+                    *slot = count;
+                    index += 1;
+                }
+                Ok(tally)
+            }
+        }
+
+        deserializer.deserialize_seq(Counts)
+    }
 }
--- a/buckthorn/src/rollout/mod.rs
+++ b/buckthorn/src/rollout/mod.rs
@@ -2,4 +2,8 @@
 
 pub mod controller;
 pub mod evidence;
+pub mod judge;
+pub mod plugin;
 pub mod quarantine;
+pub mod schedule;
+pub mod trial;
--- /dev/null
+++ b/buckthorn/src/rollout/plugin.rs
@@ -0,0 +1,327 @@
+//! Connects the decisions about moves to the kernel.
+//!
+//! Owners' reports go to the lease's holder and to the move's judges while a move concerns the
+//! service. The holder turns decisions into steps, with at most one append in flight for each move;
+//! an append whose outcome is unknown is decided anew from the folded state, where a repeated step
+//! is harmless. Judges raise accusations, which every node passes on once.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::clock::Time;
+use crate::config::intent::{Intent, Move, Phase};
+use crate::counter::Counter;
+use crate::journal::record::{self, Body, Step};
+use crate::kernel::{Action, Context, Event, Plugin, Registry};
+use crate::membership::member::Member;
+use crate::name::Name;
+use crate::platform::Append;
+use crate::rpc::message::Message;
+
+use super::controller::{self, Decision, Fleet};
+use super::evidence::Report;
+use super::judge;
+use super::quarantine::Accusation;
+use super::trial::Trial;
+
+/// Interval between an owner's reports to holder and judges.
+pub const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time before a move's start from which owners report.
+pub const REPORT_LEAD: Duration = Duration::from_secs(60);
+
+/// Time without an answer after which an append counts as lost.
+pub const APPEND_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Pause after an append that was refused or whose outcome is unknown.
+pub const APPEND_PAUSE: Duration = Duration::from_secs(1);
+
+/// Peers to which a new accusation is passed on.
+pub const FANOUT: usize = 4;
+
+/// Adds the plug-in to a kernel.
+pub fn register(registry: &mut Registry) {
+    registry.add(Rollout::default());
+}
+
+/// Plug-in that moves traffic between versions.
+#[derive(Debug, Default)]
+pub struct Rollout {
+    /// Moves that this node judges, sorted by identifier.
+    trials: Vec<Trial>,
+    /// Appends in flight.
+    pending: Vec<Pending>,
+    /// When the own owner last reported.
+    reported: Option<Time>,
+    /// Number of the last step appended, for unique record identifiers.
+    number: u64,
+}
+
+/// An append in flight, or the pause after one that failed.
+#[derive(Clone, Debug)]
+struct Pending {
+    /// Move.
+    move_id: Name,
+    /// Record.
+    record: Name,
+    /// When the move may be decided anew without an answer.
+    until: Time,
+}
+
+impl Plugin for Rollout {
+    fn name(&self) -> &'static str {
+        "rollout"
+    }
+
+    fn handle(&mut self, cx: &mut Context<'_>, event: &Event) {
+        match event {
+            Event::Tick => self.tick(cx),
+            Event::Observed(report) => self.observe(cx, report),
+            Event::Received { messages, .. } | Event::Answered { messages, .. } => {
+                for message in messages {
+                    self.receive(cx, message);
+                }
+            }
+            Event::Appended { id, result } => self.appended(cx, id, result),
+            _ => {}
+        }
+    }
+}
+
+impl Rollout {
+    /// Follows the folded moves and decides about them.
+    fn tick(&mut self, cx: &mut Context<'_>) {
+        let state = cx.shared.tail.state().clone();
+        if cx.shared.quarantine.prune(&state.intent, cx.now) {
+            cx.act(Action::Rebuild);
+        }
+        self.follow(cx, &state.intent);
+        self.pending.retain(|pending| cx.now < pending.until);
+        if cx.shared.is_stopping || !cx.shared.keeper.is_holder(&state.lease) {
+            return;
+        }
+        for index in 0..self.trials.len() {
+            let Some(entry) = state.intent.find_move(&self.trials[index].id) else {
+                continue;
+            };
+            if self.pending.iter().any(|p| p.move_id == entry.id) {
+                continue;
+            }
+            let fleet = fleet(cx, &state.intent, entry);
+            let decision = controller::decide(entry, &self.trials[index], fleet, cx.now);
+            if let Decision::Step {
+                phase,
+                share,
+                reason,
+            } = decision
+            {
+                let step = Step {
+                    term: state.lease.term,
+                    id: entry.id.clone(),
+                    phase,
+                    share,
+                    reason,
+                    at: cx.now,
+                };
+                self.append(cx, step);
+            }
+        }
+    }
+
+    /// Opens trials of the moves that this node judges and drops those of ended moves.
+    fn follow(&mut self, cx: &Context<'_>, intent: &Intent) {
+        self.trials.retain(|trial| {
+            intent
+                .find_move(&trial.id)
+                .is_some_and(|m| !m.phase.is_ended())
+        });
+        for entry in intent.moves.iter().filter(|m| is_reported(m, cx.now)) {
+            match self.trials.binary_search_by(|t| t.id.cmp(&entry.id)) {
+                Ok(index) => self.trials[index].follow(entry, cx.now),
+                Err(index) => {
+                    if is_judge(cx, &entry.id) {
+                        self.trials.insert(index, Trial::new(entry, cx.now));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Appends a step.
+    fn append(&mut self, cx: &mut Context<'_>, step: Step) {
+        let identity = &cx.shared.identity;
+        self.number += 1;
+        let id: Name = format!(
+            "step-{}-{:x}-{}",
+            identity.host, identity.incarnation, self.number
+        )
+        .into();
+        cx.shared.counters.hit(match step.phase {
+            Phase::Holding => Counter::MovesHeld,
+            Phase::Done => Counter::MovesDone,
+            Phase::TakenBack => Counter::MovesTakenBack,
+            _ => Counter::StepsTaken,
+        });
+        cx.act(Action::Note {
+            text: format!(
+                "move {}: {} at {}: {}",
+                step.id, step.phase, step.share, step.reason
+            ),
+        });
+        self.pending.push(Pending {
+            move_id: step.id.clone(),
+            record: id.clone(),
+            until: cx.now + APPEND_TIMEOUT,
+        });
+        cx.act(Action::Append {
+            stream: record::CONFIG_STREAM,
+            id,
+            payload: record::encode(Body::Step(step)),
+        });
+    }
+
+    /// Takes the outcome of an append.
+    ///
+    /// After a success the move waits for the fold to show the step, up to the pause; after a
+    /// failure it waits out the pause.
+    fn appended(&mut self, cx: &Context<'_>, id: &Name, result: &Append) {
+        let Some(pending) = self.pending.iter_mut().find(|p| p.record == *id) else {
+            return;
+        };
+        if !matches!(result, Append::Done { .. }) {
+            cx.shared.counters.hit(Counter::LogAppendFailures);
+        }
+        pending.until = cx.now + APPEND_PAUSE;
+    }
+
+    /// Passes the own owner's report on to holder and judges.
+    fn observe(&mut self, cx: &mut Context<'_>, report: &Report) {
+        let is_due = self
+            .reported
+            .is_none_or(|at| cx.now.since(at) >= REPORT_INTERVAL);
+        if !is_due {
+            return;
+        }
+        let state = cx.shared.tail.state().clone();
+        let mut targets: Vec<Member> = Vec::new();
+        for entry in state.intent.moves.iter().filter(|m| concerns(m, report)) {
+            if !is_reported(entry, cx.now) {
+                continue;
+            }
+            let holder = state.lease.holder.as_ref();
+            let holder = holder.and_then(|host| cx.shared.view.get(host));
+            targets.extend(holder.filter(|m| m.is_usable()).cloned());
+            let seats = judge::seats(&cx.shared.view, &entry.id);
+            targets.extend(seats.into_iter().cloned());
+        }
+        if targets.is_empty() {
+            return;
+        }
+        self.reported = Some(cx.now);
+        targets.sort_by(|a, b| a.host.cmp(&b.host));
+        targets.dedup_by(|a, b| a.host == b.host);
+        for target in &targets {
+            if target.host == cx.shared.identity.host {
+                self.take(cx, report);
+            } else {
+                cx.send(target, vec![Message::Evidence(report.clone())]);
+            }
+        }
+    }
+
+    /// Takes a message of another node in.
+    fn receive(&mut self, cx: &mut Context<'_>, message: &Message) {
+        match message {
+            Message::Evidence(report) => self.take(cx, report),
+            Message::Accusations(accusations) => accuse(cx, accusations, false),
+            _ => {}
+        }
+    }
+
+    /// Takes an owner's report in.
+    fn take(&mut self, cx: &Context<'_>, report: &Report) {
+        let state = cx.shared.tail.state();
+        for trial in &mut self.trials {
+            let entry = state.intent.find_move(&trial.id);
+            if entry.is_some_and(|entry| concerns(entry, report)) {
+                trial.take(report, cx.now);
+            }
+        }
+    }
+}
+
+/// Takes accusations in and passes new ones on to a few live peers.
+fn accuse(cx: &mut Context<'_>, accusations: &[Accusation], is_alone: bool) {
+    let state = cx.shared.tail.state().clone();
+    let merge = cx
+        .shared
+        .quarantine
+        .merge(accusations, &state.intent, is_alone);
+    for id in &merge.entered {
+        cx.shared.counters.hit(Counter::Quarantines);
+        cx.act(Action::Note {
+            text: format!("move {id}: new version quarantined"),
+        });
+        cx.act(Action::Rebuild);
+    }
+    if merge.fresh.is_empty() {
+        return;
+    }
+    let own = cx.shared.identity.host.clone();
+    let mut peers: Vec<Member> = cx
+        .shared
+        .view
+        .live()
+        .filter(|m| m.host != own)
+        .cloned()
+        .collect();
+    for _ in 0..FANOUT.min(peers.len()) {
+        let peer = peers.swap_remove(cx.rng.random_range(0..peers.len()));
+        cx.send(&peer, vec![Message::Accusations(merge.fresh.clone())]);
+    }
+}
+
+/// Whether owners report on a move now.
+fn is_reported(entry: &Move, now: Time) -> bool {
+    entry.phase.is_active() || (entry.phase == Phase::Waiting && now + REPORT_LEAD >= entry.start)
+}
+
+/// Whether a report is on one of a move's versions.
+fn concerns(entry: &Move, report: &Report) -> bool {
+    entry.service == report.service && (entry.from == report.version || entry.to == report.version)
+}
+
+/// Whether this node judges a move: as holder of the lease or by its seat.
+fn is_judge(cx: &Context<'_>, move_id: &str) -> bool {
+    let own = &cx.shared.identity.host;
+    let lease = &cx.shared.tail.state().lease;
+    cx.shared.keeper.is_holder(lease)
+        || judge::seats(&cx.shared.view, move_id)
+            .iter()
+            .any(|member| member.host == *own)
+}
+
+/// Backend servers of a move's versions that take new work.
+fn fleet(cx: &Context<'_>, intent: &Intent, entry: &Move) -> Fleet {
+    let mut fleet = Fleet {
+        is_quarantined: cx.shared.quarantine.is_quarantined(&entry.id),
+        ..Fleet::default()
+    };
+    let usable = cx
+        .shared
+        .view
+        .live()
+        .filter(|member| !intent.is_out(&member.failure_domain))
+        .filter_map(|member| member.backend_server.as_ref())
+        .filter(|server| server.service == entry.service && !server.is_draining);
+    for server in usable {
+        if server.version == entry.to {
+            fleet.new += 1;
+            fleet.new_slots += server.slots;
+        } else if server.version == entry.from {
+            fleet.old += 1;
+        }
+    }
+    fleet
+}
--- /dev/null
+++ b/buckthorn/src/rollout/schedule.rs
@@ -0,0 +1,108 @@
+//! Steps of share, computed back from the deadline.
+//!
+//! The share grows geometrically from a canary. What is left of the time up to a target before the
+//! deadline is divided evenly among the steps that remain; the reserve between target and deadline
+//! is there for holds. The **last moment** is the latest time at which the remaining steps still
+//! fit before the deadline at [`MIN_DWELL`] each: from then on a move goes on without the evidence
+//! it lacks, unless something speaks against the new version.
+
+use std::time::Duration;
+
+use crate::clock::Time;
+use crate::config::intent::FULL_SHARE;
+
+/// Smallest canary, in thousandths.
+pub const MIN_CANARY: u16 = 10;
+
+/// Largest canary, in thousandths.
+pub const MAX_CANARY: u16 = 50;
+
+/// Growth of the share in one step.
+pub const GROWTH: u16 = 2;
+
+/// Growth of the share in one step when time is short.
+pub const FAST_GROWTH: u16 = 4;
+
+/// Shortest time at one share.
+pub const MIN_DWELL: Duration = Duration::from_secs(5);
+
+/// Largest part of a move's time kept in reserve for holds.
+pub const MAX_RESERVE: Duration = Duration::from_secs(600);
+
+/// Part of a move's time kept in reserve for holds, as a divisor.
+pub const RESERVE_DIVISOR: u32 = 5;
+
+/// What the schedule says at one share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Plan {
+    /// Share after the next step, in thousandths.
+    pub next: u16,
+    /// Steps left until all traffic is on the new version.
+    pub steps: u32,
+    /// When the next step is due.
+    pub due: Time,
+    /// When the next step must be taken to make the deadline.
+    pub last_moment: Time,
+}
+
+/// Plan for a move that has been at `share` since `since`.
+pub fn plan(share: u16, canary: u16, since: Time, start: Time, deadline: Time) -> Plan {
+    let target = deadline - reserve(start, deadline);
+    let left = target.since(since);
+    let steps = steps(share, canary, GROWTH);
+    let (growth, steps) = if left < MIN_DWELL * steps {
+        (FAST_GROWTH, self::steps(share, canary, FAST_GROWTH))
+    } else {
+        (GROWTH, steps)
+    };
+    let dwell = if share == 0 {
+        Duration::ZERO
+    } else {
+        (left / steps.max(1)).max(MIN_DWELL)
+    };
+    Plan {
+        next: raise(share, canary, growth),
+        steps,
+        due: since + dwell,
+        last_moment: deadline - MIN_DWELL * self::steps(share, canary, FAST_GROWTH),
+    }
+}
+
+/// Time between the planned end and the deadline.
+pub fn reserve(start: Time, deadline: Time) -> Duration {
+    (deadline.since(start) / RESERVE_DIVISOR).min(MAX_RESERVE)
+}
+
+/// Shortest time in which a move can reach full share.
+pub fn shortest() -> Duration {
+    MIN_DWELL * steps(0, MAX_CANARY, FAST_GROWTH)
+}
+
+/// Canary at which `calls` calls a second give `wanted` calls on the new version within `dwell`.
+pub fn canary(calls: f64, wanted: u64, dwell: Duration) -> u16 {
+    let seen = calls * dwell.as_secs_f64();
+    if seen <= 0.0 {
+        return MAX_CANARY;
+    }
+    let permille = (wanted as f64 / seen * f64::from(FULL_SHARE)).ceil();
+    permille.clamp(f64::from(MIN_CANARY), f64::from(MAX_CANARY)) as u16
+}
+
+/// Share after one step.
+fn raise(share: u16, canary: u16, growth: u16) -> u16 {
+    if share == 0 {
+        return canary;
+    }
+    share.saturating_mul(growth).min(FULL_SHARE)
+}
+
+/// Steps from a share to the full share.
+fn steps(share: u16, canary: u16, growth: u16) -> u32 {
+    let mut share = share;
+    let mut steps = 0;
+    while share < FULL_SHARE {
+        share = raise(share, canary, growth);
+        steps += 1;
+    }
+    steps
+}
