Follow the log in a plug-in and keep renewals and checkpoints in their own streams

Cause: renewals every few seconds and whole states in the configuration stream would be pushed to every node, which the 3 KB/s bound cannot carry. Conclusion: only changes of the configuration travel to every node.

--- a/buckthorn/src/journal/checkpoint.rs
+++ b/buckthorn/src/journal/checkpoint.rs
@@ -1,27 +1,28 @@
 //! Checkpoints: the folded state, re-appended well inside the log's retention.
+//!
+//! They live in a stream of their own, so that nodes which follow the configuration stream are not
+//! sent whole states that they already have.
+
+use std::time::Duration;
 
 use super::fold::State;
-use super::record::{self, Body, Record};
+use super::record::Record;
+
+/// Interval at which the lease's holder appends a checkpoint.
+pub const INTERVAL: Duration = Duration::from_secs(300);
 
-/// Records after which the lease's holder appends a new checkpoint.
-pub const MAX_RECORDS_BETWEEN: u64 = 2_000;
+/// Configuration records after which the holder appends a checkpoint without waiting.
+pub const MAX_RECORDS_BETWEEN: u64 = 200;
+
+/// Encodes a state as the payload of a checkpoint.
+pub fn encode(state: &State) -> String {
+    serde_json::to_string(state).expect("states encode as JSON")
+}
 
-/// State from which to go on after a trimmed log, found in the records still held.
-///
-/// The checkpoint's own state is advanced by the records between the offset it was taken at and
-/// its own position; those are no longer all held, so a checkpoint counts only when the records
-/// from its `next` onwards are.
+/// Newest readable state among records of the checkpoint stream.
 pub fn resume(records: &[Record]) -> Option<State> {
-    let earliest = records.first()?.offset;
     records
         .iter()
         .rev()
-        .find_map(|record| match record::decode(&record.payload) {
-            Ok(Body::Checkpoint(state))
-                if state.next >= earliest && state.next <= record.offset =>
-            {
-                Some(*state)
-            }
-            _ => None,
-        })
+        .find_map(|record| serde_json::from_str(&record.payload).ok())
 }
--- a/buckthorn/src/journal/fold.rs
+++ b/buckthorn/src/journal/fold.rs
@@ -42,8 +42,6 @@
     pub version: u64,
     /// Version of the operators' last accepted change.
     pub intent_version: u64,
-    /// Offset of the last checkpoint record seen.
-    pub checkpoint: u64,
     /// Intent in force.
     pub intent: Intent,
     /// Lease of the move controller.
@@ -169,10 +167,8 @@
         match body {
             Body::Change(change) => self.apply_change(record, &change),
             Body::Step(step) => self.apply_step(record, &step),
-            Body::Claim(claim) => self.apply_claim(record, &claim),
-            Body::Renewal(renewal) => self.lease.renew(&renewal, record.offset),
+            Body::Claim(claim) => self.apply_claim(&claim),
             Body::Domain(domain) => self.apply_domain(record, domain),
-            Body::Checkpoint(state) => self.apply_checkpoint(record, &state),
         }
     }
 
@@ -232,8 +228,8 @@
     }
 
     /// Applies a claim of the lease; the first claim of a term in log order wins.
-    fn apply_claim(&mut self, record: &Record, claim: &Claim) -> Outcome {
-        self.lease.claim(claim, record.offset)
+    fn apply_claim(&mut self, claim: &Claim) -> Outcome {
+        self.lease.claim(claim)
     }
 
     /// Adds a failure domain.
@@ -257,16 +253,6 @@
         }
     }
 
-    /// Notes a checkpoint; its state must be the one folded here.
-    fn apply_checkpoint(&mut self, record: &Record, state: &State) -> Outcome {
-        // A checkpoint is taken at an offset before its own, so it may lag behind this fold.
-        if state.next > record.offset {
-            return Outcome::Refused(Refusal::Invalid("checkpoint of the future".into()));
-        }
-        self.checkpoint = record.offset;
-        Outcome::Noted
-    }
-
     /// Moves the configuration version to the record's offset.
     fn bump(&mut self, record: &Record) {
         let version = record.offset + 1;
--- a/buckthorn/src/journal/lease.rs
+++ b/buckthorn/src/journal/lease.rs
@@ -2,7 +2,8 @@
 //!
 //! A claim names the term it replaces; the first such claim in log order wins, every later one is
 //! refused. Decisions carry the term, so a holder that was paused past its lease is fenced by the
-//! order of records and not by any clock.
+//! order of records and not by any clock. Renewals go to a stream of their own, which only the
+//! candidates read: they order nothing, and the other nodes need not be told of them.
 
 use std::time::Duration;
 
@@ -14,10 +15,10 @@
 use crate::name::Name;
 
 /// Interval between renewals of the holder.
-pub const RENEW_INTERVAL: Duration = Duration::from_secs(3);
+pub const RENEW_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Silence of the holder after which others may claim.
-pub const LEASE_TIMEOUT: Duration = Duration::from_secs(10);
+pub const LEASE_TIMEOUT: Duration = Duration::from_secs(7);
 
 /// Lease in force.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -26,13 +27,11 @@
     pub term: u64,
     /// Host that holds it.
     pub holder: Option<Name>,
-    /// Offset of the last claim or renewal.
-    pub renewed: u64,
 }
 
 impl Lease {
     /// Applies a claim.
-    pub fn claim(&mut self, claim: &Claim, offset: u64) -> Outcome {
+    pub fn claim(&mut self, claim: &Claim) -> Outcome {
         if claim.replaces != self.term {
             let refusal = Refusal::Fenced {
                 term: claim.replaces,
@@ -42,20 +41,6 @@
         }
         self.term += 1;
         self.holder = Some(claim.host.clone());
-        self.renewed = offset;
-        Outcome::Noted
-    }
-
-    /// Applies a renewal.
-    pub fn renew(&mut self, renewal: &Renewal, offset: u64) -> Outcome {
-        if renewal.term != self.term {
-            let refusal = Refusal::Fenced {
-                term: renewal.term,
-                current: self.term,
-            };
-            return Outcome::Refused(refusal);
-        }
-        self.renewed = offset;
         Outcome::Noted
     }
 }
@@ -65,12 +50,12 @@
 pub struct Keeper {
     /// This host.
     host: Name,
-    /// Last `renewed` offset seen.
-    seen: u64,
-    /// When it was first seen here.
-    seen_at: Time,
+    /// Last term seen.
+    term: u64,
+    /// When the holder last gave a sign of life, as seen here.
+    heard_at: Time,
     /// Delay of this node's next claim beyond the timeout, against claims that cross.
-    delay: Duration,
+    delay: Option<Duration>,
     /// When this node last appended a claim or renewal.
     appended_at: Option<Time>,
 }
@@ -97,9 +82,9 @@
     pub fn new(host: Name, now: Time) -> Self {
         Self {
             host,
-            seen: 0,
-            seen_at: now,
-            delay: Duration::ZERO,
+            term: 0,
+            heard_at: now,
+            delay: None,
             appended_at: None,
         }
     }
@@ -109,20 +94,31 @@
         lease.holder.as_ref() == Some(&self.host)
     }
 
+    /// Notes a renewal read from the log.
+    pub fn hear(&mut self, renewal: &Renewal, now: Time) {
+        if renewal.term >= self.term {
+            self.heard_at = now;
+            self.delay = None;
+        }
+    }
+
     /// Decides what to append now.
     ///
     /// `rank` is this host's place among the candidates, zero for the preferred one; `jitter` lies
-    /// in [0, 1).
+    /// in `0.0..1.0`.
     pub fn poll(&mut self, lease: &Lease, now: Time, rank: usize, jitter: f64) -> Next {
-        if lease.renewed != self.seen || (lease.term == 0 && self.delay.is_zero()) {
-            self.seen = lease.renewed;
-            self.seen_at = now;
-            self.delay = RENEW_INTERVAL.mul_f64(rank as f64 + jitter.max(0.01));
+        if lease.term != self.term {
+            self.term = lease.term;
+            self.heard_at = now;
+            self.delay = None;
         }
-        let interval_over = self
+        let delay = *self
+            .delay
+            .get_or_insert_with(|| RENEW_INTERVAL.mul_f64(rank as f64 + jitter.clamp(0.0, 1.0)));
+        let is_early = self
             .appended_at
-            .is_none_or(|appended| now.since(appended) >= RENEW_INTERVAL);
-        if !interval_over {
+            .is_some_and(|appended| now.since(appended) < RENEW_INTERVAL);
+        if is_early {
             return Next::Wait;
         }
         if self.is_holder(lease) {
@@ -134,7 +130,7 @@
         } else {
             LEASE_TIMEOUT
         };
-        if now.since(self.seen_at) < patience + self.delay {
+        if now.since(self.heard_at) < patience + delay {
             return Next::Wait;
         }
         self.appended_at = Some(now);
--- a/buckthorn/src/journal/mod.rs
+++ b/buckthorn/src/journal/mod.rs
@@ -3,5 +3,6 @@
 pub mod checkpoint;
 pub mod fold;
 pub mod lease;
+pub mod plugin;
 pub mod record;
 pub mod tail;
--- a/buckthorn/src/journal/record.rs
+++ b/buckthorn/src/journal/record.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+#[cfg(doc)]
 use super::fold::State;
 use crate::clock::Time;
 use crate::config::change::Change;
@@ -14,6 +15,12 @@
 /// Name of the configuration stream in the platform's log.
 pub const CONFIG_STREAM: &str = "config";
 
+/// Name of the stream of checkpoints; each record's payload is a [`State`] as JSON text.
+pub const CHECKPOINT_STREAM: &str = "checkpoints";
+
+/// Name of the stream of the lease holder's renewals; each payload is a [`Renewal`].
+pub const LEASE_STREAM: &str = "lease";
+
 /// Name of the stream of per-domain reports.
 pub const REPORT_STREAM: &str = "reports";
 
@@ -50,12 +57,8 @@
     Step(Step),
     /// Claim of the controller lease.
     Claim(Claim),
-    /// Sign of life of the lease's holder.
-    Renewal(Renewal),
     /// A failure domain makes itself known.
     Domain(Domain),
-    /// Folded state, from which a fold may start.
-    Checkpoint(Box<State>),
 }
 
 /// Controller's decision about a move, fenced by the lease's term.
--- a/buckthorn/src/journal/tail.rs
+++ b/buckthorn/src/journal/tail.rs
@@ -74,7 +74,7 @@
         true
     }
 
-    /// Goes on after a gap, from the newest usable checkpoint among the records.
+    /// Goes on after a gap, from the newest readable record of the checkpoint stream.
     ///
     /// Returns whether a later state was installed.
     pub fn resume(&mut self, records: &[Record]) -> bool {
--- a/buckthorn/src/kernel/mod.rs
+++ b/buckthorn/src/kernel/mod.rs
@@ -6,6 +6,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
@@ -48,10 +49,18 @@
         /// Host they were meant for, empty for a seed whose host is not known.
         host: Name,
     },
-    /// A read of the configuration stream returned.
-    LogRead(Batch),
-    /// A read of the configuration stream failed.
-    LogFailed,
+    /// A read of a stream returned.
+    LogRead {
+        /// Stream.
+        stream: &'static str,
+        /// What it returned.
+        batch: Batch,
+    },
+    /// A read of a stream failed.
+    LogFailed {
+        /// Stream.
+        stream: &'static str,
+    },
     /// An append returned.
     Appended {
         /// Identifier of the record.
@@ -81,10 +90,15 @@
         /// Messages, in order.
         messages: Vec<Message>,
     },
-    /// Read the configuration stream from an offset; answered by `LogRead` or `LogFailed`.
-    ReadLog {
-        /// First offset wanted.
+    /// Read a stream from an offset; answered by `LogRead` or `LogFailed`. At most one read of a
+    /// stream is under way at a time.
+    Read {
+        /// Stream.
+        stream: &'static str,
+        /// First offset wanted; [`LATEST`] for none, only the offsets.
         from: u64,
+        /// How long the log may wait for the first record.
+        wait: Duration,
     },
     /// Append a record to a stream; answered by `Appended`.
     Append {
@@ -105,7 +119,10 @@
 }
 
 /// Interval of [`Event::Tick`].
-pub const TICK_INTERVAL: std::time::Duration = std::time::Duration::from_millis(100);
+pub const TICK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Offset beyond every record, for asking a stream where it ends.
+pub const LATEST: u64 = u64::MAX;
 
 /// What a node is and where it can be reached.
 #[derive(Clone, Debug)]
