--- a/buckthorn/src/routing/load.rs
+++ b/buckthorn/src/routing/load.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 
+use super::budget::Budget;
 use crate::name::Name;
 
 /// Load of one backend server as seen from here.
@@ -43,11 +44,13 @@
     }
 }
 
-/// Loads by host and incarnation, sorted.
+/// Loads by host and incarnation, and retry budgets by service, kept across table swaps.
 #[derive(Debug, Default)]
 pub struct Registry {
-    /// Entries sorted by key.
+    /// Loads sorted by key.
     entries: Vec<((Name, u64), Arc<Load>)>,
+    /// Retry budgets sorted by service.
+    budgets: Vec<(Name, Arc<Budget>)>,
 }
 
 impl Registry {
@@ -64,8 +67,23 @@
         }
     }
 
-    /// Drops loads that no table holds any longer.
+    /// Retry budget of a service, made when it is new.
+    pub fn budget(&mut self, service: &Name) -> Arc<Budget> {
+        match self.budgets.binary_search_by(|(name, _)| name.cmp(service)) {
+            Ok(index) => self.budgets[index].1.clone(),
+            Err(index) => {
+                let budget = Arc::new(Budget::new());
+                self.budgets
+                    .insert(index, (service.clone(), budget.clone()));
+                budget
+            }
+        }
+    }
+
+    /// Drops loads and budgets that no table holds any longer.
     pub fn sweep(&mut self) {
+        self.budgets
+            .retain(|(_, budget)| Arc::strong_count(budget) > 1);
         self.entries.retain(|(_, load)| Arc::strong_count(load) > 1);
     }
 }
--- a/buckthorn/src/routing/table.rs
+++ b/buckthorn/src/routing/table.rs
@@ -12,6 +12,7 @@
 use crate::name::Name;
 use crate::rollout::quarantine::Quarantine;
 
+use super::budget::Budget;
 use super::load::{Load, Registry};
 
 /// Resolved routes of every service.
@@ -36,6 +37,8 @@
     pub name: Name,
     /// Routes sorted by prefix.
     pub routes: Vec<Route>,
+    /// Retry budget, kept across table swaps.
+    pub budget: Arc<Budget>,
 }
 
 /// A resolved route.
@@ -100,6 +103,7 @@
             .iter()
             .map(|service| Service {
                 name: service.name.clone(),
+                budget: registry.budget(&service.name),
                 routes: service
                     .routes
                     .iter()
@@ -127,17 +131,18 @@
         table
     }
 
-    /// Route of a call: the longest prefix of the service that matches the path.
-    pub fn resolve(&self, service: &str, path: &str) -> Option<&Route> {
+    /// Service by name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
         let index = self
             .services
-            .binary_search_by(|s| (*s.name).cmp(service))
+            .binary_search_by(|s| (*s.name).cmp(name))
             .ok()?;
-        self.services[index]
-            .routes
-            .iter()
-            .filter(|route| matches_prefix(path, &route.prefix))
-            .max_by_key(|route| route.prefix.len())
+        Some(&self.services[index])
+    }
+
+    /// Route of a call: the longest prefix of the service that matches the path.
+    pub fn resolve(&self, service: &str, path: &str) -> Option<&Route> {
+        self.service(service)?.route(path)
     }
 
     /// Whether a failure domain is out of service.
@@ -148,6 +153,16 @@
     }
 }
 
+impl Service {
+    /// Route of a path: the longest prefix that matches.
+    pub fn route(&self, path: &str) -> Option<&Route> {
+        self.routes
+            .iter()
+            .filter(|route| matches_prefix(path, &route.prefix))
+            .max_by_key(|route| route.prefix.len())
+    }
+}
+
 /// Whether a path lies under a prefix, on whole segments.
 fn matches_prefix(path: &str, prefix: &str) -> bool {
     let Some(rest) = path.strip_prefix(prefix) else {
--- /dev/null
+++ b/buckthorn/tests/routing_budget.rs
@@ -0,0 +1,172 @@
+//! Retry budget and rules: bounded share of retries, one layer, at most once.
+
+use std::time::Duration;
+
+use buckthorn::clock::Time;
+use buckthorn::routing::budget::{
+    Attempt, Budget, CALL_CREDIT, Denial, Failure, Inward, Layer, MAX_CREDIT, Next, RETRY_COST,
+    Ran, Reason, decide, hedge, inward,
+};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+
+/// Attempt that every rule lets through.
+const ATTEMPT: Attempt = Attempt {
+    is_idempotent: true,
+    ran: Ran::Unknown,
+    failure: Failure::Reset,
+    time_left: Some(Duration::from_millis(100)),
+    attempts_left: 1,
+    layer: Layer::Outermost,
+    is_body_kept: true,
+};
+
+#[test]
+fn names_the_rule_that_forbids_a_retry() {
+    let cases = [
+        (ATTEMPT, Next::Retry(Reason::Reset)),
+        (
+            Attempt {
+                is_idempotent: false,
+                ..ATTEMPT
+            },
+            Next::GiveUp(Denial::NotIdempotent),
+        ),
+        (
+            Attempt {
+                is_idempotent: false,
+                ran: Ran::NotRun,
+                ..ATTEMPT
+            },
+            Next::Retry(Reason::NotRun),
+        ),
+        (
+            Attempt {
+                layer: Layer::Inner,
+                ..ATTEMPT
+            },
+            Next::GiveUp(Denial::Layer),
+        ),
+        (
+            Attempt {
+                layer: Layer::Inner,
+                ran: Ran::NotRun,
+                ..ATTEMPT
+            },
+            Next::Retry(Reason::NotRun),
+        ),
+        (
+            Attempt {
+                attempts_left: 0,
+                ..ATTEMPT
+            },
+            Next::GiveUp(Denial::Attempts),
+        ),
+        (
+            Attempt {
+                is_body_kept: false,
+                ..ATTEMPT
+            },
+            Next::GiveUp(Denial::Body),
+        ),
+        (
+            Attempt {
+                time_left: Some(Duration::from_millis(1)),
+                ..ATTEMPT
+            },
+            Next::GiveUp(Denial::Deadline),
+        ),
+        (
+            Attempt {
+                failure: Failure::Timeout,
+                ..ATTEMPT
+            },
+            Next::Retry(Reason::Timeout),
+        ),
+        (
+            Attempt {
+                failure: Failure::Connect,
+                ..ATTEMPT
+            },
+            Next::Retry(Reason::Connect),
+        ),
+    ];
+    for (attempt, expected) in cases {
+        assert_eq!(decide(&Budget::new(), &attempt), expected, "{attempt:?}");
+    }
+}
+
+#[test]
+fn hedges_only_idempotent_calls_inside_the_budget() {
+    let budget = Budget::new();
+    assert_eq!(hedge(&budget, &ATTEMPT), Next::Retry(Reason::Hedge));
+    let order = Attempt {
+        is_idempotent: false,
+        ran: Ran::NotRun,
+        ..ATTEMPT
+    };
+    assert_eq!(hedge(&budget, &order), Next::GiveUp(Denial::NotIdempotent));
+    while budget.spend() {}
+    assert_eq!(hedge(&budget, &ATTEMPT), Next::GiveUp(Denial::Budget));
+}
+
+#[test]
+fn retries_stay_a_bounded_share_of_calls() {
+    for seed in 0..20 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let budget = Budget::new();
+        let (mut calls, mut retries) = (0_u32, 0_u32);
+        for _ in 0..10_000 {
+            if rng.random_bool(0.5) {
+                calls += 1;
+                budget.earn();
+            }
+            if matches!(decide(&budget, &ATTEMPT), Next::Retry(_)) {
+                retries += 1;
+            }
+            assert!(
+                retries * RETRY_COST <= MAX_CREDIT + calls * CALL_CREDIT,
+                "seed {seed}"
+            );
+        }
+    }
+}
+
+#[test]
+fn budget_is_exact_under_concurrent_use() {
+    let budget = Budget::new();
+    let spent: u32 = std::thread::scope(|scope| {
+        let workers: Vec<_> = (0..4)
+            .map(|_| scope.spawn(|| (0..1_000).filter(|_| budget.spend()).count() as u32))
+            .collect();
+        workers
+            .into_iter()
+            .map(|worker| worker.join().unwrap())
+            .sum()
+    });
+    assert_eq!(spent, MAX_CREDIT / RETRY_COST);
+}
+
+#[test]
+fn deadline_shrinks_at_every_hop_and_expires() {
+    let now = Time::from_secs(1);
+    assert_eq!(inward(None, now), Inward::Unbounded);
+    let mut left = Duration::from_secs(1);
+    for _ in 0..12 {
+        let Inward::Left(rest) = inward(Some(now + left), now) else {
+            panic!("a deadline of one second lasts twelve hops");
+        };
+        assert!(rest < left);
+        left = rest;
+    }
+    assert_eq!(left, Duration::from_millis(976));
+    assert_eq!(
+        inward(Some(now + Duration::from_millis(1)), now),
+        Inward::Expired
+    );
+    assert_eq!(
+        inward(Some(now - Duration::from_millis(1)), now),
+        Inward::Expired
+    );
+}
