Add the log service's client and stand-in

Cause: nothing could read or write the platform's log.

Change: platform::client::Client speaks the protocol of docs/PROTOCOLS.md over oxhttp, one connection a request. An append is Refused only when the connection was refused or the service says that nothing was appended; all else is Unknown. Response size, payload size, wait and record order are bounded and checked. buckthorn_lab::log::Server is the stand-in: hyper instead of oxhttp, because oxhttp's server cannot be stopped, reports no bound port and takes a thread for each long poll.

--- a/buckthorn/src/platform/mod.rs
+++ b/buckthorn/src/platform/mod.rs
@@ -1,11 +1,15 @@
 //! Edge to the platform's append-only log.
 
+pub mod client;
+
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::journal::record::Record;
 
 /// What a read returned.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Batch {
     /// Earliest offset still held.
     pub earliest: u64,
--- /dev/null
+++ b/buckthorn/tests/platform_client.rs
@@ -0,0 +1,162 @@
+//! The log client against services that misbehave.
+
+use std::io::{Read as _, Write as _};
+use std::net::{Ipv4Addr, TcpListener};
+use std::thread;
+use std::time::Duration;
+
+use buckthorn::platform::client::{Client, MAX_RESPONSE_BYTES};
+use buckthorn::platform::{Append, Log};
+use expect_test::{Expect, expect};
+
+/// Client of a service that gives one raw answer to one request and closes.
+fn service(answer: impl Into<String>) -> Client {
+    let answer = answer.into();
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut request = [0; 4096];
+        let _ = stream.read(&mut request);
+        let _ = stream.write_all(answer.as_bytes());
+    });
+    Client::new(&url)
+        .unwrap()
+        .with_timeout(Duration::from_secs(5))
+}
+
+/// Answer with a body of its own length.
+fn answer(status: &str, body: &str) -> String {
+    let len = body.len();
+    format!("HTTP/1.1 {status}\r\ncontent-length: {len}\r\n\r\n{body}")
+}
+
+/// Word for an append's result.
+fn word(result: &Append) -> &'static str {
+    match result {
+        Append::Done { .. } => "done",
+        Append::Refused { .. } => "refused",
+        Append::Unknown { .. } => "unknown",
+    }
+}
+
+#[test]
+fn an_append_is_refused_only_when_the_service_says_so() {
+    let cases = [
+        (answer("200 OK", r#"{"offset":4}"#), "done"),
+        (answer("200 OK", r#"{"offset":4,"extra":1}"#), "done"),
+        (answer("200 OK", "{"), "unknown"),
+        (answer("200 OK", "{}"), "unknown"),
+        (
+            "HTTP/1.1 200 OK\r\ncontent-length: 12\r\n\r\n{\"off".into(),
+            "unknown",
+        ),
+        (String::new(), "unknown"),
+        ("HTTP/1.1 2".into(), "unknown"),
+        ("\u{0}\u{1}".into(), "unknown"),
+        (
+            answer(
+                "503 Service Unavailable",
+                r#"{"error":"busy","appended":false}"#,
+            ),
+            "refused",
+        ),
+        (
+            answer("503 Service Unavailable", r#"{"error":"busy"}"#),
+            "unknown",
+        ),
+        (answer("502 Bad Gateway", "<html>"), "unknown"),
+        (
+            answer("400 Bad Request", r#"{"error":"bad","appended":true}"#),
+            "unknown",
+        ),
+    ];
+    for (answer, expected) in cases {
+        let result = service(answer.as_str()).append("config", "id", "x");
+        assert_eq!(word(&result), expected, "{answer}: {result:?}");
+    }
+}
+
+#[test]
+fn a_refused_connection_is_refused() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    drop(listener);
+    let result = Client::new(&url).unwrap().append("config", "id", "x");
+    assert_eq!(word(&result), "refused");
+}
+
+#[test]
+fn a_silent_service_ends_in_a_timeout() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    let client = Client::new(&url)
+        .unwrap()
+        .with_timeout(Duration::from_millis(50));
+    assert_eq!(word(&client.append("config", "id", "x")), "unknown");
+    assert!(client.read("config", 0, Duration::ZERO).is_err());
+}
+
+/// Checks the error of a read against one answer.
+fn check_read(answer: String, expected: Expect) {
+    let result = service(answer).read("config", 5, Duration::ZERO);
+    let text = match result {
+        Ok(batch) => format!("{batch:?}"),
+        Err(error) => error.root_cause().to_string(),
+    };
+    expected.assert_eq(&text);
+}
+
+#[test]
+fn a_batch_that_cannot_be_is_refused() {
+    let record = |offset: u64| format!(r#"{{"offset":{offset},"id":"i","payload":"p"}}"#);
+    let batch = |earliest: u64, next: u64, records: &[String]| {
+        let records = records.join(",");
+        let body = format!(r#"{{"earliest":{earliest},"next":{next},"records":[{records}]}}"#);
+        answer("200 OK", &body)
+    };
+    check_read(
+        batch(9, 7, &[]),
+        expect!["the log's earliest offset 9 lies beyond its next 7"],
+    );
+    check_read(
+        batch(0, 9, &[record(4)]),
+        expect!["the log's records start at 4, asked for 5"],
+    );
+    check_read(
+        batch(0, 9, &[record(5), record(7)]),
+        expect!["the log's records are out of order at offset 7"],
+    );
+    check_read(
+        batch(0, 6, &[record(5), record(6)]),
+        expect!["the log's records are out of order at offset 6"],
+    );
+    check_read(
+        answer("500 Internal Server Error", r#"{"error":"disk"}"#),
+        expect!["the log answered 500 Internal Server Error: disk"],
+    );
+    check_read(
+        answer("200 OK", &" ".repeat(MAX_RESPONSE_BYTES as usize + 1)),
+        expect!["more than 8388608 bytes"],
+    );
+    check_read(
+        answer("200 OK", &"[".repeat(100_000)),
+        expect!["invalid type: sequence, expected u64 at line 1 column 1"],
+    );
+}
+
+#[test]
+fn bad_urls_are_refused() {
+    for url in [
+        "",
+        "10.0.0.1:74",
+        "https://10.0.0.1",
+        "http://u@h",
+        "http://h/p",
+        "http://h?q",
+    ] {
+        assert!(Client::new(url).is_err(), "{url}");
+    }
+    let client = Client::new("http://127.0.0.1:1/").unwrap();
+    assert_eq!(word(&client.append("a/b", "id", "x")), "refused");
+}
--- a/buckthorn_lab/src/flags.rs
+++ b/buckthorn_lab/src/flags.rs
@@ -18,8 +18,18 @@
         }
         /// Runs the stand-in of the platform's log.
         cmd log {
-            /// Address to listen on.
+            /// Address to listen on, 127.0.0.1:7400 by default.
             optional --listen listen: SocketAddr
+            /// Refuse every request.
+            optional --refuse
+            /// Milliseconds that pass before a request takes effect.
+            optional --slow-ms slow_ms: u64
+            /// Lose the reply of each n-th append after it took effect.
+            optional --lose-every lose_every: u32
+            /// Appends taken within a second.
+            optional --max-appends-per-second max_appends_per_second: u32
+            /// Seconds that records are kept.
+            optional --retention-secs retention_secs: u64
         }
         /// Runs a stand-in backend server.
         cmd backend {
