--- a/buckthorn/tests/rollout_fake/mod.rs
+++ b/buckthorn/tests/rollout_fake/mod.rs
@@ -44,7 +44,7 @@
 
     fn handle(&mut self, cx: &mut Context<'_>, event: &Event) {
         match event {
-            Event::LogRead(batch) => {
+            Event::LogRead { batch, .. } => {
                 for record in &batch.records {
                     cx.shared.tail.push(record);
                 }
@@ -251,7 +251,7 @@
                     next: self.log.len() as u64,
                     records: self.log[next..].to_vec(),
                 };
-                self.deliver(index, &Event::LogRead(batch));
+                self.deliver(index, &Event::LogRead { stream: record::CONFIG_STREAM, batch });
             }
             let node = &self.nodes[index];
             let server = node.member.backend_server.clone().expect("has a server");
