--- a/buckthorn/tests/rollout_fake/mod.rs
+++ b/buckthorn/tests/rollout_fake/mod.rs
@@ -251,7 +251,13 @@
                     next: self.log.len() as u64,
                     records: self.log[next..].to_vec(),
                 };
-                self.deliver(index, &Event::LogRead { stream: record::CONFIG_STREAM, batch });
+                self.deliver(
+                    index,
+                    &Event::LogRead {
+                        stream: record::CONFIG_STREAM,
+                        batch,
+                    },
+                );
             }
             let node = &self.nodes[index];
             let server = node.member.backend_server.clone().expect("has a server");
