--- a/buckthorn/src/membership/plugin.rs
+++ b/buckthorn/src/membership/plugin.rs
@@ -110,7 +110,7 @@
             Event::Unreachable { host, .. } => self.prober.failed(host, cx.now),
             Event::Announced(backend_server) => self.announce(cx, backend_server.clone()),
             Event::Shutdown => self.leave(cx),
-            Event::LogRead(_) | Event::LogFailed | Event::Appended { .. } | Event::Observed(_) => {}
+            _ => {}
         }
         if std::mem::take(&mut self.is_routing_stale) {
             cx.act(Action::Rebuild);
@@ -214,6 +214,7 @@
                 Message::Buckets(theirs) => reply.extend(sync::compare(&cx.shared.view, theirs)),
                 Message::Join(member) => {
                     self.absorb(cx, member);
+                    reply.push(Message::Ack(digest(cx)));
                     reply.push(join::answer(&cx.shared.view, member));
                 }
                 _ => self.take(cx, message),
@@ -540,7 +541,7 @@
     Digest {
         next: cx.shared.tail.state().next,
         view: cx.shared.view.digest(),
-        quarantine: 0,
+        quarantine: cx.shared.quarantine.digest(),
     }
 }
 
