Run meshes of kernels in virtual time and mend what they showed

Cause: membership had been tried on no mesh. The runs showed: seeds that join through themselves form islands; a restarted host's verdict was ignored when its facts were unchanged; deltas of a herd start were still being told ten minutes later; and a peer that claims everybody dead split a mesh, because a member that had refuted did not answer an older claim.

Change: buckthorn_lab::harness runs N kernels on fake links with a fake log in virtual time. Nodes go on trying seeds that they do not know as live, answer outdated claims about themselves, apply verdicts across incarnations when the facts agree, and count a delta as told when a peer's hash shows that it holds everything.

--- a/buckthorn/src/membership/gossip.rs
+++ b/buckthorn/src/membership/gossip.rs
@@ -12,11 +12,26 @@
 use super::member::Member;
 use super::view::View;
 
-/// Whole members in one message.
-const MAX_MEMBERS: usize = 12;
+/// Bounds of the deltas in one message.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Whole members.
+    members: usize,
+    /// Verdicts.
+    verdicts: usize,
+}
+
+/// Bounds of a message that is sent for its deltas.
+const PUSH: Bounds = Bounds {
+    members: 12,
+    verdicts: 48,
+};
 
-/// Verdicts in one message.
-const MAX_VERDICTS: usize = 48;
+/// Bounds of deltas that a probe or its answer carries.
+const PIGGYBACK: Bounds = Bounds {
+    members: 3,
+    verdicts: 16,
+};
 
 /// Bytes a second that pushes may take on average.
 const BYTES_PER_SECOND: f64 = 1_500.0;
@@ -33,6 +48,9 @@
 /// Typical size of an exchange without its messages.
 const EXCHANGE_BYTES: f64 = 450.0;
 
+/// Sends beyond the logarithm, against loss in small meshes.
+const EXTRA_SENDS: u32 = 2;
+
 /// Whether a delta needs the whole member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Kind {
@@ -89,8 +107,30 @@
         }
     }
 
+    /// Messages for a probe or its answer to carry.
+    pub fn piggyback(&mut self, view: &View) -> Vec<Message> {
+        self.take(view, PIGGYBACK)
+    }
+
+    /// Counts every delta as sent once: a peer turned out to hold them all.
+    pub fn credit(&mut self, view: &View) {
+        for delta in &mut self.deltas {
+            delta.sent += 1;
+        }
+        self.prune(view);
+    }
+
+    /// Drops deltas that were sent often enough.
+    fn prune(&mut self, view: &View) {
+        if self.deltas.is_empty() {
+            return;
+        }
+        let limit = max_sends(view.live().count());
+        self.deltas.retain(|delta| delta.sent < limit);
+    }
+
     /// Messages that carry the deltas sent least, and counts them as sent.
-    pub fn take(&mut self, view: &View) -> Vec<Message> {
+    fn take(&mut self, view: &View, bounds: Bounds) -> Vec<Message> {
         let mut order: Vec<usize> = (0..self.deltas.len()).collect();
         order.sort_by_key(|&i| self.deltas[i].sent);
         let (mut members, mut verdicts) = (Vec::new(), Vec::new());
@@ -101,14 +141,15 @@
                 continue;
             };
             match delta.kind {
-                Kind::Member if members.len() < MAX_MEMBERS => members.push(member.clone()),
-                Kind::Verdict if verdicts.len() < MAX_VERDICTS => verdicts.push(member.verdict()),
+                Kind::Member if members.len() < bounds.members => members.push(member.clone()),
+                Kind::Verdict if verdicts.len() < bounds.verdicts => {
+                    verdicts.push(member.verdict())
+                }
                 Kind::Member | Kind::Verdict => continue,
             }
             delta.sent += 1;
         }
-        let limit = max_sends(view.live().count());
-        self.deltas.retain(|delta| delta.sent < limit);
+        self.prune(view);
         messages(members, verdicts)
     }
 
@@ -121,7 +162,7 @@
         if self.deltas.is_empty() || self.allowance < 0.0 {
             return None;
         }
-        let messages = self.take(view);
+        let messages = self.take(view, PUSH);
         self.allowance -= cost(&messages);
         (!messages.is_empty()).then_some(messages)
     }
@@ -154,5 +195,5 @@
 
 /// Times that one node sends a delta among `live` members.
 fn max_sends(live: usize) -> u32 {
-    usize::BITS - live.leading_zeros()
+    usize::BITS - live.leading_zeros() + EXTRA_SENDS
 }
--- a/buckthorn/src/membership/join.rs
+++ b/buckthorn/src/membership/join.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use rand::Rng;
+use rand::seq::IndexedRandom;
 
 use crate::clock::Time;
 use crate::rpc::message::Message;
@@ -18,6 +19,9 @@
 /// Last bound of the delay between attempts.
 const MAX_BACKOFF: Duration = Duration::from_secs(15);
 
+/// Bound of the delay between attempts through seeds that are not known as live members.
+const SEED_INTERVAL: Duration = Duration::from_secs(60);
+
 /// Attempts to join.
 #[derive(Clone, Debug)]
 pub struct Joiner {
@@ -45,23 +49,30 @@
         self.is_joined
     }
 
-    /// Address to join through now, if any; delays have full jitter.
-    pub fn poll(
+    /// Whether an attempt is due.
+    pub fn is_due(&self, now: Time) -> bool {
+        now >= self.next
+    }
+
+    /// Seed to join through now, if any; delays have full jitter.
+    pub fn draw(
         &mut self,
         now: Time,
         seeds: &[SocketAddr],
         rng: &mut impl Rng,
     ) -> Option<SocketAddr> {
-        if self.is_joined || seeds.is_empty() || now < self.next {
-            return None;
-        }
         let is_first = self.next == Time::default();
-        self.next = now + self.backoff.mul_f64(rng.random_range(0.0..1.0));
+        let bound = if self.is_joined {
+            SEED_INTERVAL
+        } else {
+            self.backoff
+        };
+        self.next = now + bound.mul_f64(rng.random_range(0.0..1.0));
         if is_first {
             return None;
         }
         self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
-        Some(seeds[rng.random_range(0..seeds.len())])
+        seeds.choose(rng).copied()
     }
 
     /// A peer answered.
@@ -72,7 +83,9 @@
 
     /// No live peer is left.
     pub fn lost(&mut self) {
-        self.is_joined = false;
+        if std::mem::take(&mut self.is_joined) {
+            self.next = Time::default();
+        }
     }
 }
 
--- a/buckthorn/src/membership/plugin.rs
+++ b/buckthorn/src/membership/plugin.rs
@@ -58,6 +58,9 @@
 /// Shortest time between requests for records that a peer has and this node lacks.
 const PULL_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Shortest time between accusations sent to peers that hold others.
+const ACCUSE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Interval between checks for expired entries.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -79,6 +82,8 @@
     syncer: Syncer,
     /// Highest claim about this node that has to be refuted.
     claim: Option<(u64, u64)>,
+    /// Whether a peer holds an older word of this node than its last.
+    is_outdated: bool,
     /// When this node last refuted.
     refuted: Time,
     /// When the view last changed.
@@ -95,6 +100,8 @@
     pulled: Time,
     /// When expiry was last checked.
     expired: Time,
+    /// When accusations were last sent to a peer that holds others.
+    accused: Time,
 }
 
 impl Plugin for Membership {
@@ -143,12 +150,25 @@
         self.push(cx);
     }
 
-    /// Joins through a seed while no peer is live.
+    /// Joins through a seed: at the start, when no peer is live, and now and then through one that
+    /// is not known, so that groups that were started apart find each other.
     fn join(&mut self, cx: &mut Context<'_>) {
-        if cx.shared.view.live().nth(1).is_none() {
+        let shared = &*cx.shared;
+        if shared.view.live().nth(1).is_none() {
             self.joiner.lost();
         }
-        let Some(address) = self.joiner.poll(cx.now, &cx.shared.identity.seeds, cx.rng) else {
+        if !self.joiner.is_due(cx.now) {
+            return;
+        }
+        let is_live = |address: &SocketAddr| shared.view.live().any(|m| m.rpc == *address);
+        let seeds: Vec<SocketAddr> = shared
+            .identity
+            .seeds
+            .iter()
+            .copied()
+            .filter(|address| !is_live(address))
+            .collect();
+        let Some(address) = self.joiner.draw(cx.now, &seeds, cx.rng) else {
             return;
         };
         let messages = vec![Message::Join(cx.shared.member.clone())];
@@ -188,7 +208,7 @@
     fn ping(&mut self, cx: &mut Context<'_>, host: &Name) {
         let mut messages = vec![Message::Ping(digest(cx))];
         messages.extend(charge(&cx.shared.view, host));
-        messages.extend(self.queue.take(&cx.shared.view));
+        messages.extend(self.queue.piggyback(&cx.shared.view));
         send(cx, host, messages);
     }
 
@@ -201,7 +221,7 @@
                 Message::Ping(theirs) => {
                     reply.push(Message::Ack(digest(cx)));
                     reply.extend(charge(&cx.shared.view, from));
-                    reply.extend(self.queue.take(&cx.shared.view));
+                    reply.extend(self.queue.piggyback(&cx.shared.view));
                     self.catch_up(cx, from, theirs);
                 }
                 Message::PingRequest { host } => {
@@ -220,6 +240,9 @@
                 _ => self.take(cx, message),
             }
         }
+        if std::mem::take(&mut self.is_outdated) {
+            reply.push(Message::Members(vec![cx.shared.member.clone()]));
+        }
         if !reply.is_empty() {
             cx.act(Action::Reply(reply));
         }
@@ -240,7 +263,7 @@
                 }
                 Message::Members(members) => {
                     self.syncer.note(members.len());
-                    if is_first {
+                    if is_first && *from != cx.shared.member.host {
                         self.joiner.joined();
                     }
                     self.take(cx, message);
@@ -248,6 +271,10 @@
                 _ => self.take(cx, message),
             }
         }
+        if std::mem::take(&mut self.is_outdated) {
+            let word = Message::Members(vec![cx.shared.member.clone()]);
+            send(cx, from, vec![word]);
+        }
         if is_first && self.joiner.is_joined() {
             let buckets = self.syncer.begin(&cx.shared.view, cx.now);
             send(cx, from, vec![buckets]);
@@ -292,10 +319,20 @@
             let from_offset = cx.shared.tail.state().next;
             send(cx, from, vec![Message::Pull { from: from_offset }]);
         }
-        if theirs.view != cx.shared.view.digest() && self.syncer.is_due(cx.now, self.changed) {
+        if theirs.view == cx.shared.view.digest() {
+            self.queue.credit(&cx.shared.view);
+        } else if self.syncer.is_due(cx.now, self.changed) {
             let buckets = self.syncer.begin(&cx.shared.view, cx.now);
             send(cx, from, vec![buckets]);
         }
+        let is_accusing = theirs.quarantine != cx.shared.quarantine.digest()
+            && !cx.shared.quarantine.entries().is_empty()
+            && cx.now.since(self.accused) >= ACCUSE_INTERVAL;
+        if is_accusing {
+            self.accused = cx.now;
+            let entries = cx.shared.quarantine.entries().to_vec();
+            send(cx, from, vec![Message::Accusations(entries)]);
+        }
     }
 
     /// Merges what a peer says of a member.
@@ -347,10 +384,11 @@
         let Some(held) = cx.shared.view.get(&verdict.host) else {
             return;
         };
-        if held.incarnation != verdict.incarnation || held.facts() != verdict.facts {
+        if held.facts() != verdict.facts {
             return;
         }
         let mut member = held.clone();
+        member.incarnation = verdict.incarnation;
         member.sequence = verdict.sequence;
         member.status = verdict.status;
         self.absorb(cx, &member);
@@ -359,7 +397,11 @@
     /// Notes a claim about this node that is not its own.
     fn defend(&mut self, cx: &Context<'_>, claim: (u64, u64, Status)) {
         let member = &cx.shared.member;
-        if claim <= member.rank() || member.status == Status::Left {
+        if claim < member.rank() {
+            self.is_outdated = true;
+            return;
+        }
+        if claim == member.rank() || member.status == Status::Left {
             return;
         }
         if claim.0 > (cx.now + MAX_SKEW).0 {
--- a/buckthorn/src/membership/sync.rs
+++ b/buckthorn/src/membership/sync.rs
@@ -16,16 +16,16 @@
 pub const MAX_MEMBERS: usize = 100;
 
 /// Shortest time between rounds while the view changes anyway.
-const BUSY_INTERVAL: Duration = Duration::from_secs(10);
+const BUSY_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Shortest time between rounds of a quiet view.
-const QUIET_INTERVAL: Duration = Duration::from_secs(2);
+const QUIET_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Shortest time between rounds while catching up after a start or a cut.
 const CATCH_UP_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Time without changes after which deltas on their way explain no difference.
-const SETTLE_TIME: Duration = Duration::from_secs(3);
+const SETTLE_TIME: Duration = Duration::from_secs(2);
 
 /// When to compare views.
 #[derive(Clone, Debug, Default)]
--- a/buckthorn_lab/src/lib.rs
+++ b/buckthorn_lab/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod demo;
 pub mod experiment;
 pub mod flags;
+pub mod harness;
 pub mod load;
 pub mod log;
 pub mod report;
--- /dev/null
+++ b/buckthorn_lab/tests/membership_virtual.rs
@@ -0,0 +1,314 @@
+//! Membership of meshes of kernels in virtual time, under faults, with fixed seeds.
+
+use std::time::Duration;
+
+use buckthorn::counter::Counter;
+use buckthorn::kernel::{Event, Registry};
+use buckthorn::membership::member::{BackendServer, Member, Status};
+use buckthorn::membership::plugin::MAX_SKEW;
+use buckthorn::rpc::message::{Message, Verdict};
+use buckthorn::{journal, membership};
+use buckthorn_lab::harness::{Mesh, Plan};
+use rand::Rng;
+
+/// Plug-ins of the runs.
+fn register(registry: &mut Registry) {
+    membership::register(registry);
+    journal::plugin::register(registry);
+}
+
+/// Settled mesh of nodes in three failure domains.
+fn settled(nodes: usize, seed: u64) -> Mesh {
+    let mut mesh = Mesh::new(&Plan::new(nodes, seed, register));
+    assert!(mesh.run_until(secs(60), agrees).is_some(), "seed {seed}");
+    mesh
+}
+
+/// Whole seconds.
+const fn secs(secs: u64) -> Duration {
+    Duration::from_secs(secs)
+}
+
+/// Whether every process that runs holds exactly those that run as live, at equal ranks.
+fn agrees(mesh: &Mesh) -> bool {
+    let running: Vec<_> = mesh
+        .kernels()
+        .map(|(_, kernel)| {
+            let member = &kernel.shared().member;
+            (member.host.clone(), member.rank())
+        })
+        .collect();
+    mesh.kernels().all(|(_, kernel)| {
+        let held = kernel.shared().view.live();
+        held.map(|m| (m.host.clone(), m.rank()))
+            .eq(running.iter().cloned())
+    })
+}
+
+/// Status of one node in the view of another.
+fn status(mesh: &Mesh, observer: usize, node: usize) -> Option<Status> {
+    let host = &mesh.nodes[node].identity.host;
+    Some(mesh.kernel(observer)?.shared().view.get(host)?.status)
+}
+
+/// Sum of a counter over the nodes.
+fn total(mesh: &Mesh, counter: Counter) -> u64 {
+    mesh.nodes.iter().map(|n| n.counters.get(counter)).sum()
+}
+
+/// Backend server of a version.
+fn server(version: &str) -> BackendServer {
+    BackendServer {
+        service: "card-desk".into(),
+        version: version.into(),
+        slots: 10,
+        connections: 130,
+        is_draining: false,
+    }
+}
+
+/// Whether every process holds a node's backend server in a version.
+fn holds_version(mesh: &Mesh, node: usize, version: &str) -> bool {
+    let host = &mesh.nodes[node].identity.host;
+    mesh.kernels().all(|(_, kernel)| {
+        kernel
+            .shared()
+            .view
+            .get(host)
+            .and_then(|m| m.backend_server.as_ref())
+            .is_some_and(|s| *s.version == *version)
+    })
+}
+
+#[test]
+fn nodes_that_start_together_find_each_other_under_loss() {
+    for (seed, loss) in [(1, 0.0), (2, 0.05), (3, 0.2)] {
+        let mut mesh = Mesh::new(&Plan::new(24, seed, register));
+        mesh.links.loss = loss;
+        assert!(mesh.run_until(secs(60), agrees).is_some(), "seed {seed}");
+    }
+}
+
+#[test]
+fn an_announcement_reaches_everybody_within_three_seconds() {
+    for seed in 1..=5 {
+        let mut mesh = settled(18, seed);
+        mesh.event(4, &Event::Announced(Some(server("v1"))));
+        let reached = mesh.run_until(secs(3), |mesh| holds_version(mesh, 4, "v1"));
+        assert!(reached.is_some(), "seed {seed}");
+        mesh.event(4, &Event::Shutdown);
+        let left = mesh.run_until(secs(3), |mesh| {
+            (0..18).all(|i| status(mesh, i, 4) == Some(Status::Left))
+        });
+        assert!(left.is_some(), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_dead_node_leaves_every_view_and_a_new_process_replaces_it() {
+    for seed in 1..=5 {
+        let mut mesh = settled(18, seed);
+        mesh.kill(7);
+        assert!(mesh.run_until(secs(15), agrees).is_some(), "seed {seed}");
+        mesh.start(7);
+        assert!(mesh.run_until(secs(10), agrees).is_some(), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_live_node_stays_a_member_under_loss() {
+    for seed in 1..=3 {
+        let mut mesh = settled(12, seed);
+        mesh.links.loss = 0.2;
+        for _ in 0..60 {
+            mesh.run(secs(1));
+            for (observer, node) in [(0, 1), (3, 11), (7, 4)] {
+                assert_ne!(status(&mesh, observer, node), Some(Status::Dead));
+            }
+        }
+        mesh.links.loss = 0.0;
+        assert!(mesh.run_until(secs(10), agrees).is_some(), "seed {seed}");
+    }
+}
+
+#[test]
+fn two_failure_domains_that_lose_each_other_stay_members_through_a_third() {
+    for seed in 1..=3 {
+        let mut mesh = settled(12, seed);
+        mesh.links.cut("domain-0", ["domain-1".into()]);
+        for _ in 0..60 {
+            mesh.run(secs(1));
+            let dead = mesh
+                .kernels()
+                .flat_map(|(_, kernel)| kernel.shared().view.members())
+                .filter(|member| member.status == Status::Dead)
+                .count();
+            assert_eq!(dead, 0, "seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn a_failure_domain_cut_off_for_an_hour_rejoins_with_the_changes_of_both_sides() {
+    let mut mesh = settled(6, 1);
+    let inside = mesh.domain("domain-0");
+    let others = ["domain-1".into(), "domain-2".into()];
+    mesh.links.cut("domain-0", others);
+    let parted = mesh.run_until(secs(20), |mesh| {
+        (0..6).all(|i| {
+            (0..6).all(|j| {
+                let is_far = inside.contains(&i) != inside.contains(&j);
+                status(mesh, i, j) == Some(if is_far { Status::Dead } else { Status::Alive })
+            })
+        })
+    });
+    assert!(parted.is_some(), "both sides take each other for dead");
+    let rebuilds: u64 = mesh.nodes.iter().map(|n| n.rebuilds).sum();
+    mesh.run(secs(1_800));
+    let after: u64 = mesh.nodes.iter().map(|n| n.rebuilds).sum();
+    assert_eq!(rebuilds, after, "views flap during the cut");
+    mesh.event(inside[0], &Event::Announced(Some(server("v2"))));
+    let outside = (0..6).find(|i| !inside.contains(i)).unwrap();
+    mesh.event(outside, &Event::Announced(Some(server("v3"))));
+    mesh.run(secs(1_800));
+
+    mesh.links.heal();
+    let healed = mesh.run_until(secs(60), |mesh| {
+        for (i, j) in [(inside[0], inside[1]), (outside, (outside + 3) % 6)] {
+            let held = status(mesh, i, j);
+            assert!(
+                matches!(held, Some(Status::Alive | Status::Suspect)),
+                "a neighbour stays usable while the cut heals: {held:?}"
+            );
+        }
+        agrees(mesh)
+    });
+    assert!(healed.is_some());
+    assert!(holds_version(&mesh, inside[0], "v2"));
+    assert!(holds_version(&mesh, outside, "v3"));
+}
+
+#[test]
+fn a_failure_domain_or_everything_restarts_with_the_log_down() {
+    for seed in 1..=3 {
+        let mut mesh = settled(18, seed);
+        mesh.log.is_away = true;
+        for node in mesh.domain("domain-1") {
+            mesh.start(node);
+        }
+        assert!(mesh.run_until(secs(30), agrees).is_some(), "seed {seed}");
+        for node in 0..18 {
+            mesh.start(node);
+        }
+        assert!(mesh.run_until(secs(60), agrees).is_some(), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_host_reused_under_a_clock_that_is_behind_is_heard() {
+    let mut mesh = settled(9, 1);
+    mesh.kill(5);
+    assert!(mesh.run_until(secs(20), agrees).is_some());
+    // An hour behind, so its incarnation is lower than the one that its peers remember.
+    mesh.nodes[5].skew = -3_600_000_000;
+    mesh.start(5);
+    assert!(mesh.run_until(secs(20), agrees).is_some());
+    mesh.event(5, &Event::Announced(Some(server("v9"))));
+    let reached = mesh.run_until(secs(5), |mesh| holds_version(mesh, 5, "v9"));
+    assert!(reached.is_some());
+}
+
+#[test]
+fn a_process_that_was_paused_for_a_week_spreads_nothing_that_is_gone() {
+    let mut mesh = settled(9, 1);
+    // Time passes for a process only through its events, so a jump of its clock is a pause.
+    let ghost = mesh.nodes[8].identity.host.clone();
+    mesh.nodes[8].skew = 7 * 24 * 3_600 * 1_000_000;
+    mesh.run(secs(5));
+    let view = &mesh.kernel(8).unwrap().shared().view;
+    assert!(view.get(&ghost).is_some());
+    assert!(mesh.nodes[8].counters.get(Counter::MembersExpired) >= 8);
+    assert!(mesh.run_until(secs(30), agrees).is_some());
+}
+
+#[test]
+fn a_lying_peer_neither_removes_members_nor_grows_views() {
+    let mut mesh = settled(9, 1);
+    let now = mesh.now();
+    let verdicts: Vec<Verdict> = mesh
+        .kernel(0)
+        .unwrap()
+        .shared()
+        .view
+        .members()
+        .map(|m| Verdict {
+            status: Status::Dead,
+            ..m.verdict()
+        })
+        .collect();
+    let template: Member = mesh.kernel(0).unwrap().shared().member.clone();
+    let mut rng = mesh.rng().clone();
+    for round in 0..30_u64 {
+        let invented = (0..100).map(|i| Member {
+            host: format!("ghost-{round}-{i}").into(),
+            incarnation: (now + MAX_SKEW).0 + 10_000_000_000,
+            ..template.clone()
+        });
+        let mut far = template.clone();
+        far.host = mesh.nodes[3].identity.host.clone();
+        far.incarnation = u64::MAX;
+        let messages = vec![
+            Message::Verdicts(verdicts.clone()),
+            Message::Members(invented.collect()),
+            Message::Members(vec![far]),
+            Message::Buckets(vec![rng.random(); 3]),
+            Message::WantBuckets(vec![9_999; 100]),
+        ];
+        mesh.inject("liar", rng.random_range(0..9), messages);
+        mesh.run(secs(1));
+        for (_, kernel) in mesh.kernels() {
+            assert_eq!(kernel.shared().view.live().count(), 9, "round {round}");
+        }
+    }
+    assert!(mesh.run_until(secs(10), agrees).is_some());
+    assert!(total(&mesh, Counter::MessagesRefused) > 0);
+}
+
+#[test]
+fn one_slow_peer_neither_leaves_nor_takes_others_with_it() {
+    let mut mesh = settled(9, 1);
+    mesh.nodes[4].slowness = Duration::from_millis(150);
+    for _ in 0..60 {
+        mesh.run(secs(1));
+        for observer in 0..9 {
+            for node in 0..9 {
+                assert_ne!(status(&mesh, observer, node), Some(Status::Dead));
+            }
+        }
+    }
+}
+
+#[test]
+fn random_faults_end_in_agreement() {
+    for seed in 1..=4 {
+        let mut mesh = settled(12, seed);
+        let mut rng = mesh.rng().clone();
+        for _ in 0..40 {
+            let node = rng.random_range(0..12);
+            match rng.random_range(0..7) {
+                0 => mesh.kill(node),
+                1 | 2 => mesh.start(node),
+                3 => mesh.links.loss = rng.random_range(0.0..0.3),
+                4 => mesh
+                    .links
+                    .cut("domain-0", ["domain-1".into(), "domain-2".into()]),
+                5 => mesh.links.heal(),
+                _ => mesh.event(node, &Event::Announced(Some(server("v1")))),
+            }
+            mesh.run(Duration::from_millis(rng.random_range(100..5_000)));
+        }
+        mesh.links.heal();
+        mesh.links.loss = 0.0;
+        assert!(mesh.run_until(secs(90), agrees).is_some(), "seed {seed}");
+    }
+}
