Carry calls from callers through ingress and owner to the backend server

Cause: the path of a call did not exist. Change: an HTTP/1.1 edge for callers, an HTTP/2 hop between nodes and a pool of HTTP/1.1 connections to the own backend server, with limits, refusals that say whether the call ran, and a graceful drain. The crate h2, already in the lock file through hyper, becomes a direct dependency: only its error type tells REFUSED_STREAM and GOAWAY from other failures.

--- /dev/null
+++ b/buckthorn/src/proxy/answer.rs
@@ -0,0 +1,227 @@
+//! Answers that the system gives itself: a status, a machine-readable reason, and whether the call
+//! ran.
+
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body_util::BodyExt;
+use serde::Serialize;
+
+use super::body::{self, Body};
+use super::header::{RAN, REASON};
+use crate::admission::gate::Refusal;
+use crate::counter::{Board, Counter};
+
+/// Whether a call that was not answered ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ran {
+    /// No byte of it went to a backend server.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+impl Ran {
+    /// Word in the header.
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// Why a call was not answered by a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// The owner's admission refused it.
+    Refused(Refusal),
+    /// No route names its service and path.
+    NoRoute,
+    /// The node holds no configuration yet.
+    NotReady,
+    /// The head is malformed.
+    BadRequest,
+    /// The head is too large.
+    HeaderSize,
+    /// The head took too long.
+    HeaderTimeout,
+    /// The body is too large.
+    BodySize,
+    /// The body stalled.
+    BodyTimeout,
+    /// The body ended before its declared length.
+    BodyShort,
+    /// Too many connections.
+    Connections,
+    /// The peer did not show the shared secret.
+    Unauthenticated,
+    /// The idempotency key's first call is still in progress.
+    KeyInProgress,
+    /// The idempotency key was used for another request.
+    KeyReused,
+    /// The idempotency key's first call ended, but its answer was not kept.
+    KeyAnswerNotKept,
+    /// No more idempotency keys can be held.
+    KeysFull,
+    /// No connection to the node or the backend server could be opened.
+    Unreachable,
+    /// The connection broke before the answer.
+    Reset,
+    /// No answer came in time.
+    Timeout,
+    /// The answer broke its declared length or framing.
+    Broken,
+}
+
+impl Reason {
+    /// Word in the header.
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::Refused(refusal) => refusal.reason(),
+            Self::NoRoute => "no-route",
+            Self::NotReady => "not-ready",
+            Self::BadRequest => "bad-request",
+            Self::HeaderSize => "header-size",
+            Self::HeaderTimeout => "header-timeout",
+            Self::BodySize => "body-size",
+            Self::BodyTimeout => "body-timeout",
+            Self::BodyShort => "body-short",
+            Self::Connections => "connections",
+            Self::Unauthenticated => "unauthenticated",
+            Self::KeyInProgress => "key-in-progress",
+            Self::KeyReused => "key-reused",
+            Self::KeyAnswerNotKept => "key-answer-not-kept",
+            Self::KeysFull => "keys-full",
+            Self::Unreachable => "unreachable",
+            Self::Reset => "reset",
+            Self::Timeout => "timeout",
+            Self::Broken => "broken-answer",
+        }
+    }
+
+    /// Status of the answer.
+    pub const fn status(self) -> StatusCode {
+        match self {
+            Self::Refused(Refusal::Deadline) | Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
+            Self::Refused(_) | Self::NotReady | Self::Connections | Self::KeysFull => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::BadRequest | Self::BodyShort => StatusCode::BAD_REQUEST,
+            Self::HeaderSize => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Self::HeaderTimeout | Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+            Self::BodySize => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Unauthenticated => StatusCode::UNAUTHORIZED,
+            Self::KeyInProgress | Self::KeyAnswerNotKept => StatusCode::CONFLICT,
+            Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::Unreachable | Self::Reset | Self::Broken => StatusCode::BAD_GATEWAY,
+        }
+    }
+
+    /// Counter of the refusal; `None` when another counter covers it.
+    pub const fn counter(self) -> Option<Counter> {
+        match self {
+            Self::Refused(refusal) => Some(refusal.counter()),
+            Self::NoRoute => Some(Counter::RefusedNoRoute),
+            Self::NotReady => Some(Counter::RefusedNotReady),
+            Self::BadRequest | Self::BodyShort => Some(Counter::RefusedBadRequest),
+            Self::HeaderSize => Some(Counter::RefusedHeaderSize),
+            Self::HeaderTimeout => Some(Counter::RefusedHeaderTimeout),
+            Self::BodySize => Some(Counter::RefusedBodySize),
+            Self::BodyTimeout => Some(Counter::RefusedBodyTimeout),
+            Self::Connections => Some(Counter::RefusedConnections),
+            Self::Unauthenticated => Some(Counter::RefusedUnauthenticated),
+            Self::KeyInProgress => Some(Counter::RefusedKeyInProgress),
+            Self::KeyReused => Some(Counter::RefusedKeyReused),
+            Self::KeysFull => Some(Counter::RefusedKeysFull),
+            Self::KeyAnswerNotKept => Some(Counter::RefusedKeyAnswerNotKept),
+            Self::Unreachable => Some(Counter::RefusedUnreachable),
+            Self::Reset | Self::Timeout | Self::Broken => None,
+        }
+    }
+}
+
+/// JSON body of a refusal.
+#[derive(Serialize)]
+struct Text<'a> {
+    /// Machine-readable reason.
+    reason: &'a str,
+    /// Whether the call ran.
+    ran: &'a str,
+    /// Detail for a person, empty when the reason says all.
+    #[serde(skip_serializing_if = "str::is_empty")]
+    detail: &'a str,
+}
+
+/// Refusal counted on the board.
+pub fn refuse(counters: &Board, reason: Reason, ran: Ran) -> Response<Body> {
+    refuse_with(counters, reason, ran, "")
+}
+
+/// Refusal with a detail for a person, counted on the board.
+pub fn refuse_with(counters: &Board, reason: Reason, ran: Ran, detail: &str) -> Response<Body> {
+    if let Some(counter) = reason.counter() {
+        counters.hit(counter);
+    }
+    let text = text(reason, ran, detail);
+    let mut response = Response::new(body::full(text));
+    *response.status_mut() = reason.status();
+    let headers = response.headers_mut();
+    headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    headers.insert(REASON, HeaderValue::from_static(reason.word()));
+    headers.insert(RAN, HeaderValue::from_static(ran.word()));
+    response
+}
+
+/// Refusal as bytes, for a connection that no HTTP library reads any longer.
+pub fn raw(reason: Reason, ran: Ran) -> String {
+    let text = text(reason, ran, "");
+    format!(
+        "HTTP/1.1 {}\r\ncontent-type: application/json\r\n{REASON}: {}\r\n{RAN}: {}\r\n\
+         connection: close\r\ncontent-length: {}\r\n\r\n{text}",
+        reason.status(),
+        reason.word(),
+        ran.word(),
+        text.len(),
+    )
+}
+
+/// JSON text of a refusal.
+fn text(reason: Reason, ran: Ran, detail: &str) -> String {
+    let text = Text {
+        reason: reason.word(),
+        ran: ran.word(),
+        detail,
+    };
+    serde_json::to_string(&text).unwrap_or_default()
+}
+
+/// Whether a node refused the call, as opposed to a backend server's answer.
+pub fn is_refusal(response: &Response<Body>) -> bool {
+    response.headers().contains_key(REASON)
+}
+
+/// Whether a refusal says that the call was not run.
+pub fn is_not_run(response: &Response<Body>) -> bool {
+    response
+        .headers()
+        .get(RAN)
+        .is_some_and(|ran| ran.as_bytes() == Ran::NotRun.word().as_bytes())
+}
+
+/// Answer with no body.
+pub fn empty(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(body::empty());
+    *response.status_mut() = status;
+    response
+}
+
+/// Boxes the body of a response.
+pub fn boxed<B>(response: Response<B>) -> Response<Body>
+where
+    B: http_body::Body<Data = bytes::Bytes, Error = body::Fault> + Send + 'static,
+{
+    response.map(BodyExt::boxed_unsync)
+}
--- /dev/null
+++ b/buckthorn/src/proxy/header.rs
@@ -0,0 +1,222 @@
+//! Headers of the path of a call and what they say.
+
+use std::time::Duration;
+
+use http::header::{self, HeaderMap, HeaderName};
+use http::request::Parts;
+use http::{HeaderValue, Method, Uri};
+
+use crate::admission::gate::{DEFAULT_URGENCY, Offer, Urgency};
+use crate::clock::Time;
+
+/// Milliseconds that remain until the caller needs the answer.
+pub const DEADLINE: &str = "x-buckthorn-deadline-ms";
+/// Attempts that remain to the layer that receives the call.
+pub const ATTEMPTS: &str = "x-buckthorn-attempts";
+/// Why the call was refused.
+pub const REASON: &str = "x-buckthorn-reason";
+/// Whether a refused call ran: `not-run` or `unknown`.
+pub const RAN: &str = "x-buckthorn-ran";
+/// Load of the backend server in thousandths of its limit.
+pub const LOAD: &str = "x-buckthorn-load";
+/// Secret shared by the nodes.
+pub const SECRET: &str = "x-buckthorn-secret";
+/// Part that the receiving node is asked to play.
+pub const PART: &str = "x-buckthorn-part";
+/// Priority by RFC 9218.
+pub const PRIORITY: &str = "priority";
+/// Key under which a call runs at most once.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Prefix of every header that is the system's own.
+pub const PREFIX: &str = "x-buckthorn-";
+
+/// Longest accepted idempotency key in bytes.
+pub const MAX_KEY_BYTES: usize = 255;
+
+/// Headers that concern one connection only (RFC 9110, section 7.6.1).
+const CONNECTION_HEADERS: [HeaderName; 6] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Part that a node is asked to play for a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// Run the call on the own backend server.
+    Owner,
+    /// Keep the call's idempotency key and send the call on.
+    Key,
+    /// Show that the connection is alive.
+    Probe,
+}
+
+impl Part {
+    /// Word in the header.
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::Owner => "owner",
+            Self::Key => "key",
+            Self::Probe => "probe",
+        }
+    }
+
+    /// Part named by a request.
+    pub fn parse(headers: &HeaderMap) -> Option<Self> {
+        match headers.get(PART)?.as_bytes() {
+            b"owner" => Some(Self::Owner),
+            b"key" => Some(Self::Key),
+            b"probe" => Some(Self::Probe),
+            _ => None,
+        }
+    }
+}
+
+/// What the head of a request says about how to carry it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Call {
+    /// Service.
+    pub service: String,
+    /// Path.
+    pub path: String,
+    /// Whether running the call twice equals running it once.
+    pub is_idempotent: bool,
+    /// Priority.
+    pub urgency: Urgency,
+    /// Time by which the head of the answer is needed.
+    pub deadline: Time,
+    /// Whether the caller named the deadline.
+    pub has_deadline: bool,
+    /// Attempts that an outer layer leaves, `None` when this is the outermost layer.
+    pub attempts: Option<u32>,
+    /// Idempotency key.
+    pub key: Option<String>,
+}
+
+impl Call {
+    /// Reads the head of a request.
+    ///
+    /// # Errors
+    ///
+    /// Names what is malformed.
+    pub fn parse(parts: &Parts, now: Time, call_timeout: Duration) -> Result<Self, &'static str> {
+        let service = service(&parts.uri, &parts.headers).ok_or("no host is named")?;
+        if parts.method == Method::CONNECT || parts.headers.contains_key(header::UPGRADE) {
+            return Err("tunnels and upgrades are not carried");
+        }
+        let remaining = number(&parts.headers, DEADLINE)?;
+        let key = match parts.headers.get(IDEMPOTENCY_KEY) {
+            None => None,
+            Some(value) => Some(parse_key(value).ok_or("the idempotency key is malformed")?),
+        };
+        let wait = remaining.map_or(call_timeout, Duration::from_millis);
+        Ok(Self {
+            service,
+            path: parts.uri.path().to_owned(),
+            is_idempotent: is_idempotent(&parts.method),
+            urgency: urgency(&parts.headers),
+            deadline: now + wait,
+            has_deadline: remaining.is_some(),
+            attempts: number(&parts.headers, ATTEMPTS)?.map(|n| n.min(u64::from(u32::MAX)) as u32),
+            key,
+        })
+    }
+
+    /// What the owner's admission is told.
+    pub fn offer(&self) -> Offer {
+        Offer {
+            urgency: self.urgency,
+            deadline: Some(self.deadline),
+        }
+    }
+}
+
+/// Whether a method is idempotent here: GET, HEAD, PUT, DELETE and OPTIONS are.
+pub fn is_idempotent(method: &Method) -> bool {
+    matches!(
+        *method,
+        Method::GET | Method::HEAD | Method::PUT | Method::DELETE | Method::OPTIONS
+    )
+}
+
+/// Urgency by RFC 9218, section 4.1; the default when absent or malformed.
+pub fn urgency(headers: &HeaderMap) -> Urgency {
+    let Some(value) = headers.get(PRIORITY).and_then(|v| v.to_str().ok()) else {
+        return DEFAULT_URGENCY;
+    };
+    value
+        .split(',')
+        .find_map(|item| item.trim().strip_prefix("u="))
+        .and_then(|digits| digits.split(';').next()?.trim().parse().ok())
+        .filter(|urgency| *urgency <= 7)
+        .unwrap_or(DEFAULT_URGENCY)
+}
+
+/// Service named by the target or the `Host` header, without a port.
+fn service(uri: &Uri, headers: &HeaderMap) -> Option<String> {
+    let host = match uri.host() {
+        Some(host) => host,
+        None => headers.get(header::HOST)?.to_str().ok()?,
+    };
+    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    (!name.is_empty()).then(|| name.to_ascii_lowercase())
+}
+
+/// Whole number in a header.
+fn number(headers: &HeaderMap, name: &str) -> Result<Option<u64>, &'static str> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let parsed = value.to_str().ok().and_then(|text| text.parse().ok());
+    parsed.map(Some).ok_or("a header is not a whole number")
+}
+
+/// Idempotency key, bounded in length.
+fn parse_key(value: &HeaderValue) -> Option<String> {
+    let key = value.to_str().ok()?;
+    (!key.is_empty() && key.len() <= MAX_KEY_BYTES).then(|| key.to_owned())
+}
+
+/// Removes headers that concern one connection only.
+pub fn strip_connection(headers: &mut HeaderMap) {
+    // Headers named by `Connection` concern that connection only, too.
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in &CONNECTION_HEADERS {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+    headers.remove("proxy-connection");
+}
+
+/// Removes the system's own headers.
+pub fn strip_own(headers: &mut HeaderMap) {
+    let own: Vec<HeaderName> = headers
+        .keys()
+        .filter(|name| name.as_str().starts_with(PREFIX))
+        .cloned()
+        .collect();
+    for name in own {
+        headers.remove(name);
+    }
+}
+
+/// Length of the body that the head declares, or an error when it is malformed.
+///
+/// # Errors
+///
+/// Fails when the header is not one whole number.
+pub fn declared_length(headers: &HeaderMap) -> Result<Option<u64>, &'static str> {
+    number(headers, header::CONTENT_LENGTH.as_str())
+}
--- /dev/null
+++ b/buckthorn/src/proxy/hop.rs
@@ -0,0 +1,310 @@
+//! The hop between nodes: HTTP/2 with prior knowledge, many calls on one connection per peer.
+//!
+//! A connection that went silent is found in two ways: PINGs while calls are in flight, and a
+//! short probe before the first call after a pause. What the protocol itself says about calls that
+//! were not processed (RFC 9113, sections 6.8 and 8.7) counts as "not run".
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use http::{HeaderValue, Method, Request, Response, Uri, Version, header as names};
+use hyper::body::Incoming;
+use hyper::client::conn::http2;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use tokio::net::TcpStream;
+use tokio::sync::Mutex;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+use super::answer::Reason;
+use super::body::{self, Body};
+use super::header::{DEADLINE, PART, Part, SECRET};
+use super::limit::Limits;
+use super::secret::Secrets;
+use crate::counter::{Board, Counter};
+
+/// Peers remembered; beyond this, those without a connection are forgotten.
+const MAX_PEERS: usize = 1_024;
+
+/// Why a call got no answer from another node.
+#[derive(Debug)]
+pub enum Failure {
+    /// The other node did not process it.
+    NotRun(Reason),
+    /// It may have run.
+    Unknown(Reason),
+}
+
+/// A call as another node gets it.
+#[derive(Debug)]
+pub struct Outgoing {
+    /// Part that the node is asked to play.
+    pub part: Part,
+    /// Request; its target names the service.
+    pub request: Request<Body>,
+    /// Time by which the head of the answer is needed.
+    pub deadline: Instant,
+}
+
+/// Connections to other nodes.
+#[derive(Debug)]
+pub struct Peers {
+    /// Peers sorted by address.
+    peers: ArcSwap<Vec<(SocketAddr, Arc<Peer>)>>,
+    /// Settings of connections.
+    limits: Limits,
+    /// Counters.
+    counters: Arc<Board>,
+    /// Origin of the times of last answers.
+    origin: Instant,
+}
+
+/// Another node.
+#[derive(Debug, Default)]
+struct Peer {
+    /// Connection in use.
+    link: ArcSwapOption<Link>,
+    /// Held by whoever opens a connection.
+    opening: Mutex<()>,
+}
+
+/// One open connection.
+#[derive(Debug)]
+struct Link {
+    /// Sends requests.
+    sender: http2::SendRequest<Body>,
+    /// Ends the connection.
+    abort: AbortHandle,
+    /// Time of the last answer, in microseconds since the origin.
+    heard: AtomicU64,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        // The driver ends by itself when the last call has ended and no sender is left.
+        if self.sender.is_closed() {
+            self.abort.abort();
+        }
+    }
+}
+
+impl Peers {
+    /// No connections.
+    pub fn new(counters: Arc<Board>, limits: &Limits) -> Self {
+        Self {
+            peers: ArcSwap::default(),
+            limits: limits.clone(),
+            counters,
+            origin: Instant::now(),
+        }
+    }
+
+    /// Sends a call to another node and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Says whether the call can have run.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        secrets: &Secrets,
+        outgoing: Outgoing,
+    ) -> Result<Response<Incoming>, Failure> {
+        let deadline = outgoing.deadline;
+        let peer = self.peer(address);
+        let link = match tokio::time::timeout_at(deadline, self.link(&peer, address, secrets)).await
+        {
+            Ok(Some(link)) => link,
+            Ok(None) => return Err(Failure::NotRun(Reason::Unreachable)),
+            Err(_) => return Err(Failure::NotRun(Reason::Timeout)),
+        };
+        let request = seal(outgoing, secrets);
+        let sent = link.sender.clone().try_send_request(request);
+        match tokio::time::timeout_at(deadline, sent).await {
+            Ok(Ok(response)) => {
+                link.heard.store(self.elapsed(), Ordering::Relaxed);
+                Ok(response)
+            }
+            Ok(Err(mut error)) => {
+                let is_not_sent = error.take_message().is_some();
+                Err(self.classify(is_not_sent, error.error()))
+            }
+            Err(_) => Err(Failure::Unknown(Reason::Timeout)),
+        }
+    }
+
+    /// Microseconds since the origin.
+    fn elapsed(&self) -> u64 {
+        self.origin.elapsed().as_micros() as u64
+    }
+
+    /// Peer at an address, remembered from now on.
+    fn peer(&self, address: SocketAddr) -> Arc<Peer> {
+        let peers = self.peers.load();
+        if let Ok(index) = peers.binary_search_by_key(&address, |(a, _)| *a) {
+            return peers[index].1.clone();
+        }
+        let new = Arc::new(Peer::default());
+        self.peers.rcu(|peers| {
+            let mut peers = Vec::clone(peers);
+            if peers.len() >= MAX_PEERS {
+                peers.retain(|(_, peer)| peer.link.load().is_some());
+            }
+            if let Err(index) = peers.binary_search_by_key(&address, |(a, _)| *a) {
+                peers.insert(index, (address, new.clone()));
+            }
+            peers
+        });
+        // Another thread may have been first.
+        let peers = self.peers.load();
+        match peers.binary_search_by_key(&address, |(a, _)| *a) {
+            Ok(index) => peers[index].1.clone(),
+            Err(_) => new,
+        }
+    }
+
+    /// Connection that is known to be alive, opened when there is none.
+    async fn link(&self, peer: &Peer, address: SocketAddr, secrets: &Secrets) -> Option<Arc<Link>> {
+        if let Some(link) = self.usable(peer) {
+            if !self.is_stale(&link) || self.probe(&link, secrets).await {
+                return Some(link);
+            }
+            self.drop_silent(peer, &link);
+        }
+        let _opening = peer.opening.lock().await;
+        if let Some(link) = self.usable(peer).filter(|link| !self.is_stale(link)) {
+            return Some(link);
+        }
+        let link = Arc::new(self.open(address).await?);
+        peer.link.store(Some(link.clone()));
+        Some(link)
+    }
+
+    /// Connection of a peer that takes calls.
+    fn usable(&self, peer: &Peer) -> Option<Arc<Link>> {
+        peer.link.load_full().filter(|link| link.sender.is_ready())
+    }
+
+    /// Whether a connection has not been heard from for so long that it has to be tried.
+    fn is_stale(&self, link: &Link) -> bool {
+        let heard = link.heard.load(Ordering::Relaxed);
+        let age = Duration::from_micros(self.elapsed().saturating_sub(heard));
+        age > self.limits.proof_age
+    }
+
+    /// Whether the other node still answers on a connection.
+    async fn probe(&self, link: &Link, secrets: &Secrets) -> bool {
+        let mut request = Request::new(body::empty());
+        *request.method_mut() = Method::HEAD;
+        *request.uri_mut() = Uri::from_static("http://node/");
+        let outgoing = Outgoing {
+            part: Part::Probe,
+            request,
+            deadline: Instant::now() + self.limits.ping_timeout,
+        };
+        let deadline = outgoing.deadline;
+        let sent = link.sender.clone().send_request(seal(outgoing, secrets));
+        let is_alive = matches!(
+            tokio::time::timeout_at(deadline, sent).await,
+            Ok(Ok(response)) if response.status().is_success()
+        );
+        if is_alive {
+            link.heard.store(self.elapsed(), Ordering::Relaxed);
+        }
+        is_alive
+    }
+
+    /// Closes a connection that fell silent.
+    fn drop_silent(&self, peer: &Peer, link: &Arc<Link>) {
+        let held = peer.link.compare_and_swap(link, None);
+        let is_first = held.as_ref().is_some_and(|held| Arc::ptr_eq(held, link));
+        if is_first {
+            self.counters.hit(Counter::ConnectionsSilent);
+        }
+        link.abort.abort();
+    }
+
+    /// Opens a connection.
+    async fn open(&self, address: SocketAddr) -> Option<Link> {
+        let connect = TcpStream::connect(address);
+        let stream = tokio::time::timeout(self.limits.connect_timeout, connect)
+            .await
+            .ok()?
+            .ok()?;
+        // Without this, small requests wait for acknowledgements; a socket that refuses works.
+        let _ = stream.set_nodelay(true);
+        let (sender, driver) = http2::Builder::new(TokioExecutor::new())
+            .timer(TokioTimer::new())
+            .initial_stream_window_size(self.limits.hop_window_bytes)
+            .initial_connection_window_size(connection_window(&self.limits))
+            .initial_max_send_streams(self.limits.hop_streams as usize)
+            .max_header_list_size(self.limits.header_bytes as u32)
+            .max_send_buf_size(self.limits.hop_window_bytes as usize)
+            .keep_alive_interval(self.limits.ping_interval)
+            .keep_alive_timeout(self.limits.ping_timeout)
+            .keep_alive_while_idle(false)
+            .handshake(TokioIo::new(stream))
+            .await
+            .ok()?;
+        self.counters.hit(Counter::ConnectionsOpened);
+        let counters = self.counters.clone();
+        let task = tokio::spawn(async move {
+            if driver.await.is_err_and(|error| error.is_timeout()) {
+                counters.hit(Counter::ConnectionsSilent);
+            }
+        });
+        Some(Link {
+            sender,
+            abort: task.abort_handle(),
+            heard: AtomicU64::new(self.elapsed()),
+        })
+    }
+
+    /// What a failed request says about the call.
+    fn classify(&self, is_not_sent: bool, error: &hyper::Error) -> Failure {
+        if is_not_sent || is_unprocessed(error) {
+            return Failure::NotRun(Reason::Unreachable);
+        }
+        Failure::Unknown(Reason::Reset)
+    }
+}
+
+/// Bytes in flight on one connection: enough that a slow reader of one call holds up no other.
+pub fn connection_window(limits: &Limits) -> u32 {
+    let bytes = u64::from(limits.hop_window_bytes) * u64::from(limits.hop_streams);
+    bytes.min((1 << 31) - 1) as u32
+}
+
+/// Whether the other node says that it did not process the request.
+fn is_unprocessed(error: &hyper::Error) -> bool {
+    use std::error::Error;
+
+    let Some(error) = error.source().and_then(|e| e.downcast_ref::<h2::Error>()) else {
+        return false;
+    };
+    let is_refused = error.is_reset() && error.reason() == Some(h2::Reason::REFUSED_STREAM);
+    let is_left_out = error.is_go_away() && error.reason() == Some(h2::Reason::NO_ERROR);
+    error.is_remote() && (is_refused || is_left_out)
+}
+
+/// Adds what the other node needs to know to a request.
+fn seal(outgoing: Outgoing, secrets: &Secrets) -> Request<Body> {
+    let Outgoing {
+        part,
+        mut request,
+        deadline,
+    } = outgoing;
+    let remaining = deadline.saturating_duration_since(Instant::now());
+    let headers = request.headers_mut();
+    headers.remove(names::HOST);
+    if let Ok(secret) = HeaderValue::from_str(secrets.current()) {
+        headers.insert(SECRET, secret);
+    }
+    headers.insert(PART, HeaderValue::from_static(part.word()));
+    headers.insert(DEADLINE, HeaderValue::from(remaining.as_millis() as u64));
+    *request.version_mut() = Version::HTTP_2;
+    request
+}
--- /dev/null
+++ b/buckthorn/src/proxy/listen.rs
@@ -0,0 +1,263 @@
+//! Accepts connections of callers and of other nodes, within limits, until told to drain.
+
+use std::convert::Infallible;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{HeaderValue, Request, Response, StatusCode, header as names};
+use hyper::body::Incoming;
+use hyper::server::conn::{http1, http2};
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+use tokio::task::JoinSet;
+
+use super::answer::{self, Ran, Reason};
+use super::body::{Body, Bounds, Monitor};
+use super::header::{self, Call, Part, SECRET};
+use super::socket::{Meter, Socket};
+use super::{Plane, hop, ingress, owner};
+use crate::counter::Counter;
+
+/// Pause after a failed accept, so that a lack of file descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Time given to the other end to read a refusal of its connection.
+const REFUSAL_TIME: Duration = Duration::from_secs(1);
+/// Refusals of connections under way at once; beyond this, connections are closed unanswered.
+const MAX_REFUSALS: usize = 64;
+/// Streams that a node may reset before they were accepted.
+const MAX_PENDING_RESETS: usize = 256;
+
+/// Whether the servers take connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Taking connections and calls.
+    Serving,
+    /// Finishing what is in flight.
+    Draining,
+}
+
+/// Told when the node drains.
+type Stop = watch::Receiver<Phase>;
+
+/// Waits until the node drains.
+async fn stopped(stop: &mut Stop) {
+    // A sender that is gone means the same.
+    let _ = stop.wait_for(|phase| *phase == Phase::Draining).await;
+}
+
+/// Which port a connection came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Port {
+    /// Callers.
+    Callers,
+    /// Other nodes.
+    Hop,
+}
+
+/// Serves callers until the node has drained.
+pub async fn callers(plane: Arc<Plane>, listener: TcpListener, stop: Stop) {
+    accept(plane, listener, stop, Port::Callers).await;
+}
+
+/// Serves other nodes until the node has drained.
+pub async fn hop(plane: Arc<Plane>, listener: TcpListener, stop: Stop) {
+    accept(plane, listener, stop, Port::Hop).await;
+}
+
+/// Accepts connections, then waits until all of them have ended.
+async fn accept(plane: Arc<Plane>, listener: TcpListener, mut stop: Stop, port: Port) {
+    let limit = match port {
+        Port::Callers => plane.limits.caller_connections,
+        Port::Hop => plane.limits.hop_connections,
+    };
+    let places = Arc::new(Semaphore::new(limit));
+    let refusals = Arc::new(Semaphore::new(MAX_REFUSALS));
+    let mut tasks = JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            Some(_) = tasks.join_next() => continue,
+            () = stopped(&mut stop) => break,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        // Without this, small answers wait for acknowledgements; a socket that refuses works.
+        let _ = stream.set_nodelay(true);
+        let Ok(place) = places.clone().try_acquire_owned() else {
+            plane.counters.hit(Counter::RefusedConnections);
+            if let Ok(permit) = refusals.clone().try_acquire_owned() {
+                tasks.spawn(async move {
+                    turn_away(stream, Reason::Connections).await;
+                    drop(permit);
+                });
+            }
+            continue;
+        };
+        let (plane, stop) = (plane.clone(), stop.clone());
+        tasks.spawn(async move {
+            match port {
+                Port::Callers => serve_caller(plane, stream, stop).await,
+                Port::Hop => serve_node(plane, stream, stop).await,
+            }
+            drop(place);
+        });
+    }
+    drop(listener);
+    while tasks.join_next().await.is_some() {}
+}
+
+/// Answers a connection with a refusal and closes it.
+async fn turn_away(mut stream: impl AsyncReadExt + AsyncWriteExt + Unpin, reason: Reason) {
+    let answer = answer::raw(reason, Ran::NotRun);
+    let exchange = async {
+        stream.write_all(answer.as_bytes()).await?;
+        stream.shutdown().await?;
+        // Closing with unread bytes would reset the connection before the answer is read.
+        let mut sink = [0; 4096];
+        while stream.read(&mut sink).await? > 0 {}
+        std::io::Result::Ok(())
+    };
+    // The other end may be gone already.
+    let _ = tokio::time::timeout(REFUSAL_TIME, exchange).await;
+}
+
+/// Serves one connection of a caller.
+async fn serve_caller(plane: Arc<Plane>, stream: TcpStream, mut stop: Stop) {
+    let meter = Arc::new(Meter::default());
+    let patience = plane.limits.idle_body_timeout;
+    let socket = TokioIo::new(Socket::new(stream, meter.clone(), patience));
+    let service = {
+        let (plane, meter) = (plane.clone(), meter.clone());
+        service_fn(move |request| answer_caller(plane.clone(), meter.clone(), request))
+    };
+    let mut connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(plane.limits.header_timeout)
+        .max_buf_size(plane.limits.header_bytes.max(8 * 1024))
+        .max_headers(plane.limits.headers)
+        .serve_connection(socket, service);
+    let mut linger = pin!(async {
+        stopped(&mut stop).await;
+        tokio::time::sleep(plane.limits.drain_linger).await;
+    });
+    let result = {
+        let mut is_closing = false;
+        loop {
+            tokio::select! {
+                result = &mut connection => break result,
+                () = &mut linger, if !is_closing => {
+                    is_closing = true;
+                    std::pin::Pin::new(&mut connection).graceful_shutdown();
+                }
+            }
+        }
+    };
+    let Err(error) = result else { return };
+    if meter.is_stalled() {
+        plane.counters.hit(Counter::ConnectionsStalled);
+    } else if error.is_parse_too_large() {
+        plane.counters.hit(Counter::RefusedHeaderSize);
+    } else if error.is_parse() {
+        plane.counters.hit(Counter::RefusedBadRequest);
+    } else if error.is_timeout() && meter.has_partial() {
+        plane.counters.hit(Counter::RefusedHeaderTimeout);
+        let socket = connection.into_parts().io.into_inner();
+        turn_away(socket, Reason::HeaderTimeout).await;
+    }
+}
+
+/// Answers one request of a caller.
+async fn answer_caller(
+    plane: Arc<Plane>,
+    meter: Arc<Meter>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Infallible> {
+    meter.take();
+    let bounds = Bounds {
+        declared: header::declared_length(request.headers()).ok().flatten(),
+        max_bytes: plane.limits.body_bytes,
+        idle: plane.limits.idle_body_timeout,
+    };
+    let request = request.map(|body| Monitor::new(body, bounds, move |_| meter.take()));
+    let mut response = ingress::carry(&plane, request).await;
+    if plane.is_draining() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(names::CONNECTION, close);
+    }
+    Ok(response)
+}
+
+/// Serves one connection of another node.
+async fn serve_node(plane: Arc<Plane>, stream: TcpStream, mut stop: Stop) {
+    let meter = Arc::new(Meter::default());
+    let socket = Socket::new(stream, meter.clone(), plane.limits.idle_body_timeout);
+    let service = {
+        let plane = plane.clone();
+        service_fn(move |request| answer_node(plane.clone(), request))
+    };
+    let limits = &plane.limits;
+    let mut connection = pin!(
+        http2::Builder::new(TokioExecutor::new())
+            .timer(TokioTimer::new())
+            .initial_stream_window_size(limits.hop_window_bytes)
+            .initial_connection_window_size(hop::connection_window(limits))
+            .max_concurrent_streams(limits.hop_streams)
+            .max_header_list_size(limits.header_bytes as u32)
+            .max_send_buf_size(limits.hop_window_bytes as usize)
+            .max_pending_accept_reset_streams(MAX_PENDING_RESETS)
+            .keep_alive_interval(limits.ping_interval)
+            .keep_alive_timeout(limits.ping_timeout)
+            .serve_connection(TokioIo::new(socket), service)
+    );
+    let result = tokio::select! {
+        result = &mut connection => result,
+        () = stopped(&mut stop) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if result.is_err_and(|error| error.is_timeout()) {
+        plane.counters.hit(Counter::ConnectionsSilent);
+    }
+    if meter.is_stalled() {
+        plane.counters.hit(Counter::ConnectionsStalled);
+    }
+}
+
+/// Answers one request of another node.
+async fn answer_node(
+    plane: Arc<Plane>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Infallible> {
+    let secret = request.headers().get(SECRET);
+    if !secret.is_some_and(|secret| plane.secrets.accepts(secret.as_bytes())) {
+        let reason = Reason::Unauthenticated;
+        return Ok(answer::refuse(&plane.counters, reason, Ran::NotRun));
+    }
+    let part = Part::parse(request.headers());
+    if part == Some(Part::Probe) {
+        return Ok(answer::empty(StatusCode::NO_CONTENT));
+    }
+    let (parts, body) = request.into_parts();
+    let now = plane.clock.now();
+    let call = match (part, Call::parse(&parts, now, plane.limits.call_timeout)) {
+        (Some(_), Ok(call)) => call,
+        (None, _) | (_, Err(_)) => {
+            let reason = Reason::BadRequest;
+            return Ok(answer::refuse(&plane.counters, reason, Ran::NotRun));
+        }
+    };
+    let bounds = Bounds {
+        declared: header::declared_length(&parts.headers).ok().flatten(),
+        max_bytes: plane.limits.body_bytes,
+        idle: plane.limits.idle_body_timeout,
+    };
+    let body = http_body_util::BodyExt::boxed_unsync(Monitor::new(body, bounds, |_| {}));
+    Ok(owner::run(&plane, &call, Request::from_parts(parts, body)).await)
+}
--- /dev/null
+++ b/buckthorn/src/proxy/owner.rs
@@ -0,0 +1,326 @@
+//! The owner's part: admits a call, runs it on the own backend server, and says truly whether it
+//! ran.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{HeaderValue, Request, Response, StatusCode, Uri, Version, header as names};
+use tokio::time::Instant;
+
+use super::Plane;
+use super::answer::{self, Ran, Reason};
+use super::body::{self, Body, Bounds, Ending, Fault, Monitor};
+use super::header::{self, Call, LOAD};
+use super::limit::Limits;
+use super::pool::{Denied, Failure, Pool, Reply};
+use crate::admission::door::{Door, Permit};
+use crate::admission::gate::Refusal;
+use crate::counter::{Board, Counter};
+use crate::name::Name;
+use crate::rollout::evidence::{Book, Outcome};
+
+/// Connections tried for one call before it is refused; nothing was sent on any of them.
+const MAX_CONNECTIONS_TRIED: u32 = 3;
+
+/// The backend server announced to this node.
+#[derive(Debug)]
+pub struct Owner {
+    /// Service.
+    pub service: Name,
+    /// Version.
+    pub version: Name,
+    /// Address of the backend server.
+    pub address: SocketAddr,
+    /// Calls that it runs at once.
+    pub slots: u32,
+    /// Connections that it takes.
+    pub connections: u32,
+    /// Admission.
+    pub door: Arc<Door>,
+    /// Evidence.
+    pub book: Arc<Book>,
+    /// Connections to it, made at the first call.
+    pool: std::sync::OnceLock<Arc<Pool>>,
+}
+
+impl Owner {
+    /// Owner of a backend server.
+    pub fn new(
+        service: impl Into<Name>,
+        version: impl Into<Name>,
+        address: SocketAddr,
+        slots: u32,
+        connections: u32,
+        door: Arc<Door>,
+        book: Arc<Book>,
+    ) -> Self {
+        Self {
+            service: service.into(),
+            version: version.into(),
+            address,
+            slots,
+            connections,
+            door,
+            book,
+            pool: std::sync::OnceLock::new(),
+        }
+    }
+
+    /// Connections to the backend server.
+    fn pool(&self, counters: &Arc<Board>, limits: &Limits) -> &Arc<Pool> {
+        self.pool
+            .get_or_init(|| Pool::new(self.address, self.connections, counters.clone(), limits))
+    }
+}
+
+/// Runs a call on the own backend server or refuses it.
+pub async fn run(plane: &Plane, call: &Call, request: Request<Body>) -> Response<Body> {
+    let Some(owner) = plane.owner.load_full() else {
+        let reason = Reason::Refused(Refusal::NoBackendServer);
+        return answer::refuse(&plane.counters, reason, Ran::NotRun);
+    };
+    let mut response = match admit(plane, &owner, call).await {
+        Ok(entry) => forward(plane, &owner, call, entry, request).await,
+        Err(reason) => answer::refuse(&plane.counters, reason, Ran::NotRun),
+    };
+    let load = HeaderValue::from(owner.door.load_permille());
+    response.headers_mut().insert(LOAD, load);
+    response
+}
+
+/// A call that was let in.
+struct Entry {
+    /// Right to run.
+    permit: Permit,
+    /// Route of the call.
+    route: Name,
+}
+
+/// Lets a call in or says why not.
+async fn admit(plane: &Plane, owner: &Owner, call: &Call) -> Result<Entry, Reason> {
+    if plane.is_draining() {
+        return Err(Reason::Refused(Refusal::Draining));
+    }
+    let route = check(plane, owner, call)?;
+    let permit = owner
+        .door
+        .enter(call.offer())
+        .await
+        .map_err(Reason::Refused)?;
+    Ok(Entry { permit, route })
+}
+
+/// Checks a call against the table in force and returns its route.
+fn check(plane: &Plane, owner: &Owner, call: &Call) -> Result<Name, Reason> {
+    if *owner.service != *call.service {
+        return Err(Reason::Refused(Refusal::NoBackendServer));
+    }
+    let table = plane.table.load();
+    if table.version == 0 {
+        return Err(Reason::NotReady);
+    }
+    if table.is_out(&plane.failure_domain) {
+        return Err(Reason::Refused(Refusal::OutOfService));
+    }
+    let Some(route) = table.resolve(&call.service, &call.path) else {
+        return Err(Reason::NoRoute);
+    };
+    // A version that the route lists with no share is on its way out, not quarantined.
+    let is_listed = route.shares.iter().any(|s| s.version == owner.version);
+    if !is_listed {
+        return Err(Reason::Refused(Refusal::Quarantined));
+    }
+    Ok(route.prefix.clone())
+}
+
+/// What is known of a call that is running.
+struct Run {
+    /// Right to run, given back at the end.
+    permit: Permit,
+    /// Evidence.
+    book: Arc<Book>,
+    /// Counters.
+    counters: Arc<Board>,
+    /// Route.
+    route: Name,
+    /// Start of the call on the backend server.
+    started: Instant,
+}
+
+impl Run {
+    /// Notes how the call ended.
+    fn finish(self, outcome: Outcome, latency: Duration) {
+        self.book.record(&self.route, outcome, latency);
+        self.permit.finish(outcome, latency);
+    }
+}
+
+/// Why the backend server gave no answer.
+enum Unanswered {
+    /// Nothing was sent.
+    NotRun(Reason),
+    /// It may have run.
+    Unknown(Reason),
+}
+
+/// Sends an admitted call to the backend server.
+async fn forward(
+    plane: &Plane,
+    owner: &Owner,
+    call: &Call,
+    entry: Entry,
+    request: Request<Body>,
+) -> Response<Body> {
+    let run = Guard(Some(Run {
+        permit: entry.permit,
+        book: owner.book.clone(),
+        counters: plane.counters.clone(),
+        route: entry.route,
+        started: Instant::now(),
+    }));
+    let pool = owner.pool(&plane.counters, &plane.limits);
+    let remaining = call.deadline.since(plane.clock.now());
+    let deadline = Instant::now() + remaining;
+    let method = request.method().clone();
+    let sent = send(pool, to_backend(request), deadline).await;
+    let Some(run) = run.release() else {
+        return answer::refuse(&plane.counters, Reason::Reset, Ran::Unknown);
+    };
+    let latency = run.started.elapsed();
+    match sent {
+        Ok(response) => pass_on(plane, run, &method, response),
+        Err(Unanswered::NotRun(reason)) => {
+            let outcome = match reason {
+                Reason::Unreachable => Outcome::Reset,
+                _ => Outcome::Cancelled,
+            };
+            run.finish(outcome, latency);
+            answer::refuse(&plane.counters, reason, Ran::NotRun)
+        }
+        Err(Unanswered::Unknown(reason)) => {
+            let outcome = match reason {
+                Reason::Timeout => Outcome::Timeout,
+                _ => Outcome::Reset,
+            };
+            run.finish(outcome, latency);
+            answer::refuse(&plane.counters, reason, Ran::Unknown)
+        }
+    }
+}
+
+/// Reports a call as cancelled when it is dropped while it waits for its answer.
+struct Guard(Option<Run>);
+
+impl Guard {
+    /// Takes the call out.
+    fn release(mut self) -> Option<Run> {
+        self.0.take()
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if let Some(run) = self.0.take() {
+            let latency = run.started.elapsed();
+            run.finish(Outcome::Cancelled, latency);
+        }
+    }
+}
+
+/// Sends a request on a connection of the pool; tries another as long as nothing was sent.
+async fn send(
+    pool: &Arc<Pool>,
+    mut request: Request<Body>,
+    deadline: Instant,
+) -> Result<Response<Reply>, Unanswered> {
+    for _ in 0..MAX_CONNECTIONS_TRIED {
+        let loan = match pool.lend(deadline).await {
+            Ok(loan) => loan,
+            Err(Denied::Unreachable) => return Err(Unanswered::NotRun(Reason::Unreachable)),
+            Err(Denied::Busy) => {
+                return Err(Unanswered::NotRun(Reason::Refused(Refusal::QueueFull)));
+            }
+        };
+        match tokio::time::timeout_at(deadline, loan.send(request)).await {
+            Ok(Ok(response)) => return Ok(response),
+            Ok(Err(Failure::NotSent(back))) => request = *back,
+            Ok(Err(Failure::Lost)) => return Err(Unanswered::Unknown(Reason::Reset)),
+            Err(_) => {
+                pool.distrust();
+                return Err(Unanswered::Unknown(Reason::Timeout));
+            }
+        }
+    }
+    Err(Unanswered::NotRun(Reason::Unreachable))
+}
+
+/// Request as the backend server gets it.
+fn to_backend(mut request: Request<Body>) -> Request<Body> {
+    let headers = request.headers_mut();
+    header::strip_connection(headers);
+    headers.remove(header::SECRET);
+    headers.remove(header::PART);
+    headers.remove(names::EXPECT);
+    let authority = request.uri().authority().cloned();
+    if let Some(authority) = authority {
+        if let Ok(host) = HeaderValue::from_str(authority.as_str()) {
+            request.headers_mut().insert(names::HOST, host);
+        }
+        let path = request.uri().path_and_query().cloned();
+        *request.uri_mut() = path.map_or_else(Uri::default, Uri::from);
+    }
+    *request.version_mut() = Version::HTTP_11;
+    request
+}
+
+/// Passes an answer on while its body is checked.
+fn pass_on(
+    plane: &Plane,
+    run: Run,
+    method: &http::Method,
+    mut response: Response<Reply>,
+) -> Response<Body> {
+    let latency = run.started.elapsed();
+    let status = response.status();
+    if is_undelimited(method, &response) {
+        plane.counters.hit(Counter::BrokenAnswers);
+        run.finish(Outcome::Broken, latency);
+        return answer::refuse(&plane.counters, Reason::Broken, Ran::Unknown);
+    }
+    header::strip_connection(response.headers_mut());
+    header::strip_own(response.headers_mut());
+    let bounds = Bounds {
+        declared: body::expected_length(method, status, response.headers()),
+        max_bytes: u64::MAX,
+        idle: plane.limits.idle_body_timeout,
+    };
+    let on_end = move |ending| {
+        let outcome = outcome(status, ending);
+        if outcome == Outcome::Broken {
+            run.counters.hit(Counter::BrokenAnswers);
+        }
+        run.finish(outcome, latency);
+    };
+    answer::boxed(response.map(|reply| Monitor::new(reply, bounds, on_end)))
+}
+
+/// Whether only the end of the connection would tell where the answer ends.
+fn is_undelimited(method: &http::Method, response: &Response<Reply>) -> bool {
+    let headers = response.headers();
+    body::has_body(method, response.status())
+        && !headers.contains_key(names::CONTENT_LENGTH)
+        && !headers.contains_key(names::TRANSFER_ENCODING)
+}
+
+/// Outcome of an answered call.
+fn outcome(status: StatusCode, ending: Ending) -> Outcome {
+    match ending {
+        Ending::Dropped => Outcome::Cancelled,
+        Ending::Fault(Fault::Idle) => Outcome::Timeout,
+        Ending::Fault(_) => Outcome::Broken,
+        Ending::Complete if status == StatusCode::SERVICE_UNAVAILABLE => Outcome::Shed,
+        Ending::Complete if status.is_server_error() => Outcome::Error,
+        Ending::Complete => Outcome::Ok,
+    }
+}
