--- a/buckthorn/tests/proxy_kit/mod.rs
+++ b/buckthorn/tests/proxy_kit/mod.rs
@@ -151,6 +151,7 @@
         services: vec![Service {
             name: SERVICE.into(),
             routes: vec![route],
+            budget: Arc::default(),
         }],
         out: Vec::new(),
         failure_domain: "fd-1".into(),
