Retry by the budget's rules and answer repeats of idempotency keys

Cause: a failed attempt was tried again by a fixed rule, and a repeated send order would have run twice. Change: attempts follow routing::budget; a call with an idempotency key goes to the node with the highest rendezvous weight for the key, which notes it at the next in rank before the call runs and keeps the first outcome at both.

--- a/buckthorn/src/counter.rs
+++ b/buckthorn/src/counter.rs
@@ -57,6 +57,7 @@
     RefusedKeysFull "refused.keys_full" "Calls refused because no more idempotency keys can be held.",
     RefusedKeyAnswerNotKept "refused.key_answer_not_kept" "Repeats of a key whose first answer was too large to keep.",
     RefusedUnreachable "refused.unreachable" "Calls refused because no connection could be opened.",
+    KeysHeldOnce "key.held_once" "Idempotency keys that could not be noted at a second node.",
     AnsweredFromKey "call.answered_from_key" "Repeats answered with the first outcome of their key.",
     BrokenAnswers "answer.broken" "Answers shorter or longer than declared.",
     LateAnswers "answer.late" "Answers that came after the call had ended.",
--- a/buckthorn/src/proxy/answer.rs
+++ b/buckthorn/src/proxy/answer.rs
@@ -203,6 +203,12 @@
     response.headers().contains_key(REASON)
 }
 
+/// Whether a node refused the call for a reason.
+pub fn has_reason(response: &Response<Body>, reason: Reason) -> bool {
+    let word = response.headers().get(REASON);
+    word.is_some_and(|word| word.as_bytes() == reason.word().as_bytes())
+}
+
 /// Whether a refusal says that the call was not run.
 pub fn is_not_run(response: &Response<Body>) -> bool {
     response
--- a/buckthorn/src/proxy/body.rs
+++ b/buckthorn/src/proxy/body.rs
@@ -5,7 +5,7 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, StatusCode};
 use http_body::{Frame, SizeHint};
 use http_body_util::combinators::UnsyncBoxBody;
@@ -262,3 +262,72 @@
         self.end(Ending::Dropped);
     }
 }
+
+/// Body whose first part was read already.
+pub struct Prefixed {
+    /// Part read already.
+    first: Option<Bytes>,
+    /// What follows.
+    rest: Body,
+}
+
+impl Prefixed {
+    /// Reads up to `max_bytes` of a body. Returns the body as it was and, if all of it was read,
+    /// its bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns the fault that the body ended with.
+    pub async fn read(mut body: Body, max_bytes: usize) -> Result<(Body, Option<Bytes>), Fault> {
+        let mut read = BytesMut::new();
+        loop {
+            match body.frame().await {
+                None => {
+                    let bytes = read.freeze();
+                    return Ok((full(bytes.clone()), Some(bytes)));
+                }
+                Some(Err(fault)) => return Err(fault),
+                Some(Ok(frame)) => {
+                    if let Some(data) = frame.data_ref() {
+                        read.extend_from_slice(data);
+                    }
+                }
+            }
+            if read.len() > max_bytes {
+                let first = Some(read.freeze());
+                let prefixed = Self { first, rest: body };
+                return Ok((prefixed.boxed_unsync(), None));
+            }
+        }
+    }
+}
+
+impl http_body::Body for Prefixed {
+    type Data = Bytes;
+    type Error = Fault;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Fault>>> {
+        if let Some(first) = self.first.take() {
+            return Poll::Ready(Some(Ok(Frame::data(first))));
+        }
+        Pin::new(&mut self.rest).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.first.is_none() && self.rest.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let first = self.first.as_ref().map_or(0, Bytes::len) as u64;
+        let rest = self.rest.size_hint();
+        let mut hint = SizeHint::new();
+        hint.set_lower(first + rest.lower());
+        if let Some(upper) = rest.upper() {
+            hint.set_upper(first + upper);
+        }
+        hint
+    }
+}
--- a/buckthorn/src/proxy/header.rs
+++ b/buckthorn/src/proxy/header.rs
@@ -23,6 +23,14 @@
 pub const SECRET: &str = "x-buckthorn-secret";
 /// Part that the receiving node is asked to play.
 pub const PART: &str = "x-buckthorn-part";
+/// Says that an answer is the first outcome of an idempotency key.
+pub const REPLAYED: &str = "x-buckthorn-replayed";
+/// State of an idempotency key that one node tells another.
+pub const KEY_STATE: &str = "x-buckthorn-key-state";
+/// Hash of the request that an idempotency key belongs to.
+pub const KEY_FINGERPRINT: &str = "x-buckthorn-key-fingerprint";
+/// Status of an idempotency key's outcome.
+pub const KEY_STATUS: &str = "x-buckthorn-key-status";
 /// Priority by RFC 9218.
 pub const PRIORITY: &str = "priority";
 /// Key under which a call runs at most once.
@@ -50,6 +58,8 @@
     Owner,
     /// Keep the call's idempotency key and send the call on.
     Key,
+    /// Take note of a key that another node holds.
+    Note,
     /// Show that the connection is alive.
     Probe,
 }
@@ -60,6 +70,7 @@
         match self {
             Self::Owner => "owner",
             Self::Key => "key",
+            Self::Note => "note",
             Self::Probe => "probe",
         }
     }
@@ -69,6 +80,7 @@
         match headers.get(PART)?.as_bytes() {
             b"owner" => Some(Self::Owner),
             b"key" => Some(Self::Key),
+            b"note" => Some(Self::Note),
             b"probe" => Some(Self::Probe),
             _ => None,
         }
@@ -125,6 +137,11 @@
         })
     }
 
+    /// Whether the idempotency key counts: an idempotent call needs none.
+    pub const fn is_keyed(&self) -> bool {
+        self.key.is_some() && !self.is_idempotent
+    }
+
     /// What the owner's admission is told.
     pub fn offer(&self) -> Offer {
         Offer {
@@ -174,6 +191,11 @@
     parsed.map(Some).ok_or("a header is not a whole number")
 }
 
+/// Whole number in a header of the system's own, `None` when absent or malformed.
+pub fn own(headers: &HeaderMap, name: &str) -> Option<u64> {
+    number(headers, name).ok().flatten()
+}
+
 /// Idempotency key, bounded in length.
 fn parse_key(value: &HeaderValue) -> Option<String> {
     let key = value.to_str().ok()?;
--- a/buckthorn/src/proxy/hop.rs
+++ b/buckthorn/src/proxy/hop.rs
@@ -47,6 +47,8 @@
     pub request: Request<Body>,
     /// Time by which the head of the answer is needed.
     pub deadline: Instant,
+    /// Time that the node is told it has.
+    pub told: Duration,
 }
 
 /// Connections to other nodes.
@@ -204,6 +206,7 @@
             part: Part::Probe,
             request,
             deadline: Instant::now() + self.limits.ping_timeout,
+            told: self.limits.ping_timeout,
         };
         let deadline = outgoing.deadline;
         let sent = link.sender.clone().send_request(seal(outgoing, secrets));
@@ -295,16 +298,16 @@
     let Outgoing {
         part,
         mut request,
-        deadline,
+        told,
+        ..
     } = outgoing;
-    let remaining = deadline.saturating_duration_since(Instant::now());
     let headers = request.headers_mut();
     headers.remove(names::HOST);
     if let Ok(secret) = HeaderValue::from_str(secrets.current()) {
         headers.insert(SECRET, secret);
     }
     headers.insert(PART, HeaderValue::from_static(part.word()));
-    headers.insert(DEADLINE, HeaderValue::from(remaining.as_millis() as u64));
+    headers.insert(DEADLINE, HeaderValue::from(told.as_millis() as u64));
     *request.version_mut() = Version::HTTP_2;
     request
 }
--- /dev/null
+++ b/buckthorn/src/proxy/keyed.rs
@@ -0,0 +1,407 @@
+//! Calls with an idempotency key: run at most once, repeats get the first outcome.
+//!
+//! A key belongs to the node with the highest rendezvous weight among the backend servers of the
+//! service. That node notes the key at the next one in rank, sends the call on, and keeps its
+//! outcome at both. When it cannot be reached the next one takes its place and already knows the
+//! key. The call goes on when its caller leaves, so that a repeat gets its outcome.
+//!
+//! Limits: a repeat runs again when it comes after the window, or when both nodes were lost or left
+//! the service since the first, or when two ingresses with different views of the service send the
+//! same key at the same moment.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use super::Plane;
+use super::answer::{self, Ran, Reason};
+use super::body::{self, Body, Fault, Prefixed};
+use super::dispatch::{dispatch, target};
+use super::header::{Call, KEY_STATE, LOAD, Part, REPLAYED};
+use super::hop::{Failure, Outgoing};
+use super::key::{self, Outcome, Start};
+use super::payload::Payload;
+use crate::admission::gate::Refusal;
+use crate::counter::Counter;
+use crate::name::{self, Name};
+use crate::routing::table::Endpoint;
+
+/// Nodes that may hold a key: its owner and the one that takes the owner's place.
+const RANKS: usize = 2;
+/// Time given to note a key at another node.
+const NOTE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Endpoints that hold a key, highest rendezvous weight first.
+fn holders(plane: &Plane, call: &Call, id: &str) -> Vec<Endpoint> {
+    let table = plane.table.load();
+    let Some(service) = table.service(&call.service) else {
+        return Vec::new();
+    };
+    let mut ranked: Vec<(u64, &Endpoint)> = service
+        .routes
+        .iter()
+        .flat_map(|route| &route.shares)
+        .flat_map(|share| &share.endpoints)
+        .map(|endpoint| (name::rendezvous(id, &endpoint.host), endpoint))
+        .collect();
+    ranked.sort_by(|(a, x), (b, y)| b.cmp(a).then_with(|| x.host.cmp(&y.host)));
+    ranked.dedup_by(|(_, a), (_, b)| a.host == b.host);
+    ranked
+        .into_iter()
+        .take(RANKS)
+        .map(|(_, endpoint)| endpoint.clone())
+        .collect()
+}
+
+/// Carries a call with a key to the node that holds the key.
+pub async fn carry(
+    plane: &Arc<Plane>,
+    call: Call,
+    parts: Parts,
+    mut payload: Payload,
+) -> Response<Body> {
+    let id = key::id(&call.service, call.key.as_deref().unwrap_or_default());
+    let mut last = None;
+    for endpoint in holders(plane, &call, &id) {
+        if endpoint.host == plane.host {
+            return hold(plane, call, parts, payload).await;
+        }
+        let Some(body) = payload.take() else {
+            break;
+        };
+        match pass(plane, &call, &endpoint, &parts, body).await {
+            Ok(response) if is_leaving(&response) => last = Some(response),
+            Ok(response) => return response,
+            Err(Failure::Unknown(reason)) => {
+                return answer::refuse(&plane.counters, reason, Ran::Unknown);
+            }
+            Err(Failure::NotRun(reason)) => {
+                last = Some(answer::refuse(&plane.counters, reason, Ran::NotRun));
+            }
+        }
+    }
+    match last {
+        Some(response) => response,
+        // The table says why there is no backend server.
+        None => dispatch(plane, &call, parts, payload).await,
+    }
+}
+
+/// Whether a node refused a call because it is leaving; the next in rank takes its place.
+fn is_leaving(response: &Response<Body>) -> bool {
+    let reason = Reason::Refused(Refusal::Draining);
+    answer::is_not_run(response) && answer::has_reason(response, reason)
+}
+
+/// Passes a call on to the node that holds its key.
+async fn pass(
+    plane: &Plane,
+    call: &Call,
+    endpoint: &Endpoint,
+    parts: &Parts,
+    body: Body,
+) -> Result<Response<Body>, Failure> {
+    let mut parts = parts.clone();
+    super::header::strip_connection(&mut parts.headers);
+    parts.uri = target(call, &parts);
+    let left = call.deadline.since(plane.clock.now());
+    let outgoing = Outgoing {
+        part: Part::Key,
+        request: Request::from_parts(parts, body),
+        deadline: Instant::now() + left,
+        told: left,
+    };
+    let response = plane
+        .peers
+        .send(endpoint.hop, &plane.secrets, outgoing)
+        .await?;
+    let response = response.map(|body| body.map_err(Fault::from).boxed_unsync());
+    if answer::has_reason(&response, Reason::Unauthenticated) {
+        return Err(Failure::NotRun(Reason::Unreachable));
+    }
+    Ok(response)
+}
+
+/// Holds the key of a call and runs it if it is the first.
+pub async fn hold(
+    plane: &Arc<Plane>,
+    call: Call,
+    parts: Parts,
+    payload: Payload,
+) -> Response<Body> {
+    let id = key::id(&call.service, call.key.as_deref().unwrap_or_default());
+    let fingerprint = fingerprint(&parts, &payload);
+    let refuse = |reason, ran| answer::refuse(&plane.counters, reason, ran);
+    match plane.keys.start(plane.clock.now(), &id, fingerprint) {
+        Start::Run => {}
+        Start::InProgress => return refuse(Reason::KeyInProgress, Ran::Unknown),
+        Start::Reused => return refuse(Reason::KeyReused, Ran::NotRun),
+        Start::Full => return refuse(Reason::KeysFull, Ran::NotRun),
+        Start::Ended(outcome) => return replay(plane, &outcome),
+    }
+    let held = Held {
+        plane: plane.clone(),
+        second: holders(plane, &call, &id)
+            .into_iter()
+            .find(|endpoint| endpoint.host != plane.host),
+        service: call.service.clone(),
+        key: call.key.clone().unwrap_or_default(),
+        id,
+        fingerprint,
+        is_ended: false,
+    };
+    let (tell, told) = oneshot::channel();
+    // A task of its own: the outcome is kept for a repeat when the caller leaves.
+    tokio::spawn(async move {
+        // The caller may have left.
+        let _ = tell.send(run(held, call, parts, payload).await);
+    });
+    told.await
+        .unwrap_or_else(|_| answer::refuse(&plane.counters, Reason::Reset, Ran::Unknown))
+}
+
+/// Hash of what makes a request the same as another.
+fn fingerprint(parts: &Parts, payload: &Payload) -> u64 {
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let body = match payload {
+        Payload::Kept(bytes) => xxhash_rust::xxh3::xxh3_64(bytes),
+        Payload::Streamed(_) => 0,
+    };
+    name::hash(&format!("{} {path} {body}", parts.method))
+}
+
+/// Answers a repeat with the first outcome.
+fn replay(plane: &Plane, outcome: &Outcome) -> Response<Body> {
+    let Some(body) = &outcome.body else {
+        return answer::refuse(&plane.counters, Reason::KeyAnswerNotKept, Ran::Unknown);
+    };
+    plane.counters.hit(Counter::AnsweredFromKey);
+    let mut response = Response::new(body::full(body.clone()));
+    *response.status_mut() = outcome.status;
+    *response.headers_mut() = outcome.headers.clone();
+    response
+        .headers_mut()
+        .insert(REPLAYED, HeaderValue::from_static("true"));
+    response
+}
+
+/// A key whose call is running here; its end is noted even when the call is dropped.
+struct Held {
+    /// Plane.
+    plane: Arc<Plane>,
+    /// Node that takes this one's place.
+    second: Option<Endpoint>,
+    /// Service.
+    service: String,
+    /// Key.
+    key: String,
+    /// Identifier in the store.
+    id: Name,
+    /// Hash of the request.
+    fingerprint: u64,
+    /// Whether the end was noted.
+    is_ended: bool,
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        if !self.is_ended {
+            let refusal = answer::refuse(&self.plane.counters, Reason::Reset, Ran::Unknown);
+            let outcome = Outcome {
+                status: refusal.status(),
+                headers: refusal.headers().clone(),
+                body: Some(Bytes::new()),
+            };
+            let now = self.plane.clock.now();
+            self.plane.keys.end(now, &self.id, outcome);
+        }
+    }
+}
+
+/// Runs the first call of a key and keeps its outcome.
+async fn run(mut held: Held, call: Call, parts: Parts, payload: Payload) -> Response<Body> {
+    let plane = held.plane.clone();
+    held.note(State::Running, &Response::new(()), Bytes::new())
+        .await;
+    let mut response = dispatch(&plane, &call, parts, payload).await;
+    response.headers_mut().remove(LOAD);
+    held.is_ended = true;
+    if answer::is_not_run(&response) {
+        plane.keys.forget(plane.clock.now(), &held.id);
+        held.note(State::NotRun, &Response::new(()), Bytes::new())
+            .await;
+        return response;
+    }
+    let (head, body) = response.into_parts();
+    let (body, kept) = match Prefixed::read(body, plane.limits.key_body_bytes).await {
+        Ok(read) => read,
+        Err(_) => {
+            let refusal = answer::refuse(&plane.counters, Reason::Broken, Ran::Unknown);
+            held.end(refusal.status(), refusal.headers(), Some(Bytes::new()));
+            return refusal;
+        }
+    };
+    held.end(head.status, &head.headers, kept);
+    Response::from_parts(head, body)
+}
+
+/// State of a key as one node tells another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// Running.
+    Running,
+    /// Not run; to be forgotten.
+    NotRun,
+    /// Ended, and the answer is kept.
+    Ended,
+    /// Ended; the answer was too large to keep.
+    NotKept,
+}
+
+impl State {
+    /// Every state.
+    const ALL: [Self; 4] = [Self::Running, Self::NotRun, Self::Ended, Self::NotKept];
+
+    /// Word in the header.
+    const fn word(self) -> &'static str {
+        match self {
+            Self::Running => "running",
+            Self::NotRun => "not-run",
+            Self::Ended => "ended",
+            Self::NotKept => "not-kept",
+        }
+    }
+
+    /// State named by a request.
+    fn parse(headers: &HeaderMap) -> Option<Self> {
+        let word = headers.get(KEY_STATE)?.to_str().ok()?;
+        Self::ALL.into_iter().find(|state| state.word() == word)
+    }
+}
+
+impl Held {
+    /// Keeps the outcome here and tells the second node.
+    fn end(self, status: StatusCode, headers: &HeaderMap, kept: Option<Bytes>) {
+        let outcome = Outcome {
+            status,
+            headers: headers.clone(),
+            body: kept.clone(),
+        };
+        let now = self.plane.clock.now();
+        self.plane.keys.end(now, &self.id, outcome);
+        let mut told = Response::new(());
+        *told.status_mut() = status;
+        *told.headers_mut() = headers.clone();
+        let state = match kept {
+            Some(_) => State::Ended,
+            None => State::NotKept,
+        };
+        tokio::spawn(async move {
+            self.note(state, &told, kept.unwrap_or_default()).await;
+        });
+    }
+
+    /// Tells the second node of the key; without it the key is held here only.
+    async fn note(&self, state: State, outcome: &Response<()>, body: Bytes) {
+        let Some(second) = &self.second else { return };
+        let request = note::request(self, state, outcome, body);
+        let outgoing = Outgoing {
+            part: Part::Note,
+            request,
+            deadline: Instant::now() + NOTE_TIMEOUT,
+            told: NOTE_TIMEOUT,
+        };
+        let plane = &self.plane;
+        let sent = plane.peers.send(second.hop, &plane.secrets, outgoing).await;
+        if !sent.is_ok_and(|response| response.status().is_success()) {
+            plane.counters.hit(Counter::KeysHeldOnce);
+        }
+    }
+}
+
+/// Takes note of a key that another node holds.
+pub async fn take_note(plane: &Plane, parts: Parts, body: Body) -> Response<Body> {
+    let is_taken = note::take(plane, parts, body).await.is_some();
+    match is_taken {
+        true => answer::empty(StatusCode::NO_CONTENT),
+        false => answer::refuse(&plane.counters, Reason::BadRequest, Ran::NotRun),
+    }
+}
+
+/// How a key travels between two nodes: as a `PUT` whose headers name it and whose body is that of
+/// the outcome.
+mod note {
+    use super::*;
+    use crate::proxy::header::{IDEMPOTENCY_KEY, KEY_FINGERPRINT, KEY_STATUS, own};
+
+    /// Request that tells of a key.
+    pub(super) fn request(
+        held: &Held,
+        state: State,
+        outcome: &Response<()>,
+        body: Bytes,
+    ) -> Request<Body> {
+        let mut request = Request::new(body::full(body));
+        *request.method_mut() = Method::PUT;
+        *request.uri_mut() = http::Uri::builder()
+            .scheme("http")
+            .authority(held.service.as_str())
+            .path_and_query("/")
+            .build()
+            .unwrap_or_default();
+        let headers = request.headers_mut();
+        *headers = outcome.headers().clone();
+        headers.remove(http::header::CONTENT_LENGTH);
+        headers.remove(http::header::TRANSFER_ENCODING);
+        if let Ok(key) = HeaderValue::from_str(&held.key) {
+            headers.insert(IDEMPOTENCY_KEY, key);
+        }
+        headers.insert(KEY_STATE, HeaderValue::from_static(state.word()));
+        headers.insert(KEY_FINGERPRINT, HeaderValue::from(held.fingerprint));
+        headers.insert(KEY_STATUS, HeaderValue::from(outcome.status().as_u16()));
+        request
+    }
+
+    /// Applies what another node tells; `None` when it is malformed.
+    pub(super) async fn take(plane: &Plane, parts: Parts, body: Body) -> Option<()> {
+        let now = plane.clock.now();
+        let call = Call::parse(&parts, now, plane.limits.call_timeout).ok()?;
+        let id = key::id(&call.service, &call.key?);
+        let mut headers = parts.headers;
+        let state = State::parse(&headers)?;
+        let fingerprint = own(&headers, KEY_FINGERPRINT)?;
+        let status = u16::try_from(own(&headers, KEY_STATUS)?).ok()?;
+        let status = StatusCode::from_u16(status).ok()?;
+        let body = body.collect().await.ok()?.to_bytes();
+        for name in [KEY_STATE, KEY_FINGERPRINT, KEY_STATUS, IDEMPOTENCY_KEY] {
+            headers.remove(name);
+        }
+        for name in [super::super::header::SECRET, super::super::header::PART] {
+            headers.remove(name);
+        }
+        headers.remove(super::super::header::DEADLINE);
+        match state {
+            State::NotRun => {
+                plane.keys.forget(now, &id);
+                return Some(());
+            }
+            State::Running | State::Ended | State::NotKept => {}
+        }
+        plane.keys.start(now, &id, fingerprint);
+        if state != State::Running {
+            let outcome = Outcome {
+                status,
+                headers,
+                body: (state == State::Ended).then_some(body),
+            };
+            plane.keys.end(now, &id, outcome);
+        }
+        Some(())
+    }
+}
--- a/buckthorn/src/proxy/limit.rs
+++ b/buckthorn/src/proxy/limit.rs
@@ -67,8 +67,8 @@
             proof_age: Duration::from_secs(1),
             pool_idle: Duration::from_secs(4),
             drain_linger: Duration::from_millis(500),
-            keys: 16_384,
-            key_window: Duration::from_secs(600),
+            keys: 32_768,
+            key_window: Duration::from_secs(300),
             key_body_bytes: 4 * 1024,
         }
     }
--- a/buckthorn/src/proxy/listen.rs
+++ b/buckthorn/src/proxy/listen.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use http::{HeaderValue, Request, Response, StatusCode, header as names};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::server::conn::{http1, http2};
 use hyper::service::service_fn;
@@ -18,8 +19,10 @@
 use super::answer::{self, Ran, Reason};
 use super::body::{Body, Bounds, Monitor};
 use super::header::{self, Call, Part, SECRET};
+use super::payload::Payload;
 use super::socket::{Meter, Socket};
-use super::{Plane, hop, ingress, owner};
+use super::{Plane, hop, ingress, keyed, owner};
+use crate::admission::gate::Refusal;
 use crate::counter::Counter;
 
 /// Pause after a failed accept, so that a lack of file descriptors does not spin.
@@ -240,24 +243,32 @@
         let reason = Reason::Unauthenticated;
         return Ok(answer::refuse(&plane.counters, reason, Ran::NotRun));
     }
-    let part = Part::parse(request.headers());
-    if part == Some(Part::Probe) {
-        return Ok(answer::empty(StatusCode::NO_CONTENT));
-    }
     let (parts, body) = request.into_parts();
-    let now = plane.clock.now();
-    let call = match (part, Call::parse(&parts, now, plane.limits.call_timeout)) {
-        (Some(_), Ok(call)) => call,
-        (None, _) | (_, Err(_)) => {
-            let reason = Reason::BadRequest;
-            return Ok(answer::refuse(&plane.counters, reason, Ran::NotRun));
-        }
+    let call = Call::parse(&parts, plane.clock.now(), plane.limits.call_timeout);
+    let (Some(part), Ok(call)) = (Part::parse(&parts.headers), call) else {
+        let reason = Reason::BadRequest;
+        return Ok(answer::refuse(&plane.counters, reason, Ran::NotRun));
     };
     let bounds = Bounds {
         declared: header::declared_length(&parts.headers).ok().flatten(),
         max_bytes: plane.limits.body_bytes,
         idle: plane.limits.idle_body_timeout,
     };
-    let body = http_body_util::BodyExt::boxed_unsync(Monitor::new(body, bounds, |_| {}));
-    Ok(owner::run(&plane, &call, Request::from_parts(parts, body)).await)
+    let body = Monitor::new(body, bounds, |_| {});
+    Ok(match part {
+        Part::Owner => {
+            let request = Request::from_parts(parts, body.boxed_unsync());
+            owner::run(&plane, &call, request).await
+        }
+        Part::Key if plane.is_draining() => {
+            let reason = Reason::Refused(Refusal::Draining);
+            answer::refuse(&plane.counters, reason, Ran::NotRun)
+        }
+        Part::Key => match Payload::read(&plane, &parts, body).await {
+            Ok(payload) => keyed::hold(&plane, call, parts, payload).await,
+            Err(reason) => answer::refuse(&plane.counters, reason, Ran::NotRun),
+        },
+        Part::Note => keyed::take_note(&plane, parts, body.boxed_unsync()).await,
+        Part::Probe => answer::empty(StatusCode::NO_CONTENT),
+    })
 }
--- a/buckthorn/src/proxy/mod.rs
+++ b/buckthorn/src/proxy/mod.rs
@@ -11,17 +11,21 @@
 //! - an answer that is shorter or longer than declared is an error towards the caller, never a
 //!   short success ([`body`]);
 //! - a call that is not idempotent has at most one attempt whose first byte left the owner
-//!   ([`ingress`]);
+//!   ([`dispatch`]);
 //! - bodies are streamed with back-pressure; what is buffered is bounded by [`limit::Limits`].
 
 pub mod answer;
 pub mod body;
+pub mod dispatch;
 pub mod header;
 pub mod hop;
 pub mod ingress;
+pub mod key;
+pub mod keyed;
 pub mod limit;
 pub mod listen;
 pub mod owner;
+pub mod payload;
 pub mod pool;
 pub mod secret;
 pub mod socket;
@@ -65,6 +69,8 @@
     pub limits: Limits,
     /// Connections to other nodes.
     pub(crate) peers: hop::Peers,
+    /// Idempotency keys held here.
+    pub(crate) keys: key::Store,
     /// Whether the node refuses new work.
     is_draining: AtomicBool,
 }
@@ -150,6 +156,7 @@
     pub fn build(self) -> Plane {
         Plane {
             peers: hop::Peers::new(self.counters.clone(), &self.limits),
+            keys: key::Store::new(self.limits.keys, self.limits.key_window),
             table: self.table,
             owner: self.owner,
             counters: self.counters,
--- a/buckthorn/src/proxy/owner.rs
+++ b/buckthorn/src/proxy/owner.rs
@@ -11,7 +11,7 @@
 use super::Plane;
 use super::answer::{self, Ran, Reason};
 use super::body::{self, Body, Bounds, Ending, Fault, Monitor};
-use super::header::{self, Call, LOAD};
+use super::header::{self, Call, DEADLINE, LOAD};
 use super::limit::Limits;
 use super::pool::{Denied, Failure, Pool, Reply};
 use crate::admission::door::{Door, Permit};
@@ -180,10 +180,10 @@
         started: Instant::now(),
     }));
     let pool = owner.pool(&plane.counters, &plane.limits);
-    let remaining = call.deadline.since(plane.clock.now());
-    let deadline = Instant::now() + remaining;
+    let left = call.deadline.since(plane.clock.now());
+    let deadline = Instant::now() + left;
     let method = request.method().clone();
-    let sent = send(pool, to_backend(request), deadline).await;
+    let sent = send(pool, to_backend(request, left), deadline).await;
     let Some(run) = run.release() else {
         return answer::refuse(&plane.counters, Reason::Reset, Ran::Unknown);
     };
@@ -256,12 +256,13 @@
 }
 
 /// Request as the backend server gets it.
-fn to_backend(mut request: Request<Body>) -> Request<Body> {
+fn to_backend(mut request: Request<Body>, left: Duration) -> Request<Body> {
     let headers = request.headers_mut();
     header::strip_connection(headers);
     headers.remove(header::SECRET);
     headers.remove(header::PART);
     headers.remove(names::EXPECT);
+    headers.insert(DEADLINE, HeaderValue::from(left.as_millis() as u64));
     let authority = request.uri().authority().cloned();
     if let Some(authority) = authority {
         if let Ok(host) = HeaderValue::from_str(authority.as_str()) {
