Prove the path of a call under failures on loopback sockets

Cause: nothing showed that broken, late, reset, stalled and oversized messages end as they must. Change: tests with byte-level callers and backend servers for broken lengths, a reset at every byte of an answer, late answers, callers that leave, back-pressure both ways, each limit with its status and counter, drain, and connections that go silent. Found on the way: a streamed request body over its limit, or stalled, was answered as a reset; it is now named as what it is, 413 or 408.

--- a/buckthorn/src/proxy/ingress.rs
+++ b/buckthorn/src/proxy/ingress.rs
@@ -8,7 +8,7 @@
 use super::answer::{self, Ran, Reason};
 use super::body::{Body, Monitor};
 use super::header::{Call, LOAD, PART, SECRET};
-use super::payload::Payload;
+use super::payload::{Payload, Upload};
 use super::{Plane, dispatch, keyed};
 use crate::admission::gate::Refusal;
 use crate::counter::Counter;
@@ -31,6 +31,7 @@
     // These speak between nodes only.
     parts.headers.remove(SECRET);
     parts.headers.remove(PART);
+    let upload = parts.extensions.remove::<Upload>().unwrap_or_default();
     let mut departure = Departure(Some(plane.clone()));
     let response = match Payload::read(plane, &parts, body).await {
         Ok(payload) if call.is_keyed() => keyed::carry(plane, call, parts, payload).await,
@@ -38,7 +39,18 @@
         Err(reason) => answer::refuse(&plane.counters, reason, Ran::NotRun),
     };
     departure.0 = None;
-    finish(plane, response)
+    finish(plane, blame_upload(plane, &upload, response))
+}
+
+/// Names a fault of the caller's streamed body instead of what it led to further in.
+fn blame_upload(plane: &Plane, upload: &Upload, response: Response<Body>) -> Response<Body> {
+    let Some(reason) = upload.reason() else {
+        return response;
+    };
+    if !answer::is_refusal(&response) || answer::is_not_run(&response) {
+        return response;
+    }
+    answer::refuse(&plane.counters, reason, Ran::Unknown)
 }
 
 /// Counts a caller that leaves before the head of its answer.
--- a/buckthorn/src/proxy/listen.rs
+++ b/buckthorn/src/proxy/listen.rs
@@ -19,7 +19,7 @@
 use super::answer::{self, Ran, Reason};
 use super::body::{Body, Bounds, Monitor};
 use super::header::{self, Call, Part, SECRET};
-use super::payload::Payload;
+use super::payload::{Payload, Upload};
 use super::socket::{Meter, Socket};
 use super::{Plane, hop, ingress, keyed, owner};
 use crate::admission::gate::Refusal;
@@ -187,7 +187,15 @@
         max_bytes: plane.limits.body_bytes,
         idle: plane.limits.idle_body_timeout,
     };
-    let request = request.map(|body| Monitor::new(body, bounds, move |_| meter.take()));
+    let fault = Upload::default();
+    let noted = fault.clone();
+    let mut request = request.map(|body| {
+        Monitor::new(body, bounds, move |ending| {
+            meter.take();
+            noted.note(ending);
+        })
+    });
+    request.extensions_mut().insert(fault);
     let mut response = ingress::carry(&plane, request).await;
     if plane.is_draining() {
         let close = HeaderValue::from_static("close");
--- a/buckthorn/src/proxy/payload.rs
+++ b/buckthorn/src/proxy/payload.rs
@@ -1,5 +1,7 @@
 //! Body of a request: kept when it is small, so that it can be sent again, and streamed otherwise.
 
+use std::sync::{Arc, OnceLock};
+
 use bytes::Bytes;
 use http::request::Parts;
 use http_body_util::BodyExt;
@@ -7,7 +9,7 @@
 
 use super::Plane;
 use super::answer::Reason;
-use super::body::{self, Body, Fault, Monitor};
+use super::body::{self, Body, Ending, Fault, Monitor};
 use super::header;
 
 /// Body of a request.
@@ -64,6 +66,25 @@
     }
 }
 
+/// What was wrong with the body of a caller's request, known once it has ended.
+#[derive(Clone, Debug, Default)]
+pub struct Upload(Arc<OnceLock<Fault>>);
+
+impl Upload {
+    /// Notes how the body ended.
+    pub fn note(&self, ending: Ending) {
+        if let Ending::Fault(fault) = ending {
+            // A body ends once.
+            let _ = self.0.set(fault);
+        }
+    }
+
+    /// Reason of a refusal, if the body was at fault.
+    pub fn reason(&self) -> Option<Reason> {
+        self.0.get().copied().map(reason)
+    }
+}
+
 /// Reason of a refusal for a fault of the caller's body.
 const fn reason(fault: Fault) -> Reason {
     match fault {
--- a/buckthorn/tests/proxy_kit/mod.rs
+++ b/buckthorn/tests/proxy_kit/mod.rs
@@ -24,7 +24,9 @@
 use buckthorn::routing::load::Load;
 use buckthorn::routing::table::{Endpoint, Route, Service, Share, Table};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 
 /// Service of the tests.
 pub const SERVICE: &str = "card-desk";
@@ -404,3 +406,61 @@
     })
     .await
 }
+
+/// Relay in front of an address whose open connections can fall silent.
+pub struct Relay {
+    /// Address to connect to.
+    pub address: SocketAddr,
+    /// Generation; connections of an earlier one pass nothing on.
+    generation: watch::Sender<u64>,
+}
+
+impl Relay {
+    /// Relay in front of `target`.
+    pub async fn start(target: SocketAddr) -> Self {
+        let listener = listener().await;
+        let address = listener.local_addr().unwrap();
+        let (generation, seen) = watch::channel(0);
+        tokio::spawn(async move {
+            while let Ok((near, _)) = listener.accept().await {
+                let far = TcpStream::connect(target).await.unwrap();
+                let (near_read, near_write) = near.into_split();
+                let (far_read, far_write) = far.into_split();
+                tokio::spawn(pump(near_read, far_write, seen.clone()));
+                tokio::spawn(pump(far_read, near_write, seen.clone()));
+            }
+        });
+        Self {
+            address,
+            generation,
+        }
+    }
+
+    /// Lets every open connection fall silent; new ones work.
+    pub fn silence(&self) {
+        self.generation.send_modify(|n| *n += 1);
+    }
+}
+
+/// Passes bytes on until the relay is silenced; then holds the connection open.
+async fn pump(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut seen: watch::Receiver<u64>) {
+    seen.mark_unchanged();
+    let copy = tokio::io::copy(&mut from, &mut to);
+    tokio::select! {
+        _ = copy => {}
+        _ = seen.changed() => std::future::pending().await,
+    }
+}
+
+/// Waits until a number stops changing and returns it.
+pub async fn settled(value: impl Fn() -> u64) -> u64 {
+    let mut last = value();
+    let mut unchanged = 0;
+    while unchanged < 10 {
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        let now = value();
+        unchanged = if now == last { unchanged + 1 } else { 0 };
+        last = now;
+    }
+    last
+}
