--- a/buckthorn/src/config/mod.rs
+++ b/buckthorn/src/config/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod change;
 pub mod intent;
+pub mod plan;
 pub mod sheet;
--- /dev/null
+++ b/buckthorn/src/config/plan.rs
@@ -0,0 +1,563 @@
+//! The difference between the intent in force and a sheet.
+//!
+//! The sheet is the agreed plan for the day:
+//!
+//! - services and failure domains that it does not name stay as they are;
+//! - moves that it no longer names are withdrawn when they have not begun, and go on when they
+//!   have;
+//! - what it names and what is in force already is no change, so that a sheet may be applied again
+//!   at any time, also after its moves are done.
+//!
+//! [`make`] checks the whole sheet against the state. It gives either every fault with its place,
+//! or the operations that bring the intent to the sheet together with a line for each thing that
+//! changes or stays.
+
+use std::fmt;
+
+use serde::Serialize;
+
+use super::change::{Change, Operation};
+use super::intent::{self, Intent, Phase};
+use super::sheet::{self, Column, Entry, Fault, Sheet, fault};
+use crate::clock::Time;
+use crate::journal::fold::{self, State};
+use crate::name::Name;
+
+/// What applying a sheet would do.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Plan {
+    /// Intent version that the plan is made on.
+    pub base: u64,
+    /// What changes and what stays, in order.
+    pub lines: Vec<Line>,
+    /// Operations to publish; empty when nothing changes.
+    pub operations: Vec<Operation>,
+}
+
+/// One thing that changes or stays.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Line {
+    /// What happens to it.
+    pub effect: Effect,
+    /// Line of the sheet that says so, `None` for what the sheet does not name.
+    pub line: Option<u64>,
+    /// The service and route, move or failure domain.
+    pub subject: String,
+    /// What happens, in words.
+    pub text: String,
+}
+
+/// What happens to a thing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Effect {
+    /// It begins.
+    Add,
+    /// It ends.
+    Remove,
+    /// It changes.
+    Change,
+    /// It stays.
+    Keep,
+    /// It stays, which the operator may not expect.
+    Warn,
+}
+
+impl Effect {
+    /// Mark at the start of a line.
+    pub const fn mark(self) -> char {
+        match self {
+            Self::Add => '+',
+            Self::Remove => '-',
+            Self::Change => '~',
+            Self::Keep => '=',
+            Self::Warn => '!',
+        }
+    }
+}
+
+impl fmt::Display for Line {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}: {}", self.effect.mark(), self.subject, self.text)
+    }
+}
+
+impl Plan {
+    /// Whether anything is to be published.
+    pub fn is_change(&self) -> bool {
+        !self.operations.is_empty()
+    }
+
+    /// Change that carries the plan out.
+    pub fn change(&self, author: impl Into<String>, at: Time) -> Change {
+        Change {
+            base: self.base,
+            author: author.into(),
+            at,
+            operations: self.operations.clone(),
+        }
+    }
+}
+
+/// Compares a sheet with the state in force.
+///
+/// # Errors
+///
+/// Gives up to [`sheet::MAX_FAULTS`] faults, in the order of the lines.
+pub fn make(state: &State, sheet: &Sheet, now: Time) -> Result<Plan, Vec<Fault>> {
+    let mut planner = Planner {
+        intent: &state.intent,
+        sheet,
+        now,
+        lines: Vec::new(),
+        operations: Vec::new(),
+        faults: Vec::new(),
+    };
+    planner.withdraw();
+    planner.serve();
+    planner.shift();
+    planner.set_failure_domains();
+    planner.list_unnamed();
+    planner.finish(state)
+}
+
+/// Plan of one operation that needs no sheet: a failure domain out of service or back.
+///
+/// # Errors
+///
+/// Fails when the failure domain is not known.
+pub fn set_failure_domain(state: &State, name: &str, is_out: bool) -> Result<Plan, String> {
+    let domain = state
+        .intent
+        .failure_domain(name)
+        .ok_or_else(|| unknown_failure_domain(&state.intent, name))?;
+    let (line, operation) = failure_domain_line(&domain.name, domain.is_out, is_out, None);
+    Ok(Plan {
+        base: state.intent_version,
+        lines: vec![line],
+        operations: operation.into_iter().collect(),
+    })
+}
+
+/// State of one comparison.
+struct Planner<'a> {
+    /// Intent in force.
+    intent: &'a Intent,
+    /// Sheet.
+    sheet: &'a Sheet,
+    /// Present time.
+    now: Time,
+    /// Lines so far.
+    lines: Vec<Line>,
+    /// Operations so far.
+    operations: Vec<Operation>,
+    /// Faults so far.
+    faults: Vec<Fault>,
+}
+
+/// What a move of the sheet means for the intent in force.
+enum Standing<'a> {
+    /// It is known and stays as it is.
+    Known(&'a intent::Move),
+    /// It was withdrawn before it began and is planned anew.
+    Revived,
+    /// It ended so long ago that the intent has forgotten it.
+    Forgotten,
+    /// It is new.
+    New,
+}
+
+impl<'a> Planner<'a> {
+    /// Withdraws moves that have not begun and that the sheet does not name.
+    fn withdraw(&mut self) {
+        let mut named: Vec<Name> = self.sheet.moves().map(|(_, entry)| entry.id()).collect();
+        named.sort();
+        for entry in &self.intent.moves {
+            if entry.phase.is_ended() || named.binary_search(&entry.id).is_ok() {
+                continue;
+            }
+            let subject = format!("move {}", entry.id);
+            if entry.phase == Phase::Waiting {
+                let text = "not named and not begun, is withdrawn";
+                self.line(Effect::Remove, None, subject, text);
+                let id = entry.id.clone();
+                self.operations.push(Operation::Cancel { id });
+                continue;
+            }
+            let replacement = self.sheet.moves().find(|(_, other)| {
+                other.is_on(&entry.service, &entry.route) && !self.follows(other, entry)
+            });
+            match replacement {
+                Some((line, other)) if matches!(self.standing(other), Standing::New) => {
+                    let text = format!(
+                        "{} at {}, is replaced: its traffic returns to {} first",
+                        entry.phase,
+                        percent(entry.share),
+                        entry.from
+                    );
+                    self.line(Effect::Remove, Some(line), subject, text);
+                }
+                _ => {
+                    let text = format!(
+                        "not named but begun, goes on ({} at {})",
+                        entry.phase,
+                        percent(entry.share)
+                    );
+                    self.line(Effect::Keep, None, subject, text);
+                }
+            }
+        }
+    }
+
+    /// Compares the versions that serve.
+    fn serve(&mut self) {
+        for row in &self.sheet.rows {
+            let Entry::Serve(serve) = &row.entry else {
+                continue;
+            };
+            let subject = format!("{}{}", serve.service, serve.route);
+            let serving = self.serving(&serve.service, &serve.route);
+            let Some(serving) = serving else {
+                let text = format!("is served by {}", serve.version);
+                self.line(Effect::Add, Some(row.line), subject, text);
+                self.operations.push(Operation::Serve {
+                    service: serve.service.clone(),
+                    route: serve.route.clone(),
+                    version: serve.version.clone(),
+                });
+                continue;
+            };
+            if *serving == serve.version {
+                let text = format!("stays on {serving}");
+                self.line(Effect::Keep, Some(row.line), subject, text);
+            } else if self.is_reached_by_moves(serve, serving) {
+                let text = format!("has moved from {} to {serving}", serve.version);
+                self.line(Effect::Keep, Some(row.line), subject, text);
+            } else if self.is_on_the_way(serve) {
+                let text = format!("stays on {serving}, a move to {} is open", serve.version);
+                self.line(Effect::Keep, Some(row.line), subject, text);
+            } else {
+                let text = format!(
+                    "{subject} is served by {serving}; a move is needed to change it to {}",
+                    serve.version
+                );
+                self.faults.push(fault(row.line, Some(Column::To), text));
+            }
+        }
+    }
+
+    /// Compares the moves, those of one route in the order of their starts.
+    fn shift(&mut self) {
+        let mut moves: Vec<(u64, &'a sheet::Move)> = self.sheet.moves().collect();
+        moves.sort_by_key(|(_, entry)| entry.start);
+        for (line, entry) in moves {
+            let subject = format!("move {}", entry.id());
+            match self.standing(entry) {
+                Standing::Known(known) if known.phase == Phase::TakenBack => {
+                    let text = format!(
+                        "was taken back ({}); give it another start or deadline to try again",
+                        known.reason
+                    );
+                    self.line(Effect::Warn, Some(line), subject, text);
+                }
+                Standing::Known(known)
+                    if known.phase == Phase::Waiting && self.check_from(entry).is_err() =>
+                {
+                    let text = format!("waits for {} to serve, which no move brings", entry.from);
+                    self.line(Effect::Warn, Some(line), subject, text);
+                }
+                Standing::Known(known) => {
+                    let text = format!("is known ({} at {})", known.phase, percent(known.share));
+                    self.line(Effect::Keep, Some(line), subject, text);
+                }
+                Standing::Forgotten => {
+                    let text = format!("is over, {} serves", entry.to);
+                    self.line(Effect::Keep, Some(line), subject, text);
+                }
+                Standing::Revived | Standing::New => self.add_move(line, subject, entry),
+            }
+        }
+    }
+
+    /// Adds a move, or the faults that speak against it.
+    fn add_move(&mut self, line: u64, subject: String, entry: &sheet::Move) {
+        if entry.deadline <= self.now {
+            let text = format!("{} lies in the past", entry.deadline);
+            self.faults.push(fault(line, Some(Column::Deadline), text));
+            return;
+        }
+        if let Err((column, text)) = self.check_from(entry) {
+            self.faults.push(fault(line, Some(column), text));
+            return;
+        }
+        let text = format!(
+            "{}{} from {} to {}, starts {}, due {}",
+            entry.service, entry.route, entry.from, entry.to, entry.start, entry.deadline
+        );
+        self.line(Effect::Add, Some(line), subject, text);
+        self.operations.push(Operation::Move {
+            service: entry.service.clone(),
+            route: entry.route.clone(),
+            from: entry.from.clone(),
+            to: entry.to.clone(),
+            start: entry.start,
+            deadline: entry.deadline,
+        });
+    }
+
+    /// Checks that a new move starts from the version that serves at its start.
+    fn check_from(&self, entry: &sheet::Move) -> Result<(), (Column, String)> {
+        let subject = format!("{}{}", entry.service, entry.route);
+        let declared = self.sheet.rows.iter().find_map(|row| match &row.entry {
+            Entry::Serve(serve) if entry.is_on(&serve.service, &serve.route) => {
+                Some(&serve.version)
+            }
+            _ => None,
+        });
+        let serving = self.serving(&entry.service, &entry.route).or(declared);
+        let Some(serving) = serving else {
+            let text = format!("{subject} is not served; a serve row is needed first");
+            return Err((Column::Service, text));
+        };
+        let follows_open = self.intent.moves.iter().any(|other| {
+            !other.phase.is_ended() && !self.is_withdrawn(&other.id) && self.follows(entry, other)
+        });
+        let follows_new = self.operations.iter().any(|operation| match operation {
+            Operation::Move {
+                service,
+                route,
+                to,
+                deadline,
+                ..
+            } => entry.is_on(service, route) && *to == entry.from && *deadline <= entry.start,
+            _ => false,
+        });
+        if *serving == entry.from || follows_open || follows_new {
+            return Ok(());
+        }
+        let text = format!("{} is not serving {subject}, {serving} is", entry.from);
+        Err((Column::From, text))
+    }
+
+    /// Compares the failure domains.
+    fn set_failure_domains(&mut self) {
+        for row in &self.sheet.rows {
+            let (name, is_out) = match &row.entry {
+                Entry::Out(name) => (name, true),
+                Entry::In(name) => (name, false),
+                Entry::Serve(_) | Entry::Move(_) => continue,
+            };
+            let Some(domain) = self.intent.failure_domain(name) else {
+                let text = unknown_failure_domain(self.intent, name);
+                let column = Some(Column::FailureDomain);
+                self.faults.push(fault(row.line, column, text));
+                continue;
+            };
+            let (line, operation) =
+                failure_domain_line(name, domain.is_out, is_out, Some(row.line));
+            self.lines.push(line);
+            self.operations.extend(operation);
+        }
+    }
+
+    /// Lists services and failure domains that the sheet does not name.
+    fn list_unnamed(&mut self) {
+        let mut services: Vec<&str> = Vec::new();
+        let mut domains: Vec<&str> = Vec::new();
+        for row in &self.sheet.rows {
+            match &row.entry {
+                Entry::Serve(serve) => services.push(&serve.service),
+                Entry::Move(entry) => services.push(&entry.service),
+                Entry::Out(name) | Entry::In(name) => domains.push(name),
+            }
+        }
+        services.sort_unstable();
+        domains.sort_unstable();
+        for service in &self.intent.services {
+            if services.binary_search(&&*service.name).is_ok() {
+                continue;
+            }
+            let versions: Vec<String> = service
+                .routes
+                .iter()
+                .map(|route| match &*route.prefix {
+                    "" => route.version.to_string(),
+                    prefix => format!("{} for {prefix}", route.version),
+                })
+                .collect();
+            let text = format!("not named, stays on {}", versions.join(", "));
+            self.line(Effect::Keep, None, service.name.to_string(), text);
+        }
+        for domain in &self.intent.failure_domains {
+            if domains.binary_search(&&*domain.name).is_ok() {
+                continue;
+            }
+            let place = if domain.is_out { "out of" } else { "in" };
+            let subject = format!("failure domain {}", domain.name);
+            let text = format!("not named, stays {place} service");
+            self.line(Effect::Keep, None, subject, text);
+        }
+    }
+
+    /// The plan, or every fault.
+    fn finish(mut self, state: &State) -> Result<Plan, Vec<Fault>> {
+        let plan = Plan {
+            base: state.intent_version,
+            lines: self.lines,
+            operations: self.operations,
+        };
+        // The fold has the last word, on limits for one.
+        if self.faults.is_empty()
+            && let Err(what) = fold::amend(self.intent, &plan.change("", self.now))
+        {
+            self.faults.push(fault(0, None, what));
+        }
+        if self.faults.is_empty() {
+            return Ok(plan);
+        }
+        self.faults.sort_by_key(|f| f.line);
+        self.faults.truncate(sheet::MAX_FAULTS);
+        Err(self.faults)
+    }
+
+    /// Version that serves a route in force.
+    fn serving(&self, service: &str, route: &str) -> Option<&'a Name> {
+        let route = self.intent.service(service)?.route(route)?;
+        Some(&route.version)
+    }
+
+    /// What a move of the sheet means for the intent in force.
+    fn standing(&self, entry: &sheet::Move) -> Standing<'a> {
+        match self.intent.find_move(&entry.id()) {
+            Some(known) if known.phase == Phase::Cancelled => Standing::Revived,
+            Some(known) => Standing::Known(known),
+            None => {
+                let serving = self.serving(&entry.service, &entry.route);
+                if entry.deadline <= self.now && serving == Some(&entry.to) {
+                    Standing::Forgotten
+                } else {
+                    Standing::New
+                }
+            }
+        }
+    }
+
+    /// Whether the plan withdraws a move.
+    fn is_withdrawn(&self, id: &Name) -> bool {
+        self.operations
+            .iter()
+            .any(|operation| matches!(operation, Operation::Cancel { id: other } if other == id))
+    }
+
+    /// Whether a move of the sheet starts where a move of the intent ends.
+    fn follows(&self, entry: &sheet::Move, other: &intent::Move) -> bool {
+        entry.is_on(&other.service, &other.route)
+            && entry.from == other.to
+            && other.deadline <= entry.start
+    }
+
+    /// Whether moves of the sheet that are over lead from a served version to the one in force.
+    fn is_reached_by_moves(&self, serve: &sheet::Serve, serving: &Name) -> bool {
+        let mut moves: Vec<&sheet::Move> = self
+            .sheet
+            .moves()
+            .map(|(_, entry)| entry)
+            .filter(|entry| entry.is_on(&serve.service, &serve.route))
+            .filter(|entry| match self.standing(entry) {
+                Standing::Known(known) => known.phase == Phase::Done,
+                Standing::Forgotten => true,
+                Standing::Revived | Standing::New => false,
+            })
+            .collect();
+        moves.sort_by_key(|entry| entry.start);
+        let mut reached = &serve.version;
+        for entry in moves {
+            if entry.from == *reached {
+                reached = &entry.to;
+            }
+        }
+        reached == serving
+    }
+
+    /// Whether an open move is to bring a route to a version.
+    fn is_on_the_way(&self, serve: &sheet::Serve) -> bool {
+        self.intent.moves.iter().any(|entry| {
+            entry.phase.is_active()
+                && entry.service == serve.service
+                && entry.route == serve.route
+                && entry.to == serve.version
+        })
+    }
+
+    /// Adds a line.
+    fn line(
+        &mut self,
+        effect: Effect,
+        line: Option<u64>,
+        subject: String,
+        text: impl Into<String>,
+    ) {
+        self.lines.push(Line {
+            effect,
+            line,
+            subject,
+            text: text.into(),
+        });
+    }
+}
+
+/// Line and operation for a failure domain.
+fn failure_domain_line(
+    name: &Name,
+    was_out: bool,
+    is_out: bool,
+    line: Option<u64>,
+) -> (Line, Option<Operation>) {
+    let subject = format!("failure domain {name}");
+    let place = if is_out { "out of" } else { "in" };
+    if was_out == is_out {
+        let line = Line {
+            effect: Effect::Keep,
+            line,
+            subject,
+            text: format!("stays {place} service"),
+        };
+        return (line, None);
+    }
+    let failure_domain = name.clone();
+    let (text, operation) = if is_out {
+        ("is taken out of service", Operation::Out { failure_domain })
+    } else {
+        (
+            "is brought back into service",
+            Operation::In { failure_domain },
+        )
+    };
+    let line = Line {
+        effect: Effect::Change,
+        line,
+        subject,
+        text: text.into(),
+    };
+    (line, Some(operation))
+}
+
+/// Fault of a failure domain that is not known.
+fn unknown_failure_domain(intent: &Intent, name: &str) -> String {
+    let known: Vec<&str> = intent.failure_domains.iter().map(|d| &*d.name).collect();
+    if known.is_empty() {
+        return format!("unknown failure domain {name}, none has made itself known");
+    }
+    format!(
+        "unknown failure domain {name}, known are {}",
+        known.join(", ")
+    )
+}
+
+/// Share in thousandths as a percentage.
+pub fn percent(share: u16) -> String {
+    if share.is_multiple_of(10) {
+        return format!("{}%", share / 10);
+    }
+    format!("{}.{}%", share / 10, share % 10)
+}
--- a/buckthorn/src/journal/fold.rs
+++ b/buckthorn/src/journal/fold.rs
@@ -425,8 +425,13 @@
             entry.id
         ));
     }
-    if intent.find_move(&entry.id).is_some() {
-        return Ok(());
+    match intent.moves.binary_search_by(|m| m.id.cmp(&entry.id)) {
+        // A move that was withdrawn before it began is planned anew.
+        Ok(index) if intent.moves[index].phase == Phase::Cancelled => {
+            intent.moves.remove(index);
+        }
+        Ok(_) => return Ok(()),
+        Err(_) => {}
     }
     let serving = intent
         .service(&entry.service)
@@ -507,8 +512,12 @@
     Ok(())
 }
 
-/// Checks a name's length and characters.
-fn check_name(field: &str, name: &str, may_be_empty: bool) -> Result<(), String> {
+/// Checks a name's length and characters; `field` says what it names.
+///
+/// # Errors
+///
+/// Says what is wrong with the name.
+pub fn check_name(field: &str, name: &str, may_be_empty: bool) -> Result<(), String> {
     if name.is_empty() && !may_be_empty {
         return Err(format!("{field} is empty"));
     }
--- /dev/null
+++ b/buckthornctl/src/command.rs
@@ -0,0 +1,291 @@
+//! The commands.
+
+use std::io::Read as _;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use anyhow::Context as _;
+use buckthorn::clock::Clock;
+use buckthorn::config::intent::Phase;
+use buckthorn::config::plan::{self, Plan, percent};
+use buckthorn::config::sheet::{self, Fault};
+use serde_json::{Value, json};
+
+use crate::Exit;
+use crate::flags::BuckthornctlCmd;
+use crate::output::Output;
+use crate::session::{Published, Session};
+use crate::settings::Settings;
+use crate::status::{self, Status};
+
+/// Wait of one long poll of `watch`.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+
+/// Why a plan could not be made.
+enum Obstacle {
+    /// The input is bad.
+    Input(String),
+    /// The sheet has faults.
+    Sheet(Vec<Fault>),
+}
+
+/// Carries out one command.
+pub fn run(command: &BuckthornctlCmd, settings: &Settings, output: &mut Output<'_>) -> Exit {
+    match command {
+        BuckthornctlCmd::Plan(flags) => with_sheet(&flags.sheet, output, |bytes, output| {
+            show_plan(settings, output, |session| plan_sheet(session, bytes))
+        }),
+        BuckthornctlCmd::Apply(flags) => with_sheet(&flags.sheet, output, |bytes, output| {
+            publish(settings, output, |session| plan_sheet(session, bytes))
+        }),
+        BuckthornctlCmd::Out(flags) => publish(settings, output, |session| {
+            plan_domain(session, &flags.failure_domain, true)
+        }),
+        BuckthornctlCmd::In(flags) => publish(settings, output, |session| {
+            plan_domain(session, &flags.failure_domain, false)
+        }),
+        BuckthornctlCmd::Status(_) => show_status(settings, output),
+        BuckthornctlCmd::Watch(flags) => watch(settings, output, &flags.id),
+        BuckthornctlCmd::History(_) => show_history(settings, output),
+    }
+}
+
+/// Reads a sheet and hands it on.
+fn with_sheet(
+    path: &Path,
+    output: &mut Output<'_>,
+    then: impl FnOnce(&[u8], &mut Output<'_>) -> Exit,
+) -> Exit {
+    match read_sheet(path) {
+        Ok(bytes) => then(&bytes, output),
+        Err(error) => output.bad_input(&error),
+    }
+}
+
+/// Bytes of a sheet, at most one more than a sheet may have.
+fn read_sheet(path: &Path) -> anyhow::Result<Vec<u8>> {
+    let limit = sheet::MAX_BYTES as u64 + 1;
+    let mut bytes = Vec::new();
+    if path == Path::new("-") {
+        std::io::stdin()
+            .take(limit)
+            .read_to_end(&mut bytes)
+            .context("cannot read the sheet from standard input")?;
+        return Ok(bytes);
+    }
+    std::fs::File::open(path)
+        .and_then(|file| file.take(limit).read_to_end(&mut bytes))
+        .with_context(|| format!("cannot read the sheet {}", path.display()))?;
+    Ok(bytes)
+}
+
+/// Plan of a sheet.
+fn plan_sheet(session: &Session<'_>, bytes: &[u8]) -> Result<Plan, Obstacle> {
+    let sheet = sheet::parse(bytes).map_err(Obstacle::Sheet)?;
+    plan::make(session.state(), &sheet, Clock::new().now()).map_err(Obstacle::Sheet)
+}
+
+/// Plan of taking a failure domain out or bringing it back.
+fn plan_domain(session: &Session<'_>, name: &str, is_out: bool) -> Result<Plan, Obstacle> {
+    plan::set_failure_domain(session.state(), name, is_out).map_err(Obstacle::Input)
+}
+
+/// Shows a plan and publishes nothing.
+fn show_plan(
+    settings: &Settings,
+    output: &mut Output<'_>,
+    make: impl Fn(&Session<'_>) -> Result<Plan, Obstacle>,
+) -> Exit {
+    let session = match Session::open(settings) {
+        Ok(session) => session,
+        Err(error) => return output.fail(Exit::Failed, error),
+    };
+    match make(&session) {
+        Ok(plan) => {
+            let verdict = match plan.is_change() {
+                true => "not published; apply publishes it",
+                false => "nothing to change",
+            };
+            output.result(&plan_json(&plan, "planned"), plan_text(&plan, verdict));
+            Exit::Done
+        }
+        Err(obstacle) => report(output, obstacle),
+    }
+}
+
+/// Makes a plan and publishes it.
+fn publish(
+    settings: &Settings,
+    output: &mut Output<'_>,
+    make: impl Fn(&Session<'_>) -> Result<Plan, Obstacle>,
+) -> Exit {
+    let mut session = match Session::open(settings) {
+        Ok(session) => session,
+        Err(error) => return output.fail(Exit::Failed, error),
+    };
+    let plan = match make(&session) {
+        Ok(plan) => plan,
+        Err(obstacle) => return report(output, obstacle),
+    };
+    if !plan.is_change() {
+        output.result(
+            &plan_json(&plan, "unchanged"),
+            plan_text(&plan, "nothing to change"),
+        );
+        return Exit::Done;
+    }
+    let change = plan.change(settings.author.as_str(), Clock::new().now());
+    match session.publish(&change) {
+        Published::Accepted => {
+            let verdict = format!("published, version {}", session.state().intent_version);
+            let mut json = plan_json(&plan, "published");
+            json["version"] = session.state().intent_version.into();
+            output.result(&json, plan_text(&plan, &verdict));
+            Exit::Done
+        }
+        Published::Refused { reason } => match make(&session) {
+            // Whoever came first published the very same thing.
+            Ok(plan) if !plan.is_change() => {
+                let verdict = "nothing to change, someone else has published it";
+                output.result(&plan_json(&plan, "unchanged"), plan_text(&plan, verdict));
+                Exit::Done
+            }
+            _ => {
+                let last = session.state().history.iter().rev().find(|e| e.is_accepted);
+                let last = last.map_or(String::new(), |entry| {
+                    format!(
+                        " (last change: {} by {}: {})",
+                        entry.at, entry.author, entry.text
+                    )
+                });
+                let error = format!("refused, nothing has changed: {reason}{last}; plan it again");
+                output.fail(Exit::Overtaken, error)
+            }
+        },
+        Published::Failed { reason } => {
+            output.fail(Exit::Failed, format!("not published: {reason}"))
+        }
+        Published::Unknown { id, reason } => {
+            let error = format!(
+                "outcome unknown: {reason}; look for {id} in history, or apply again: \
+                 what is in force already is not published twice"
+            );
+            output.fail(Exit::Failed, error)
+        }
+    }
+}
+
+/// Tells why a plan could not be made.
+fn report(output: &mut Output<'_>, obstacle: Obstacle) -> Exit {
+    let faults = match obstacle {
+        Obstacle::Input(text) => return output.fail(Exit::BadInput, text),
+        Obstacle::Sheet(faults) => faults,
+    };
+    let lines: Vec<String> = faults.iter().map(Fault::to_string).collect();
+    let json = json!({
+        "error": "the sheet was refused, nothing was published",
+        "exit": Exit::BadInput.code(),
+        "faults": faults,
+    });
+    let text = format!(
+        "{}\nthe sheet was refused, nothing was published",
+        lines.join("\n")
+    );
+    output.result(&json, text);
+    Exit::BadInput
+}
+
+/// Plan as JSON.
+fn plan_json(plan: &Plan, result: &str) -> Value {
+    json!({
+        "result": result,
+        "base": plan.base,
+        "operations": plan.operations.len(),
+        "lines": plan.lines,
+    })
+}
+
+/// Plan as text.
+fn plan_text(plan: &Plan, verdict: &str) -> String {
+    let mut lines: Vec<String> = plan.lines.iter().map(ToString::to_string).collect();
+    lines.push(verdict.to_owned());
+    lines.join("\n")
+}
+
+/// Shows what is in force.
+fn show_status(settings: &Settings, output: &mut Output<'_>) -> Exit {
+    let session = match Session::open(settings) {
+        Ok(session) => session,
+        Err(error) => return output.fail(Exit::Failed, error),
+    };
+    let status = Status::of(session.state());
+    output.result(&status, status::text(&status));
+    Exit::Done
+}
+
+/// Shows the last changes and refusals.
+fn show_history(settings: &Settings, output: &mut Output<'_>) -> Exit {
+    let session = match Session::open(settings) {
+        Ok(session) => session,
+        Err(error) => return output.fail(Exit::Failed, error),
+    };
+    let entries: Vec<status::Entry> = session.state().history.iter().map(Into::into).collect();
+    output.result(&entries, status::history_text(&entries));
+    Exit::Done
+}
+
+/// Follows a move until it ends.
+fn watch(settings: &Settings, output: &mut Output<'_>, id: &str) -> Exit {
+    let mut session = match Session::open(settings) {
+        Ok(session) => session,
+        Err(error) => return output.fail(Exit::Failed, error),
+    };
+    let mut shown = None;
+    let mut heard = Instant::now();
+    loop {
+        let Some(entry) = session.state().intent.find_move(id) else {
+            let exit = match shown {
+                Some(_) => Exit::Failed,
+                None => Exit::BadInput,
+            };
+            return output.fail(exit, format!("no move {id}; status lists them"));
+        };
+        if shown != Some((entry.phase, entry.share)) {
+            shown = Some((entry.phase, entry.share));
+            let line = status::Shift::from(entry);
+            let text = format!(
+                "{}  {}  {} on {}  {}",
+                line.changed,
+                entry.phase,
+                percent(entry.share),
+                entry.to,
+                entry.reason
+            );
+            output.result(&line, text);
+        }
+        match entry.phase {
+            Phase::Done => return Exit::Done,
+            Phase::TakenBack => return Exit::Failed,
+            Phase::Cancelled => return Exit::Overtaken,
+            Phase::Waiting | Phase::Shifting | Phase::Holding | Phase::Watching => {}
+        }
+        match session.wait(WATCH_WAIT) {
+            Ok(()) => heard = Instant::now(),
+            Err(error) if heard.elapsed() >= settings.timeout => {
+                return output.fail(
+                    Exit::Failed,
+                    format!("the move's end is unknown: {error:#}"),
+                );
+            }
+            Err(error) => {
+                output.note(format!("trying again: {error:#}"));
+                if let Err(error) = session.refresh() {
+                    return output.fail(
+                        Exit::Failed,
+                        format!("the move's end is unknown: {error:#}"),
+                    );
+                }
+            }
+        }
+    }
+}
--- a/buckthornctl/src/main.rs
+++ b/buckthornctl/src/main.rs
@@ -1,3 +1,17 @@
-//! Thin program around the `buckthorn` library.
+//! Operators' command line, a thin program around the library of the same name.
 
-fn main() {}
+use std::process::ExitCode;
+
+use buckthornctl::flags::Buckthornctl;
+use buckthornctl::output::Output;
+use buckthornctl::settings::{Environment, Settings};
+
+fn main() -> ExitCode {
+    let flags = Buckthornctl::from_env_or_exit();
+    let mut output = Output::new(flags.json, std::io::stdout(), std::io::stderr());
+    let exit = match Settings::new(&flags, &Environment::of_process()) {
+        Ok(settings) => buckthornctl::run(&flags.subcommand, &settings, &mut output),
+        Err(error) => output.bad_input(&error),
+    };
+    exit.code().into()
+}
