Judge moves by sequential tests of the new version against the old

Cause: owners' evidence was carried but not judged. Change: windows that cover both versions at once, a Shiryaev-Roberts test of the conditional binomial on failed and slow calls, together and by route, with one test without each host; a reference test that asks for a comparison at a lowered share, for which the fold lets a hold lower the share; obstacles named in reasons; accusations by judges; overdue moves end.

--- a/buckthorn/src/journal/fold.rs
+++ b/buckthorn/src/journal/fold.rs
@@ -33,6 +33,9 @@
 /// Length of a name in bytes.
 pub const MAX_NAME_BYTES: usize = 128;
 
+/// Share to which a hold may lower a move in order to compare the versions, in thousandths.
+pub const COMPARISON_SHARE: u16 = 200;
+
 /// State folded from the configuration stream.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct State {
@@ -558,9 +561,14 @@
     }
     match step.phase {
         Phase::Waiting => false,
-        Phase::Shifting | Phase::Holding => {
+        Phase::Shifting => {
             entry.phase != Phase::Watching && step.share >= entry.share && step.share <= FULL_SHARE
         }
+        Phase::Holding => {
+            // A hold may lower the share, so that both versions have calls to compare.
+            let floor = entry.share.min(COMPARISON_SHARE);
+            step.share >= floor && step.share <= FULL_SHARE
+        }
         Phase::Watching => step.share == FULL_SHARE,
         Phase::Done => entry.phase == Phase::Watching && step.share == FULL_SHARE,
         Phase::TakenBack | Phase::Cancelled => step.share == 0,
--- a/buckthorn/src/rollout/controller.rs
+++ b/buckthorn/src/rollout/controller.rs
@@ -1,12 +1,25 @@
 //! Decisions of the lease's holder about moves.
+//!
+//! A step is taken when it is due by the [`schedule`], the new version has had enough calls at the
+//! present share, its owners report, its servers can bear the next share, and the [`trial`] says
+//! nothing against it. Whatever is missing holds the move and is named in the reason, whose part
+//! before the colon is one of a closed set ([`Obstacle`]).
+//!
+//! From the last moment on, missing evidence no longer holds a move; what speaks against the new
+//! version still does. A version found worse than the old one at the same time is taken back. Where
+//! the old version has too few calls for that, the share is lowered to [`COMPARISON_SHARE`] until the
+//! comparison is made.
+//!
+//! [`trial`]: super::trial
 
 use std::time::Duration;
 
 use crate::clock::Time;
 use crate::config::intent::{FULL_SHARE, Move, Phase};
+use crate::journal::fold::COMPARISON_SHARE;
 
-use super::schedule;
-use super::trial::Trial;
+use super::schedule::{self, Plan};
+use super::trial::{Trial, Verdict};
 
 /// Longest watch after all traffic is on the new version.
 pub const MAX_WATCH: Duration = Duration::from_secs(900);
@@ -14,6 +27,39 @@
 /// Shortest watch after all traffic is on the new version.
 pub const MIN_WATCH: Duration = Duration::from_secs(30);
 
+/// Part of a move's time for which it is watched, as a divisor.
+pub const WATCH_DIVISOR: u32 = 4;
+
+/// Calls on the new version that are enough at one share.
+pub const ENOUGH_CALLS: f64 = 100.0;
+
+/// Calls on the new version that are wanted at one share however thin the traffic is.
+pub const FEWEST_CALLS: f64 = 10.0;
+
+/// Part of the expected calls that is wanted.
+pub const EXPECTED_PART: f64 = 0.5;
+
+/// Part of the new version's slots that the moved calls may take.
+pub const MAX_BUSY: f64 = 0.8;
+
+/// Part of offers shed by the new version's servers above which the share does not rise.
+pub const MAX_SHED: f64 = 0.05;
+
+/// Part of offers shed by the new version's servers above which the share is lowered.
+pub const LOWERING_SHED: f64 = 0.2;
+
+/// Share above which the old version's calls are too few to clear a suspicion, in thousandths.
+pub const COMPARABLE_SHARE: u16 = 500;
+
+/// Time past the deadline after which a move that is still blocked ends.
+pub const OVERDUE: Duration = Duration::from_secs(600);
+
+/// Time before the start from which obstacles are told.
+pub const EARLY: Duration = Duration::from_secs(600);
+
+/// Shortest time between two holds of one move at the same share.
+pub const HOLD_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Backend servers that a decision counts on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Fleet {
@@ -43,57 +89,280 @@
     },
 }
 
+/// Why a move does not go on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Obstacle {
+    /// The time from start to deadline is shorter than the steps take.
+    Deadline,
+    /// No server of the new version takes work.
+    NoServer,
+    /// The new version's servers cannot bear the next share.
+    Capacity,
+    /// The new version's servers shed calls.
+    Shed,
+    /// Both versions do badly at present.
+    Common,
+    /// The new version is nearly condemned, or worse than the old version was.
+    Doubt,
+    /// The new version is at fault, but no server of the old version is left.
+    NoReturn,
+    /// Owners of the new version do not report.
+    Silent,
+    /// Too few calls on the new version.
+    Thin,
+}
+
+impl Obstacle {
+    /// Every obstacle, in the order of the documentation.
+    pub const ALL: [Self; 9] = [
+        Self::Deadline,
+        Self::NoServer,
+        Self::Capacity,
+        Self::Shed,
+        Self::Common,
+        Self::Doubt,
+        Self::NoReturn,
+        Self::Silent,
+        Self::Thin,
+    ];
+
+    /// First words of the reason.
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::Deadline => "deadline too near",
+            Self::NoServer => "no server",
+            Self::Capacity => "capacity",
+            Self::Shed => "shedding",
+            Self::Common => "common fault",
+            Self::Doubt => "doubt",
+            Self::NoReturn => "no way back",
+            Self::Silent => "silent owners",
+            Self::Thin => "thin evidence",
+        }
+    }
+
+    /// Whether the last moment overrides it.
+    const fn yields(self) -> bool {
+        matches!(self, Self::Thin | Self::Deadline)
+    }
+}
+
 /// Decides about one move.
 pub fn decide(entry: &Move, trial: &Trial, fleet: Fleet, now: Time) -> Decision {
+    if entry.phase.is_ended() {
+        return Decision::Wait;
+    }
+    if entry.share == 0 {
+        return begin(entry, trial, fleet, now);
+    }
+    let verdict = trial.verdict(fleet.new == 1);
+    let fault = match &verdict {
+        Verdict::Guilty(reason) => Some(reason.clone()),
+        _ if fleet.is_quarantined => Some("quarantined by the nodes".into()),
+        _ => None,
+    };
+    if let Some(reason) = fault {
+        return take_back(entry, fleet, reason, now);
+    }
+    if needs_comparison(entry, trial, &verdict) && fleet.old > 0 {
+        let what = match verdict {
+            Verdict::Suspect(what) | Verdict::Doubt(what) => what,
+            _ => format!("{:.0}% shed", trial.shed() * 100.0),
+        };
+        let reason = format!(
+            "{}: share lowered to compare, {what}",
+            Obstacle::Doubt.word()
+        );
+        return step(Phase::Holding, COMPARISON_SHARE, reason);
+    }
     match entry.phase {
-        Phase::Done | Phase::TakenBack | Phase::Cancelled => Decision::Wait,
-        Phase::Watching => watch(entry, trial, now),
-        Phase::Waiting if now < entry.start => Decision::Wait,
-        Phase::Waiting | Phase::Shifting | Phase::Holding => shift(entry, trial, fleet, now),
+        Phase::Watching => watch(entry, trial, &verdict, now),
+        _ => shift(entry, trial, fleet, verdict, now),
     }
 }
 
 /// Time for which a move is watched at full share.
 pub fn watch_period(entry: &Move) -> Duration {
-    (entry.deadline.since(entry.start) / 4).clamp(MIN_WATCH, MAX_WATCH)
+    (entry.deadline.since(entry.start) / WATCH_DIVISOR).clamp(MIN_WATCH, MAX_WATCH)
+}
+
+/// Decides about a move without any share yet.
+fn begin(entry: &Move, trial: &Trial, fleet: Fleet, now: Time) -> Decision {
+    if now + EARLY < entry.start {
+        return Decision::Wait;
+    }
+    let (needed, given) = (
+        schedule::shortest(),
+        entry.deadline.since(entry.start.max(now)),
+    );
+    let obstacle = if fleet.new == 0 {
+        Some((
+            Obstacle::NoServer,
+            format!("no server of {} takes work", entry.to),
+        ))
+    } else if given < needed && entry.phase == Phase::Waiting {
+        let text = format!(
+            "the steps take {} s, the deadline leaves {} s",
+            needed.as_secs(),
+            given.as_secs()
+        );
+        Some((Obstacle::Deadline, text))
+    } else {
+        None
+    };
+    match obstacle {
+        Some(_) if now > entry.deadline + OVERDUE && entry.phase == Phase::Holding => step(
+            Phase::Cancelled,
+            0,
+            format!("never began: {}", entry.reason),
+        ),
+        Some((obstacle, text)) => hold(entry, obstacle, &text, now),
+        None if now < entry.start || fleet.is_quarantined => Decision::Wait,
+        None => {
+            let time =
+                entry.deadline.since(entry.start) - schedule::reserve(entry.start, entry.deadline);
+            let dwell = time / schedule::TYPICAL_STEPS;
+            let canary = schedule::canary(trial.rate(), ENOUGH_CALLS as u64, dwell);
+            step(Phase::Shifting, canary, "canary")
+        }
+    }
+}
+
+/// Takes a move back, unless there is nothing to return to.
+fn take_back(entry: &Move, fleet: Fleet, reason: String, now: Time) -> Decision {
+    if fleet.old == 0 {
+        let text = format!("no server of {} is left, {reason}", entry.from);
+        return hold(entry, Obstacle::NoReturn, &text, now);
+    }
+    step(Phase::TakenBack, 0, reason)
+}
+
+/// Whether the share has to be lowered to learn more.
+fn needs_comparison(entry: &Move, trial: &Trial, verdict: &Verdict) -> bool {
+    match verdict {
+        Verdict::Suspect(_) | Verdict::Doubt(_) => entry.share > COMPARABLE_SHARE,
+        _ => entry.phase == Phase::Watching && trial.shed() > LOWERING_SHED,
+    }
 }
 
 /// Decides about a move at full share.
-fn watch(entry: &Move, trial: &Trial, now: Time) -> Decision {
-    if now.since(trial.since()) < watch_period(entry) {
+fn watch(entry: &Move, trial: &Trial, verdict: &Verdict, now: Time) -> Decision {
+    let is_over = now.since(trial.since()) >= watch_period(entry);
+    if !is_over || *verdict != Verdict::Clean || trial.heard(now) == 0 {
         return Decision::Wait;
     }
     step(Phase::Done, FULL_SHARE, "watched without a fault")
 }
 
 /// Decides about a move whose share is rising.
-fn shift(entry: &Move, trial: &Trial, fleet: Fleet, now: Time) -> Decision {
-    if fleet.new == 0 {
-        return hold(entry, format!("no server of {} is known", entry.to));
-    }
-    let canary = schedule::MIN_CANARY;
+fn shift(entry: &Move, trial: &Trial, fleet: Fleet, verdict: Verdict, now: Time) -> Decision {
     let plan = schedule::plan(
         entry.share,
-        canary,
+        schedule::MIN_CANARY,
         trial.since(),
         entry.start,
         entry.deadline,
     );
-    if now < plan.due {
+    let is_last_moment = now >= plan.last_moment;
+    if now < plan.due && !(is_last_moment && now.since(trial.since()) >= schedule::MIN_DWELL) {
         return Decision::Wait;
     }
+    match obstacle(entry, trial, fleet, verdict, plan, now) {
+        Some((obstacle, _)) if is_last_moment && obstacle.yields() => {
+            raise(plan, format!("last moment: {}", obstacle.word()))
+        }
+        Some((_, text)) if is_overdue(entry, trial, now) => {
+            let reason = format!("overdue: {text}");
+            take_back(entry, fleet, reason, now)
+        }
+        Some((obstacle, text)) => hold(entry, obstacle, &text, now),
+        None if now > entry.deadline => raise(plan, "late: after the deadline".into()),
+        None => raise(plan, "on schedule".into()),
+    }
+}
+
+/// Whether a blocked move is past its deadline for too long.
+fn is_overdue(entry: &Move, trial: &Trial, now: Time) -> bool {
+    entry.phase == Phase::Holding
+        && now > entry.deadline + OVERDUE
+        && now.since(trial.since()) > OVERDUE
+}
+
+/// What keeps a move from its next step.
+fn obstacle(
+    entry: &Move,
+    trial: &Trial,
+    fleet: Fleet,
+    verdict: Verdict,
+    plan: Plan,
+    now: Time,
+) -> Option<(Obstacle, String)> {
+    if fleet.new == 0 {
+        let text = format!("no server of {} takes work", entry.to);
+        return Some((Obstacle::NoServer, text));
+    }
+    match verdict {
+        Verdict::Clean | Verdict::Guilty(_) => {}
+        Verdict::Common(what) => return Some((Obstacle::Common, what)),
+        Verdict::Doubt(what) | Verdict::Suspect(what) => return Some((Obstacle::Doubt, what)),
+    }
+    let busy = trial.busy() * f64::from(plan.next) / f64::from(FULL_SHARE);
+    let slots = f64::from(fleet.new_slots) * MAX_BUSY;
+    if busy > slots {
+        let text = format!(
+            "{} of traffic needs {busy:.1} slots, {slots:.1} are usable",
+            plan.next
+        );
+        return Some((Obstacle::Capacity, text));
+    }
+    if trial.shed() > MAX_SHED {
+        let text = format!("new servers shed {:.0}% of calls", trial.shed() * 100.0);
+        return Some((Obstacle::Shed, text));
+    }
+    let heard = trial.heard(now);
+    if heard * 2 < fleet.new {
+        let text = format!("{heard} of {} owners report", fleet.new);
+        return Some((Obstacle::Silent, text));
+    }
+    let wanted = wanted(entry, trial, plan);
+    if (trial.calls() as f64) < wanted {
+        let text = format!(
+            "{} of {wanted:.0} calls, goes on by {} at the latest",
+            trial.calls(),
+            plan.last_moment
+        );
+        return Some((Obstacle::Thin, text));
+    }
+    None
+}
+
+/// Calls on the new version wanted before the next step.
+fn wanted(entry: &Move, trial: &Trial, plan: Plan) -> f64 {
+    let dwell = plan.due.since(trial.since()).as_secs_f64();
+    let expected = trial.rate() * dwell * f64::from(entry.share) / f64::from(FULL_SHARE);
+    (expected * EXPECTED_PART).clamp(FEWEST_CALLS, ENOUGH_CALLS)
+}
+
+/// Raises the share.
+fn raise(plan: Plan, reason: String) -> Decision {
     if plan.next == FULL_SHARE {
-        return step(Phase::Watching, FULL_SHARE, "all traffic moved");
+        return step(Phase::Watching, FULL_SHARE, reason);
     }
-    step(Phase::Shifting, plan.next, "on schedule")
+    step(Phase::Shifting, plan.next, reason)
 }
 
 /// Holds a move at its share, unless it is held for that reason already.
-fn hold(entry: &Move, reason: String) -> Decision {
-    if entry.phase == Phase::Holding && entry.reason == reason {
+fn hold(entry: &Move, obstacle: Obstacle, text: &str, now: Time) -> Decision {
+    let is_same = entry.reason.split(':').next() == Some(obstacle.word());
+    let is_recent = now.since(entry.changed) < HOLD_INTERVAL;
+    if entry.phase == Phase::Holding && (is_same || is_recent) {
         return Decision::Wait;
     }
-    step(Phase::Holding, entry.share, reason)
+    step(
+        Phase::Holding,
+        entry.share,
+        format!("{}: {text}", obstacle.word()),
+    )
 }
 
 /// A step to append.
--- a/buckthorn/src/rollout/evidence.rs
+++ b/buckthorn/src/rollout/evidence.rs
@@ -52,6 +52,9 @@
     /// Version that the backend server runs.
     #[serde(rename = "v")]
     pub version: Name,
+    /// Whether routes without recent calls are left out.
+    #[serde(rename = "p", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_partial: bool,
     /// Counts by route, sorted by route.
     #[serde(rename = "r", default)]
     pub routes: Vec<Tally>,
@@ -284,6 +287,7 @@
             incarnation,
             service: service.clone(),
             version: version.clone(),
+            is_partial: false,
             routes,
         }
     }
--- /dev/null
+++ b/buckthorn/src/rollout/ledger.rs
@@ -0,0 +1,179 @@
+//! Differences of owners' cumulative reports, cut into windows that cover both versions at once.
+//!
+//! A window closes when every owner that reports regularly has reported within it, so that the
+//! counts of the old and the new version cover nearly the same time. An owner silent for longer
+//! than [`PATIENCE`] is no longer waited for; what it counted meanwhile covers another time than
+//! its peers' counts, so its next report is only a baseline. The same holds for the first report of
+//! an owner, of a new incarnation, and of a host whose version changed. A baseline is never taken from
+//! a partial report, which would make the history of the routes it lacks look new.
+
+use std::time::Duration;
+
+use crate::clock::Time;
+use crate::name::Name;
+
+use super::evidence::{Report, Tally};
+
+/// Shortest window.
+pub const MIN_WINDOW: Duration = Duration::from_millis(400);
+
+/// Silence after which an owner is no longer waited for.
+pub const PATIENCE: Duration = Duration::from_secs(4);
+
+/// Version of a move that an owner's backend server runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    /// The version that the move leaves.
+    Old,
+    /// The version that the move goes to.
+    New,
+}
+
+/// Owners of one move's versions.
+#[derive(Clone, Debug)]
+pub struct Ledger {
+    /// Owners sorted by host.
+    owners: Vec<Owner>,
+    /// When the present window opened.
+    opened: Time,
+}
+
+/// One owner.
+#[derive(Clone, Debug)]
+struct Owner {
+    /// Host.
+    host: Name,
+    /// Incarnation of its node.
+    incarnation: u64,
+    /// Version it owns.
+    side: Side,
+    /// Cumulative counts reported last, sorted by route.
+    last: Vec<Tally>,
+    /// Counted since the present window opened, sorted by route.
+    pending: Vec<Tally>,
+    /// When it last reported.
+    heard: Time,
+}
+
+/// Counts of both versions over the same time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Window {
+    /// How long the window was.
+    pub length: Duration,
+    /// Old version's counts by owner.
+    pub old: Vec<(Name, Vec<Tally>)>,
+    /// New version's counts by owner.
+    pub new: Vec<(Name, Vec<Tally>)>,
+}
+
+impl Ledger {
+    /// Ledger without owners.
+    pub fn new(now: Time) -> Self {
+        Self {
+            owners: Vec::new(),
+            opened: now,
+        }
+    }
+
+    /// Takes a report in.
+    pub fn take(&mut self, report: &Report, side: Side, now: Time) {
+        let index = match self.owners.binary_search_by(|o| o.host.cmp(&report.host)) {
+            Ok(index) => index,
+            Err(_) if report.is_partial => return,
+            Err(index) => {
+                self.owners.insert(index, Owner::new(report, side, now));
+                return;
+            }
+        };
+        let owner = &mut self.owners[index];
+        if report.incarnation < owner.incarnation {
+            return;
+        }
+        let is_other = report.incarnation > owner.incarnation || owner.side != side;
+        if is_other || now.since(owner.heard) > PATIENCE {
+            if !report.is_partial {
+                *owner = Owner::new(report, side, now);
+            }
+            return;
+        }
+        owner.heard = now;
+        for tally in &report.routes {
+            owner.count(tally);
+        }
+    }
+
+    /// Forgets owners for which `is_live` says no.
+    pub fn retain(&mut self, mut is_live: impl FnMut(&str) -> bool) {
+        self.owners.retain(|owner| is_live(&owner.host));
+    }
+
+    /// Owners of the new version heard within the patience.
+    pub fn heard(&self, now: Time) -> usize {
+        self.owners
+            .iter()
+            .filter(|o| o.side == Side::New && now.since(o.heard) <= PATIENCE)
+            .count()
+    }
+
+    /// Closes the window if every owner that reports regularly has reported within it.
+    pub fn close(&mut self, now: Time) -> Option<Window> {
+        let length = now.since(self.opened);
+        let is_waited_for = |o: &Owner| o.heard <= self.opened && now.since(o.heard) <= PATIENCE;
+        if length < MIN_WINDOW || self.owners.iter().any(is_waited_for) {
+            return None;
+        }
+        self.opened = now;
+        let mut window = Window {
+            length,
+            old: Vec::new(),
+            new: Vec::new(),
+        };
+        for owner in &mut self.owners {
+            if owner.pending.is_empty() {
+                continue;
+            }
+            let entry = (owner.host.clone(), std::mem::take(&mut owner.pending));
+            match owner.side {
+                Side::Old => window.old.push(entry),
+                Side::New => window.new.push(entry),
+            }
+        }
+        Some(window)
+    }
+}
+
+impl Owner {
+    /// Owner whose first report is only a baseline.
+    fn new(report: &Report, side: Side, now: Time) -> Self {
+        Self {
+            host: report.host.clone(),
+            incarnation: report.incarnation,
+            side,
+            last: report.routes.clone(),
+            pending: Vec::new(),
+            heard: now,
+        }
+    }
+
+    /// Counts what a route gained since the last report.
+    fn count(&mut self, tally: &Tally) {
+        let gained = match self.last.binary_search_by(|t| t.route.cmp(&tally.route)) {
+            Ok(index) => {
+                let gained = tally.since(&self.last[index]);
+                self.last[index] = tally.clone();
+                gained
+            }
+            Err(index) => {
+                self.last.insert(index, tally.clone());
+                tally.clone()
+            }
+        };
+        if gained.calls() + gained.shed() == 0 {
+            return;
+        }
+        match self.pending.binary_search_by(|t| t.route.cmp(&tally.route)) {
+            Ok(index) => self.pending[index].add(&gained),
+            Err(index) => self.pending.insert(index, gained),
+        }
+    }
+}
--- a/buckthorn/src/rollout/mod.rs
+++ b/buckthorn/src/rollout/mod.rs
@@ -2,7 +2,9 @@
 
 pub mod controller;
 pub mod evidence;
+pub mod gauge;
 pub mod judge;
+pub mod ledger;
 pub mod plugin;
 pub mod quarantine;
 pub mod schedule;
--- a/buckthorn/src/rollout/plugin.rs
+++ b/buckthorn/src/rollout/plugin.rs
@@ -3,8 +3,10 @@
 //! Owners' reports go to the lease's holder and to the move's judges while a move concerns the
 //! service. The holder turns decisions into steps, with at most one append in flight for each move;
 //! an append whose outcome is unknown is decided anew from the folded state, where a repeated step
-//! is harmless. Judges raise accusations, which every node passes on once.
+//! is harmless. Judges raise accusations, which every node passes on once; a difference that remains
+//! is repaired by the digest in pings.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use rand::Rng;
@@ -23,7 +25,7 @@
 use super::evidence::Report;
 use super::judge;
 use super::quarantine::Accusation;
-use super::trial::Trial;
+use super::trial::{Trial, Verdict};
 
 /// Interval between an owner's reports to holder and judges.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(500);
@@ -40,6 +42,12 @@
 /// Peers to which a new accusation is passed on.
 pub const FANOUT: usize = 4;
 
+/// Reports in which a change of a route is repeated, against loss.
+pub const REPEATS: usize = 4;
+
+/// Every how many reports one holds all routes.
+pub const FULL_EVERY: u64 = 8;
+
 /// Adds the plug-in to a kernel.
 pub fn register(registry: &mut Registry) {
     registry.add(Rollout::default());
@@ -52,6 +60,12 @@
     trials: Vec<Trial>,
     /// Appends in flight.
     pending: Vec<Pending>,
+    /// Last reports of the own owner, oldest first.
+    sent: VecDeque<Report>,
+    /// Hosts to which the last report went.
+    targets: Vec<Name>,
+    /// Reports made so far.
+    reports: u64,
     /// When the own owner last reported.
     reported: Option<Time>,
     /// Number of the last step appended, for unique record identifiers.
@@ -65,6 +79,8 @@
     move_id: Name,
     /// Record.
     record: Name,
+    /// Phase and share that the step leads to.
+    goal: (Phase, u16),
     /// When the move may be decided anew without an answer.
     until: Time,
 }
@@ -97,7 +113,12 @@
             cx.act(Action::Rebuild);
         }
         self.follow(cx, &state.intent);
-        self.pending.retain(|pending| cx.now < pending.until);
+        self.judge(cx, &state.intent);
+        self.pending.retain(|pending| {
+            let entry = state.intent.find_move(&pending.move_id);
+            let is_reached = entry.is_some_and(|m| (m.phase, m.share) == pending.goal);
+            cx.now < pending.until && !is_reached
+        });
         if cx.shared.is_stopping || !cx.shared.keeper.is_holder(&state.lease) {
             return;
         }
@@ -148,6 +169,40 @@
         }
     }
 
+    /// Evaluates complete windows and accuses versions that are at fault.
+    fn judge(&mut self, cx: &mut Context<'_>, intent: &Intent) {
+        for trial in &mut self.trials {
+            let view = &cx.shared.view;
+            trial.retain(|host| view.get(host).is_some_and(Member::is_usable));
+            if !trial.close(cx.now) {
+                continue;
+            }
+            let Some(entry) = intent.find_move(&trial.id) else {
+                continue;
+            };
+            let fleet = fleet(cx, intent, entry);
+            let reason = match trial.verdict(fleet.new == 1) {
+                Verdict::Guilty(reason) => reason,
+                Verdict::Suspect(reason) if trial.is_failing_alone() => reason,
+                _ => continue,
+            };
+            let own = &cx.shared.identity.host;
+            let is_known = cx.shared.quarantine.of(&entry.id).any(|a| a.host == *own);
+            if fleet.old == 0 || is_known {
+                continue;
+            }
+            let is_alone = !cx.shared.view.live().any(|m| m.host != *own);
+            let accusation = Accusation {
+                id: entry.id.clone(),
+                host: own.clone(),
+                reason,
+                at: cx.now,
+            };
+            cx.shared.counters.hit(Counter::Accusations);
+            accuse(cx, &[accusation], is_alone);
+        }
+    }
+
     /// Appends a step.
     fn append(&mut self, cx: &mut Context<'_>, step: Step) {
         let identity = &cx.shared.identity;
@@ -172,6 +227,7 @@
         self.pending.push(Pending {
             move_id: step.id.clone(),
             record: id.clone(),
+            goal: (step.phase, step.share),
             until: cx.now + APPEND_TIMEOUT,
         });
         cx.act(Action::Append {
@@ -221,13 +277,36 @@
         self.reported = Some(cx.now);
         targets.sort_by(|a, b| a.host.cmp(&b.host));
         targets.dedup_by(|a, b| a.host == b.host);
+        let reduced = self.reduce(report);
         for target in &targets {
+            let is_known = self.targets.contains(&target.host);
+            let report = if is_known { &reduced } else { report };
             if target.host == cx.shared.identity.host {
                 self.take(cx, report);
             } else {
                 cx.send(target, vec![Message::Evidence(report.clone())]);
             }
         }
+        self.targets = targets.into_iter().map(|m| m.host).collect();
+    }
+
+    /// Leaves out the routes that have not changed over the last reports, but for every few reports.
+    fn reduce(&mut self, report: &Report) -> Report {
+        let mut reduced = report.clone();
+        let is_same_owner = |r: &Report| r.version == report.version && r.service == report.service;
+        self.reports += 1;
+        let oldest = self.sent.front().filter(|r| is_same_owner(r));
+        if let Some(oldest) = oldest.filter(|_| self.reports % FULL_EVERY != 0) {
+            reduced
+                .routes
+                .retain(|tally| !oldest.routes.contains(tally));
+            reduced.is_partial = true;
+        }
+        self.sent.push_back(report.clone());
+        if self.sent.len() > REPEATS {
+            self.sent.pop_front();
+        }
+        reduced
     }
 
     /// Takes a message of another node in.
--- a/buckthorn/src/rollout/schedule.rs
+++ b/buckthorn/src/rollout/schedule.rs
@@ -23,6 +23,9 @@
 /// Growth of the share in one step when time is short.
 pub const FAST_GROWTH: u16 = 4;
 
+/// Steps from the smallest canary at the usual growth.
+pub const TYPICAL_STEPS: u32 = 8;
+
 /// Shortest time at one share.
 pub const MIN_DWELL: Duration = Duration::from_secs(5);
 
--- a/buckthorn/src/rollout/trial.rs
+++ b/buckthorn/src/rollout/trial.rs
@@ -1,20 +1,325 @@
-//! What a judge knows of one move: its evidence and how long its share has stood.
+//! What a judge knows of one move: evidence by route, and how long its share has stood.
+//!
+//! Two kinds of bad calls are tested, on all routes together and on each route: calls that failed
+//! (server error, broken body, timeout, reset) and calls slower than a limit. The limit of a route
+//! is the old version's [`SLOW_QUANTILE`] before the window, plus [`SLOW_MARGIN`] buckets.
+
+use std::time::Duration;
 
 use crate::clock::Time;
-use crate::config::intent::{Move, Phase};
+use crate::config::intent::{FULL_SHARE, Move, Phase};
 use crate::name::Name;
 
-use super::evidence::Report;
+use super::evidence::{self, BUCKETS, OTHER_ROUTES, Report, Tally};
+use super::gauge::{Count, FALSE_ALARM, HORIZON, Panel};
+use super::ledger::{Ledger, Side, Window};
+
+/// Quantile of the old version's latency from which the limit of slow calls is taken.
+pub const SLOW_QUANTILE: f64 = 0.95;
+
+/// Buckets between that quantile and the limit; two are a factor of 1.41.
+pub const SLOW_MARGIN: usize = 2;
+
+/// Old calls before a latency limit is set.
+pub const MIN_REFERENCE_CALLS: f64 = 50.0;
+
+/// Time in which recent counts lose half of their weight.
+pub const RECENT_HALF_LIFE: Duration = Duration::from_secs(15);
+
+/// Time in which the old version's reference loses half of its weight.
+pub const REFERENCE_HALF_LIFE: Duration = Duration::from_secs(120);
+
+/// Level of the reference test at which the new version is to be compared.
+pub const SUSPICION: f64 = 9.2;
+
+/// Level of the concurrent test that condemns after a suspicion has led to a comparison.
+pub const COMPARED: f64 = 11.5;
+
+/// Distance below the condemning level from which a move does not go on.
+pub const DOUBT_MARGIN: f64 = 5.0;
+
+/// Part of the new version's recent calls whose failure is acted on without a comparison, when no
+/// comparison comes.
+pub const TOTAL_FAILURE: f64 = 0.5;
+
+/// Kind of bad call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Failed.
+    Failed,
+    /// Slower than the limit.
+    Slow,
+}
+
+/// What the evidence says of the new version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Nothing against it.
+    Clean,
+    /// Both versions do badly at present.
+    Common(String),
+    /// Worse than the old version was, on too few old calls to compare at present.
+    Suspect(String),
+    /// Nearly condemned.
+    Doubt(String),
+    /// Worse than the old version at the same time.
+    Guilty(String),
+}
+
+/// One kind of bad call on one route.
+#[derive(Clone, Debug, Default)]
+struct Gauge {
+    /// Concurrent test.
+    concurrent: Panel,
+    /// Reference test.
+    reference: Panel,
+    /// New version's recent counts.
+    new: Count,
+    /// Old version's recent counts.
+    old: Count,
+    /// Old version's counts over a longer time, common faults left out.
+    usual: Count,
+}
+
+/// Evidence on one route, or on all routes together.
+#[derive(Clone, Debug)]
+struct Route {
+    /// Route, empty for all together.
+    name: Name,
+    /// Failed calls.
+    failed: Gauge,
+    /// Slow calls.
+    slow: Gauge,
+    /// Old version's latencies, weighted by age.
+    latencies: [f64; BUCKETS],
+    /// Bucket above which a call is slow, once known.
+    limit: Option<usize>,
+    /// New version's calls at the present share.
+    stage_new: u64,
+    /// Old version's calls at the present share.
+    stage_old: u64,
+}
 
 /// One move under judgement.
 #[derive(Clone, Debug)]
 pub struct Trial {
     /// Move.
     pub id: Name,
+    /// Version that the move leaves.
+    from: Name,
+    /// Version that the move goes to.
+    to: Name,
+    /// Path prefix that the move concerns.
+    prefix: Name,
     /// Phase and share seen last.
     stage: (Phase, u16),
     /// When the phase or share was first seen here.
     since: Time,
+    /// Owners' counts.
+    ledger: Ledger,
+    /// Evidence on all routes together.
+    all: Route,
+    /// Evidence by route, sorted by name.
+    routes: Vec<Route>,
+    /// Whether the share was lowered for a comparison.
+    is_compared: bool,
+    /// Recent calls a second on both versions.
+    rate: f64,
+    /// Recent calls running at once on both versions.
+    busy: f64,
+    /// New version's recent offers, and those shed.
+    shed: Count,
+}
+
+impl Kind {
+    /// Ratio of the new version's rate to the old one's that is tolerated.
+    fn tolerated(self) -> f64 {
+        match self {
+            Self::Failed => 1.5,
+            Self::Slow => 3.0,
+        }
+    }
+
+    /// Part of the calls by which the new version must exceed the tolerated rate.
+    fn floor(self) -> f64 {
+        match self {
+            Self::Failed => 0.005,
+            Self::Slow => 0.03,
+        }
+    }
+
+    /// Word in reasons.
+    fn word(self) -> &'static str {
+        match self {
+            Self::Failed => "failed",
+            Self::Slow => "slow",
+        }
+    }
+}
+
+/// Weight left after `time` at a half-life.
+fn decay(time: Duration, half_life: Duration) -> f64 {
+    (-time.as_secs_f64() / half_life.as_secs_f64()).exp2()
+}
+
+impl Gauge {
+    /// Takes one window in.
+    fn take(&mut self, kind: Kind, hosts: &[(Name, Count)], old: Count, length: Duration) {
+        self.concurrent.compare(hosts, old, kind.tolerated());
+        if self.usual.calls >= MIN_REFERENCE_CALLS {
+            self.reference.refer(hosts, self.usual_rate(kind));
+        }
+        let recent = decay(length, RECENT_HALF_LIFE);
+        let new = hosts.iter().fold(Count::default(), |sum, h| sum.plus(h.1));
+        self.new = self.new.scaled(recent).plus(new);
+        self.old = self.old.scaled(recent).plus(old);
+        if old.calls > 0.0 && !self.is_common(kind) {
+            let factor = decay(length, REFERENCE_HALF_LIFE);
+            self.usual = self.usual.scaled(factor).plus(old);
+        }
+    }
+
+    /// Rate of the old version that the new one is held to.
+    fn usual_rate(&self, kind: Kind) -> f64 {
+        (self.usual.rate() * kind.tolerated()).clamp(kind.floor(), 0.5)
+    }
+
+    /// Whether the old version does far worse than usual at present.
+    fn is_common(&self, kind: Kind) -> bool {
+        let limit = (5.0 * self.usual.rate()).max(10.0 * kind.floor());
+        self.usual.calls >= MIN_REFERENCE_CALLS && self.old.bad >= 2.0 && self.old.rate() > limit
+    }
+
+    /// Whether the new version exceeds the tolerated rate by more than the floor.
+    fn is_excess(&self, kind: Kind, base: f64) -> bool {
+        self.new.rate() - kind.tolerated() * base >= kind.floor()
+    }
+}
+
+impl Route {
+    /// Route without evidence.
+    fn new(name: Name) -> Self {
+        Self {
+            name,
+            failed: Gauge::default(),
+            slow: Gauge::default(),
+            latencies: [0.0; BUCKETS],
+            limit: None,
+            stage_new: 0,
+            stage_old: 0,
+        }
+    }
+
+    /// Takes one window in: tallies of the new version by host, sorted, and of the old version.
+    fn take(&mut self, new: &[(Name, Tally)], old: &Tally, length: Duration) {
+        let count = |tally: &Tally| Count {
+            calls: tally.calls() as f64,
+            bad: tally.failed() as f64,
+        };
+        let hosts: Vec<_> = new.iter().map(|(h, t)| (h.clone(), count(t))).collect();
+        self.failed.take(Kind::Failed, &hosts, count(old), length);
+        if let Some(limit) = self.limit {
+            let count = |tally: &Tally| Count {
+                calls: tally.buckets.iter().sum::<u64>() as f64,
+                bad: tally.slower_than(limit) as f64,
+            };
+            let hosts: Vec<_> = new.iter().map(|(h, t)| (h.clone(), count(t))).collect();
+            self.slow.take(Kind::Slow, &hosts, count(old), length);
+        }
+        self.stage_new += new.iter().map(|(_, t)| t.calls()).sum::<u64>();
+        self.stage_old += old.calls();
+        self.learn(old, length);
+    }
+
+    /// Learns the old version's latencies.
+    fn learn(&mut self, old: &Tally, length: Duration) {
+        let is_usual = !self.slow.is_common(Kind::Slow) && !self.failed.is_common(Kind::Failed);
+        if old.calls() == 0 || !is_usual {
+            return;
+        }
+        let factor = decay(length, REFERENCE_HALF_LIFE);
+        for (weight, count) in self.latencies.iter_mut().zip(&old.buckets) {
+            *weight = *weight * factor + *count as f64;
+        }
+        let total: f64 = self.latencies.iter().sum();
+        if total < MIN_REFERENCE_CALLS {
+            return;
+        }
+        let mut seen = 0.0;
+        let quantile = self.latencies.iter().position(|weight| {
+            seen += weight;
+            seen >= SLOW_QUANTILE * total
+        });
+        self.limit = quantile.map(|bucket| (bucket + SLOW_MARGIN).min(BUCKETS - 1));
+    }
+
+    /// What this route's evidence says.
+    fn verdict(&self, threshold: f64, is_sole: bool) -> Verdict {
+        let mut worst = Verdict::Clean;
+        for (kind, gauge) in [(Kind::Failed, &self.failed), (Kind::Slow, &self.slow)] {
+            let reason = || self.reason(kind, gauge);
+            let judged = gauge.concurrent.judged(is_sole);
+            let is_excess = gauge.is_excess(kind, gauge.old.rate());
+            let is_raised = gauge.is_excess(kind, gauge.usual.rate());
+            let verdict = if judged >= threshold && is_excess {
+                Verdict::Guilty(reason())
+            } else if gauge.is_common(kind) && is_raised {
+                Verdict::Common(reason())
+            } else if judged >= threshold - DOUBT_MARGIN && is_excess {
+                Verdict::Doubt(reason())
+            } else if gauge.reference.judged(is_sole) >= SUSPICION && is_raised {
+                Verdict::Suspect(reason())
+            } else {
+                Verdict::Clean
+            };
+            worst = worst.or(verdict);
+        }
+        worst
+    }
+
+    /// Figures of one kind of bad call.
+    fn reason(&self, kind: Kind, gauge: &Gauge) -> String {
+        let place = if self.name.is_empty() {
+            String::new()
+        } else {
+            format!(" on {}", self.name)
+        };
+        let limit = match (kind, self.limit) {
+            (Kind::Slow, Some(limit)) => {
+                let millis = evidence::upper_edge(limit).as_secs_f64() * 1e3;
+                format!(" (over {millis:.1} ms)")
+            }
+            _ => String::new(),
+        };
+        format!(
+            "{}{limit}{place}: {:.1}% of recent calls, old version {:.1}%",
+            kind.word(),
+            gauge.new.rate() * 100.0,
+            gauge.old.rate() * 100.0
+        )
+    }
+}
+
+impl Verdict {
+    /// Place in the order of gravity.
+    fn rank(&self) -> u8 {
+        match self {
+            Self::Clean => 0,
+            Self::Suspect(_) => 1,
+            Self::Doubt(_) => 2,
+            Self::Common(_) => 3,
+            Self::Guilty(_) => 4,
+        }
+    }
+
+    /// The graver of two.
+    fn or(self, other: Self) -> Self {
+        if other.rank() > self.rank() {
+            other
+        } else {
+            self
+        }
+    }
 }
 
 impl Trial {
@@ -22,24 +327,188 @@
     pub fn new(entry: &Move, now: Time) -> Self {
         Self {
             id: entry.id.clone(),
+            from: entry.from.clone(),
+            to: entry.to.clone(),
+            prefix: entry.route.clone(),
             stage: (entry.phase, entry.share),
             since: now,
+            ledger: Ledger::new(now),
+            all: Route::new("".into()),
+            routes: Vec::new(),
+            is_compared: false,
+            rate: 0.0,
+            busy: 0.0,
+            shed: Count::default(),
         }
     }
 
     /// Follows the move's phase and share.
     pub fn follow(&mut self, entry: &Move, now: Time) {
-        if self.stage != (entry.phase, entry.share) {
-            self.stage = (entry.phase, entry.share);
-            self.since = now;
+        let share = self.stage.1;
+        self.stage.0 = entry.phase;
+        if share == entry.share {
+            return;
+        }
+        self.stage.1 = entry.share;
+        self.since = now;
+        for route in self.routes.iter_mut().chain([&mut self.all]) {
+            route.stage_new = 0;
+            route.stage_old = 0;
+            if entry.share < share {
+                route.failed.concurrent = Panel::default();
+                route.slow.concurrent = Panel::default();
+                route.failed.reference = Panel::default();
+                route.slow.reference = Panel::default();
+            }
+        }
+        if entry.share < share {
+            self.is_compared = true;
         }
     }
 
-    /// When the present phase and share were first seen here.
+    /// When the present share was first seen here.
     pub fn since(&self) -> Time {
         self.since
     }
 
     /// Takes a report in.
-    pub fn take(&mut self, _report: &Report, _now: Time) {}
+    pub fn take(&mut self, report: &Report, now: Time) {
+        let side = if report.version == self.to {
+            Side::New
+        } else if report.version == self.from {
+            Side::Old
+        } else {
+            return;
+        };
+        self.ledger.take(report, side, now);
+    }
+
+    /// Forgets owners for which `is_live` says no.
+    pub fn retain(&mut self, is_live: impl FnMut(&str) -> bool) {
+        self.ledger.retain(is_live);
+    }
+
+    /// Evaluates the window if it is complete; says whether it was.
+    pub fn close(&mut self, now: Time) -> bool {
+        let Some(window) = self.ledger.close(now) else {
+            return false;
+        };
+        self.evaluate(&window);
+        true
+    }
+
+    /// Evaluates one window.
+    fn evaluate(&mut self, window: &Window) {
+        let prefix = self.prefix.clone();
+        let is_covered = |route: &str| route == OTHER_ROUTES || route.starts_with(&*prefix);
+        let mut names: Vec<Name> = window
+            .old
+            .iter()
+            .chain(&window.new)
+            .flat_map(|(_, tallies)| tallies.iter().map(|t| t.route.clone()))
+            .filter(|route| is_covered(route))
+            .collect();
+        names.sort();
+        names.dedup();
+        for name in &names {
+            if let Err(index) = self.routes.binary_search_by(|r| r.name.cmp(name)) {
+                self.routes.insert(index, Route::new(name.clone()));
+            }
+        }
+        let length = window.length;
+        for route in &mut self.routes {
+            let is_route = |name: &str| *name == *route.name;
+            let (new, old) = gather(window, is_route);
+            route.take(&new, &old, length);
+        }
+        let (new, old) = gather(window, is_covered);
+        self.all.take(&new, &old, length);
+        self.measure(&new, &old, length);
+    }
+
+    /// Measures the load on both versions.
+    fn measure(&mut self, new: &[(Name, Tally)], old: &Tally, length: Duration) {
+        let weight = decay(length, RECENT_HALF_LIFE);
+        let seconds = length.as_secs_f64().max(1e-3);
+        let tallies = || new.iter().map(|(_, tally)| tally).chain([old]);
+        let calls: u64 = tallies().map(Tally::calls).sum();
+        let busy: f64 = tallies().map(busy_seconds).sum();
+        self.rate = self.rate * weight + calls as f64 / seconds * (1.0 - weight);
+        self.busy = self.busy * weight + busy / seconds * (1.0 - weight);
+        let shed: u64 = new.iter().map(|(_, tally)| tally.shed()).sum();
+        let offers: u64 = new.iter().map(|(_, t)| t.calls() + t.shed()).sum();
+        let recent = Count {
+            calls: offers as f64,
+            bad: shed as f64,
+        };
+        self.shed = self.shed.scaled(weight).plus(recent);
+    }
+
+    /// What the evidence says; `is_sole` for a new version with a single server.
+    pub fn verdict(&self, is_sole: bool) -> Verdict {
+        let base = if self.is_compared {
+            COMPARED
+        } else {
+            (HORIZON * 4.0 / FALSE_ALARM).ln()
+        };
+        let by_route = base + (self.routes.len().max(1) as f64).ln();
+        self.routes
+            .iter()
+            .map(|route| route.verdict(by_route, is_sole))
+            .fold(self.all.verdict(base, is_sole), Verdict::or)
+    }
+
+    /// Recent calls a second on both versions.
+    pub fn rate(&self) -> f64 {
+        self.rate
+    }
+
+    /// Recent calls running at once on both versions.
+    pub fn busy(&self) -> f64 {
+        self.busy
+    }
+
+    /// Part of the new version's recent offers that its servers shed.
+    pub fn shed(&self) -> f64 {
+        self.shed.rate()
+    }
+
+    /// New version's calls at the present share.
+    pub fn calls(&self) -> u64 {
+        self.all.stage_new
+    }
+
+    /// Owners of the new version heard of late.
+    pub fn heard(&self, now: Time) -> usize {
+        self.ledger.heard(now)
+    }
+
+    /// Whether most recent calls fail at full share, where the old version has none to compare.
+    pub fn is_failing_alone(&self) -> bool {
+        self.stage.1 == FULL_SHARE && self.all.failed.new.rate() >= TOTAL_FAILURE
+    }
+}
+
+/// Tallies of the new version by host and of the old version, over the routes asked for.
+fn gather(window: &Window, is_wanted: impl Fn(&str) -> bool) -> (Vec<(Name, Tally)>, Tally) {
+    let sum = |tallies: &[Tally]| {
+        let mut sum = Tally::new("".into());
+        for tally in tallies.iter().filter(|t| is_wanted(&t.route)) {
+            sum.add(tally);
+        }
+        sum
+    };
+    let new = window.new.iter().map(|(h, t)| (h.clone(), sum(t)));
+    let mut old = Tally::new("".into());
+    for (_, tallies) in &window.old {
+        old.add(&sum(tallies));
+    }
+    (new.collect(), old)
+}
+
+/// Time that the calls answered in full took together, in seconds.
+fn busy_seconds(tally: &Tally) -> f64 {
+    let seconds =
+        |(bucket, count): (usize, &u64)| evidence::upper_edge(bucket).as_secs_f64() * *count as f64;
+    tally.buckets.iter().enumerate().map(seconds).sum()
 }
