--- a/buckthorn/src/rollout/controller.rs
+++ b/buckthorn/src/rollout/controller.rs
@@ -149,6 +149,44 @@
 
 /// Decides about one move.
 pub fn decide(entry: &Move, trial: &Trial, fleet: Fleet, now: Time) -> Decision {
+    let decision = choose(entry, trial, fleet, now);
+    check(entry, fleet, &decision, now);
+    decision
+}
+
+/// Stops the process on a decision that breaks what moves promise.
+fn check(entry: &Move, fleet: Fleet, decision: &Decision, now: Time) {
+    let Decision::Step { phase, share, .. } = decision else {
+        return;
+    };
+    assert!(
+        *share == 0 || now >= entry.start,
+        "invariant: no share before the start of a move"
+    );
+    assert!(
+        entry.share != 0 || *share <= schedule::MAX_CANARY,
+        "invariant: the first share is at most the largest canary"
+    );
+    assert!(
+        *share <= entry.share || !fleet.is_quarantined,
+        "invariant: the share of a quarantined version never rises"
+    );
+    assert!(
+        *share <= entry.share || fleet.new > 0,
+        "invariant: a share rises only with a server that takes it"
+    );
+    assert!(
+        *phase != Phase::TakenBack || fleet.old > 0,
+        "invariant: traffic returns only to servers that take it"
+    );
+    assert!(
+        *phase != Phase::Done || entry.phase == Phase::Watching,
+        "invariant: a move is done only after its watch"
+    );
+}
+
+/// Chooses what to do with one move.
+fn choose(entry: &Move, trial: &Trial, fleet: Fleet, now: Time) -> Decision {
     if entry.phase.is_ended() {
         return Decision::Wait;
     }
--- a/buckthorn/src/rollout/ledger.rs
+++ b/buckthorn/src/rollout/ledger.rs
@@ -6,6 +6,9 @@
 //! its peers' counts, so its next report is only a baseline. The same holds for the first report of
 //! an owner, of a new incarnation, and of a host whose version changed. A baseline is never taken from
 //! a partial report, which would make the history of the routes it lacks look new.
+//!
+//! A backend server of the new version that has just got its first calls is slow because it is cold,
+//! so its latencies count only after [`WARM_CALLS`] or [`WARM_TIME`]; its failures count at once.
 
 use std::time::Duration;
 
@@ -20,6 +23,12 @@
 /// Silence after which an owner is no longer waited for.
 pub const PATIENCE: Duration = Duration::from_secs(4);
 
+/// Calls after which an owner's backend server counts as warm.
+pub const WARM_CALLS: u64 = 20;
+
+/// Time after an owner's first call from which its backend server counts as warm.
+pub const WARM_TIME: Duration = Duration::from_secs(30);
+
 /// Version of a move that an owner's backend server runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Side {
@@ -53,6 +62,10 @@
     pending: Vec<Tally>,
     /// When it last reported.
     heard: Time,
+    /// Calls seen here.
+    calls: u64,
+    /// When its first calls were seen here.
+    first: Option<Time>,
 }
 
 /// Counts of both versions over the same time.
@@ -97,8 +110,12 @@
             return;
         }
         owner.heard = now;
+        let is_warm = side == Side::Old || owner.is_warm(now);
         for tally in &report.routes {
-            owner.count(tally);
+            owner.count(tally, is_warm);
+        }
+        if owner.first.is_none() && owner.calls > 0 {
+            owner.first = Some(now);
         }
     }
 
@@ -152,12 +169,20 @@
             last: report.routes.clone(),
             pending: Vec::new(),
             heard: now,
+            calls: 0,
+            first: None,
         }
     }
 
+    /// Whether its latencies count.
+    fn is_warm(&self, now: Time) -> bool {
+        let is_old_enough = |first| now.since(first) >= WARM_TIME;
+        self.calls >= WARM_CALLS || self.first.is_some_and(is_old_enough)
+    }
+
     /// Counts what a route gained since the last report.
-    fn count(&mut self, tally: &Tally) {
-        let gained = match self.last.binary_search_by(|t| t.route.cmp(&tally.route)) {
+    fn count(&mut self, tally: &Tally, is_warm: bool) {
+        let mut gained = match self.last.binary_search_by(|t| t.route.cmp(&tally.route)) {
             Ok(index) => {
                 let gained = tally.since(&self.last[index]);
                 self.last[index] = tally.clone();
@@ -171,6 +196,10 @@
         if gained.calls() + gained.shed() == 0 {
             return;
         }
+        self.calls += gained.calls();
+        if !is_warm {
+            gained.buckets.fill(0);
+        }
         match self.pending.binary_search_by(|t| t.route.cmp(&tally.route)) {
             Ok(index) => self.pending[index].add(&gained),
             Err(index) => self.pending.insert(index, gained),
--- a/buckthorn/src/rollout/plugin.rs
+++ b/buckthorn/src/rollout/plugin.rs
@@ -296,7 +296,7 @@
         let is_same_owner = |r: &Report| r.version == report.version && r.service == report.service;
         self.reports += 1;
         let oldest = self.sent.front().filter(|r| is_same_owner(r));
-        if let Some(oldest) = oldest.filter(|_| self.reports % FULL_EVERY != 0) {
+        if let Some(oldest) = oldest.filter(|_| !self.reports.is_multiple_of(FULL_EVERY)) {
             reduced
                 .routes
                 .retain(|tally| !oldest.routes.contains(tally));
