--- a/buckthorn/src/journal/fold.rs
+++ b/buckthorn/src/journal/fold.rs
@@ -33,6 +33,9 @@
 /// Length of a name in bytes.
 pub const MAX_NAME_BYTES: usize = 128;
 
+/// Share to which a hold may lower a move in order to compare the versions, in thousandths.
+pub const COMPARISON_SHARE: u16 = 200;
+
 /// State folded from the configuration stream.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct State {
@@ -425,8 +428,13 @@
             entry.id
         ));
     }
-    if intent.find_move(&entry.id).is_some() {
-        return Ok(());
+    match intent.moves.binary_search_by(|m| m.id.cmp(&entry.id)) {
+        // A move that was withdrawn before it began is planned anew.
+        Ok(index) if intent.moves[index].phase == Phase::Cancelled => {
+            intent.moves.remove(index);
+        }
+        Ok(_) => return Ok(()),
+        Err(_) => {}
     }
     let serving = intent
         .service(&entry.service)
@@ -507,8 +515,12 @@
     Ok(())
 }
 
-/// Checks a name's length and characters.
-fn check_name(field: &str, name: &str, may_be_empty: bool) -> Result<(), String> {
+/// Checks a name's length and characters; `field` says what it names.
+///
+/// # Errors
+///
+/// Says what is wrong with the name.
+pub fn check_name(field: &str, name: &str, may_be_empty: bool) -> Result<(), String> {
     if name.is_empty() && !may_be_empty {
         return Err(format!("{field} is empty"));
     }
@@ -558,9 +570,14 @@
     }
     match step.phase {
         Phase::Waiting => false,
-        Phase::Shifting | Phase::Holding => {
+        Phase::Shifting => {
             entry.phase != Phase::Watching && step.share >= entry.share && step.share <= FULL_SHARE
         }
+        Phase::Holding => {
+            // A hold may lower the share, so that both versions have calls to compare.
+            let floor = entry.share.min(COMPARISON_SHARE);
+            step.share >= floor && step.share <= FULL_SHARE
+        }
         Phase::Watching => step.share == FULL_SHARE,
         Phase::Done => entry.phase == Phase::Watching && step.share == FULL_SHARE,
         Phase::TakenBack | Phase::Cancelled => step.share == 0,
