--- a/buckthorn/src/journal/plugin.rs
+++ b/buckthorn/src/journal/plugin.rs
@@ -137,6 +137,7 @@
                     self.receive(cx, from, message);
                 }
             }
+            Event::Shutdown => cx.shared.is_stopping = true,
             Event::Appended { result, .. } if !matches!(result, Append::Done { .. }) => {
                 cx.shared.counters.hit(Counter::LogAppendFailures);
             }
@@ -242,6 +243,9 @@
         }
         self.ingest(cx, &batch.records);
         let has_more = cx.shared.tail.state().next < batch.next;
+        if !has_more {
+            sync(cx);
+        }
         if !self.was_reader && !has_more {
             let spread = cx.rng.random_range(0.5..1.5);
             self.config.due = cx.now + FALLBACK_INTERVAL.mul_f64(spread);
@@ -307,6 +311,11 @@
                 };
                 send_to(cx, from, vec![pull]);
             }
+            Message::Ping(digest) | Message::Ack(digest)
+                if digest.next > 0 && digest.next <= cx.shared.tail.state().next =>
+            {
+                sync(cx);
+            }
             Message::Pull { from: offset } => self.answer_pull(cx, *offset),
             Message::Snapshot(state) => self.install(cx, state),
             _ => {}
@@ -342,6 +351,7 @@
         }
         cx.shared.counters.hit(Counter::SnapshotsInstalled);
         self.search = Search::Idle;
+        sync(cx);
         cx.act(Action::Rebuild);
     }
 
@@ -475,6 +485,14 @@
     Gap,
 }
 
+/// Notes that the fold is as far as its source; the first table may be published.
+fn sync(cx: &mut Context<'_>) {
+    if !cx.shared.is_synced {
+        cx.shared.is_synced = true;
+        cx.act(Action::Rebuild);
+    }
+}
+
 /// Appends a record under an identifier that no other append has.
 fn append(cx: &mut Context<'_>, kind: &str, stream: &'static str, payload: String) {
     let host = &cx.shared.identity.host;
--- a/buckthorn/src/kernel/mod.rs
+++ b/buckthorn/src/kernel/mod.rs
@@ -160,6 +160,8 @@
     pub keeper: Keeper,
     /// Counters.
     pub counters: Arc<Board>,
+    /// Whether the fold has once been as far as the log or a peer; no table is published before.
+    pub is_synced: bool,
     /// Whether the process is stopping.
     pub is_stopping: bool,
 }
@@ -256,6 +258,7 @@
             view,
             quarantine: Quarantine::new(),
             counters,
+            is_synced: false,
             is_stopping: false,
             identity,
         };
--- a/buckthorn/src/lib.rs
+++ b/buckthorn/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod kernel;
 pub mod membership;
 pub mod name;
+pub mod node;
 pub mod platform;
 pub mod proxy;
 pub mod rollout;
--- /dev/null
+++ b/buckthorn/src/node/driver.rs
@@ -0,0 +1,393 @@
+//! The kernel's thread: takes inputs, lets the kernel decide, and carries its actions out.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use crossbeam::channel::{self, Receiver, Sender};
+use slog::{Logger, info, warn};
+use tokio::runtime;
+
+use super::platform::Platform;
+use super::status::{self, Status};
+use super::telemetry::Statsd;
+use crate::admin::announcement::Announcement;
+use crate::admission::door::Door;
+use crate::clock::{Clock, Time};
+use crate::counter::{Board, Counter};
+use crate::kernel::{Action, Event, Kernel, TICK_INTERVAL};
+use crate::membership::member::BackendServer;
+use crate::name::Name;
+use crate::platform::Append;
+use crate::proxy::owner::Owner;
+use crate::rollout::evidence::Book;
+use crate::routing::load::Registry;
+use crate::routing::table::Table;
+use crate::rpc;
+use crate::rpc::message::{Envelope, Message};
+
+/// Silence of a backend server after which its announcement expires.
+pub const ANNOUNCEMENT_TTL: Duration = Duration::from_secs(10);
+
+/// Time between telling the peers of a drain and refusing new work.
+const DRAIN_GRACE: Duration = Duration::from_millis(500);
+
+/// Interval at which evidence is handed to the kernel.
+const EVIDENCE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Interval at which counters are sent to statsd.
+const STATSD_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Exchanges with peers under way at once.
+const MAX_EXCHANGES: usize = 256;
+
+/// Something for the kernel's thread.
+#[derive(Debug)]
+pub(super) enum Input {
+    /// An event for the kernel.
+    Event(Event),
+    /// The own backend server announced itself.
+    Announced(Announcement),
+    /// The own backend server is leaving.
+    Left,
+    /// Someone asks for the status.
+    Inspect(Sender<Status>),
+    /// The thread is to end.
+    Stop,
+}
+
+/// What the driver shares with the path of a call.
+#[derive(Clone, Debug)]
+pub(super) struct Path {
+    /// Routing table in force.
+    pub(super) table: Arc<ArcSwap<Table>>,
+    /// Owner of the backend server announced here.
+    pub(super) owner: Arc<ArcSwapOption<Owner>>,
+    /// Counters.
+    pub(super) counters: Arc<Board>,
+    /// Clock.
+    pub(super) clock: Clock,
+}
+
+/// Edges through which actions are carried out.
+pub(super) struct Edges {
+    /// Threads of the log.
+    pub(super) platform: Platform,
+    /// Client of the control protocol.
+    pub(super) client: Arc<rpc::client::Client>,
+    /// Runtime on which exchanges run.
+    pub(super) runtime: runtime::Handle,
+    /// Metrics, if wanted.
+    pub(super) statsd: Option<Statsd>,
+    /// Log of decisions.
+    pub(super) logger: Logger,
+}
+
+/// Carries out what the kernel decides.
+pub(super) struct Driver {
+    /// Decision core.
+    kernel: Kernel,
+    /// What the path of a call reads.
+    path: Path,
+    /// Edges.
+    edges: Edges,
+    /// Where exchanges report.
+    inputs: Sender<Input>,
+    /// Loads kept across tables.
+    loads: Registry,
+    /// Exchanges under way.
+    exchanges: Arc<AtomicUsize>,
+    /// Backend server of this host.
+    announced: Announced,
+    /// When evidence was last handed over.
+    evidence_at: Time,
+    /// When metrics were last sent.
+    statsd_at: Time,
+    /// Messages of the answer being put together.
+    reply: Vec<Message>,
+}
+
+/// What is known of the own backend server.
+#[derive(Clone, Debug)]
+enum Announced {
+    /// Nothing.
+    Absent,
+    /// It announces itself.
+    Present {
+        /// Last announcement.
+        last: Announcement,
+        /// When it came.
+        at: Time,
+    },
+    /// It is leaving; new work is refused from `close_at` on.
+    Leaving {
+        /// When the door closes.
+        close_at: Time,
+    },
+}
+
+impl Driver {
+    /// Driver of a kernel.
+    pub(super) fn new(kernel: Kernel, path: Path, edges: Edges, inputs: Sender<Input>) -> Self {
+        Self {
+            kernel,
+            path,
+            edges,
+            inputs,
+            loads: Registry::default(),
+            exchanges: Arc::default(),
+            announced: Announced::Absent,
+            evidence_at: Time::default(),
+            statsd_at: Time::default(),
+            reply: Vec::new(),
+        }
+    }
+
+    /// Runs until told to stop.
+    pub(super) fn run(
+        mut self,
+        inputs: &Receiver<Input>,
+        inbound: &Receiver<rpc::server::Inbound>,
+    ) {
+        let ticker = channel::tick(TICK_INTERVAL);
+        let mut ticked = Instant::now();
+        loop {
+            crossbeam::select! {
+                recv(inputs) -> input => match input {
+                    Ok(Input::Stop) | Err(_) => return,
+                    Ok(input) => self.take(input),
+                },
+                recv(inbound) -> inbound => match inbound {
+                    Ok(inbound) => self.answer(inbound),
+                    Err(_) => return,
+                },
+                recv(ticker) -> _ => {}
+            }
+            // A flood of messages must not keep the ticks away.
+            if ticked.elapsed() >= TICK_INTERVAL {
+                ticked = Instant::now();
+                self.tick();
+            }
+        }
+    }
+
+    /// Takes one input.
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Event(event) => self.handle(&event),
+            Input::Announced(announcement) => self.announce(announcement),
+            Input::Left => self.leave(),
+            Input::Inspect(reply) => {
+                let now = self.path.clock.now();
+                let status = status::of(self.kernel.shared(), &self.path.table.load(), now);
+                // Whoever asked may have gone.
+                let _ = reply.try_send(status);
+            }
+            Input::Stop => {}
+        }
+    }
+
+    /// Answers a peer.
+    fn answer(&mut self, inbound: rpc::server::Inbound) {
+        let Envelope { from, messages } = inbound.envelope;
+        self.reply.clear();
+        self.handle(&Event::Received { from, messages });
+        // The peer may have given up waiting.
+        let _ = inbound.reply.send(std::mem::take(&mut self.reply));
+    }
+
+    /// Does what is due by the clock.
+    fn tick(&mut self) {
+        let now = self.path.clock.now();
+        self.check_announced(now);
+        if now.since(self.evidence_at) >= EVIDENCE_INTERVAL {
+            self.evidence_at = now;
+            self.observe();
+        }
+        if now.since(self.statsd_at) >= STATSD_INTERVAL {
+            self.statsd_at = now;
+            if let Some(statsd) = &mut self.edges.statsd {
+                statsd.flush();
+            }
+        }
+        self.handle(&Event::Tick);
+    }
+
+    /// Hands what the owner counted to the kernel.
+    fn observe(&mut self) {
+        let Some(owner) = self.path.owner.load_full() else { return };
+        let identity = &self.kernel.shared().identity;
+        let report = owner.book.report(
+            &identity.host,
+            identity.incarnation,
+            &owner.service,
+            &owner.version,
+        );
+        self.handle(&Event::Observed(report));
+    }
+
+    /// Lets the kernel react and carries out what it decides.
+    fn handle(&mut self, event: &Event) {
+        let now = self.path.clock.now();
+        let mut is_stale = false;
+        for action in self.kernel.handle(now, event) {
+            match action {
+                Action::Reply(messages) => self.reply.extend(messages),
+                Action::Send { host, address, messages } => self.send(host, address, messages),
+                Action::Read { stream, from, wait } => self.edges.platform.read(stream, from, wait),
+                Action::Append { stream, id, payload } => self.append(stream, id, payload),
+                Action::Rebuild => is_stale = true,
+                Action::Note { text } => info!(self.edges.logger, "{}", text),
+            }
+        }
+        if is_stale {
+            self.rebuild();
+        }
+    }
+
+    /// Builds the routing table anew and swaps it in.
+    fn rebuild(&mut self) {
+        let shared = self.kernel.shared();
+        if !shared.is_synced {
+            return;
+        }
+        let table = Table::build(
+            shared.tail.state(),
+            &shared.view,
+            &shared.quarantine,
+            &mut self.loads,
+            &shared.identity.failure_domain,
+            &shared.identity.region,
+        );
+        let in_force = self.path.table.load().version;
+        assert!(table.version >= in_force, "invariant: the routing table never goes back");
+        if table.version > in_force {
+            info!(self.edges.logger, "configuration in force"; "version" => table.version);
+        }
+        self.path.table.store(Arc::new(table));
+    }
+
+    /// Sends messages to a peer and reports what comes of it.
+    fn send(&self, host: Name, address: SocketAddr, messages: Vec<Message>) {
+        let counters = self.path.counters.clone();
+        let inputs = self.inputs.clone();
+        if self.exchanges.load(Ordering::Relaxed) >= MAX_EXCHANGES {
+            counters.hit(Counter::PeersUnreachable);
+            return;
+        }
+        self.exchanges.fetch_add(1, Ordering::Relaxed);
+        counters.add(Counter::MessagesSent, messages.len() as u64);
+        let exchanges = self.exchanges.clone();
+        let client = self.edges.client.clone();
+        let from = self.kernel.shared().identity.host.clone();
+        self.edges.runtime.spawn(async move {
+            let event = match client.exchange(address, Envelope { from, messages }).await {
+                Ok(Envelope { from, messages }) => Event::Answered { from, messages },
+                Err(_) => {
+                    counters.hit(Counter::PeersUnreachable);
+                    Event::Unreachable { address, host }
+                }
+            };
+            exchanges.fetch_sub(1, Ordering::Relaxed);
+            // The kernel's thread ends first at shutdown.
+            let _ = inputs.try_send(Input::Event(event));
+        });
+    }
+
+    /// Starts an append; one that finds no room is reported as refused.
+    fn append(&mut self, stream: &'static str, id: Name, payload: String) {
+        if self.edges.platform.append(stream, id.clone(), payload) {
+            return;
+        }
+        let result = Append::Refused { reason: "too many appends under way".into() };
+        let _ = self.inputs.try_send(Input::Event(Event::Appended { id, result }));
+    }
+
+    /// Takes an announcement of the own backend server.
+    fn announce(&mut self, announcement: Announcement) {
+        let at = self.path.clock.now();
+        let is_same = matches!(&self.announced, Announced::Present { last, .. }
+            if *last == announcement);
+        let server = backend_server(&announcement, false);
+        self.announced = Announced::Present { last: announcement.clone(), at };
+        if is_same {
+            return;
+        }
+        info!(self.edges.logger, "backend server announced";
+            "service" => %announcement.service, "version" => %announcement.version);
+        let door = Door::new(
+            self.path.clock.clone(),
+            self.path.counters.clone(),
+            announcement.slots,
+        );
+        if let Some(old) = self.path.owner.load_full() {
+            old.door.close();
+        }
+        let owner = Owner::new(
+            announcement.service,
+            announcement.version,
+            announcement.address,
+            announcement.slots,
+            announcement.connections,
+            door,
+            Arc::new(Book::new()),
+        );
+        self.path.owner.store(Some(Arc::new(owner)));
+        self.handle(&Event::Announced(Some(server)));
+    }
+
+    /// Starts the drain of the own backend server.
+    fn leave(&mut self) {
+        let Announced::Present { last, .. } = &self.announced else { return };
+        info!(self.edges.logger, "backend server leaves"; "service" => %last.service);
+        let server = backend_server(last, true);
+        let close_at = self.path.clock.now() + DRAIN_GRACE;
+        self.announced = Announced::Leaving { close_at };
+        self.handle(&Event::Announced(Some(server)));
+    }
+
+    /// Expires a silent backend server and ends a drain.
+    fn check_announced(&mut self, now: Time) {
+        match &self.announced {
+            Announced::Absent => {}
+            Announced::Present { last, at } if now.since(*at) >= ANNOUNCEMENT_TTL => {
+                warn!(self.edges.logger, "backend server expired"; "service" => %last.service);
+                self.path.counters.hit(Counter::AnnouncementsExpired);
+                self.forget();
+            }
+            Announced::Present { .. } => {}
+            Announced::Leaving { close_at } if now >= *close_at => {
+                let running = self.path.owner.load().as_ref().map_or(0, |owner| {
+                    owner.door.close();
+                    owner.door.running()
+                });
+                if running == 0 {
+                    self.forget();
+                }
+            }
+            Announced::Leaving { .. } => {}
+        }
+    }
+
+    /// Forgets the own backend server.
+    fn forget(&mut self) {
+        if let Some(owner) = self.path.owner.swap(None) {
+            owner.door.close();
+        }
+        self.announced = Announced::Absent;
+        self.handle(&Event::Announced(None));
+    }
+}
+
+/// What the peers are told of an announcement.
+fn backend_server(announcement: &Announcement, is_draining: bool) -> BackendServer {
+    BackendServer {
+        service: announcement.service.clone(),
+        version: announcement.version.clone(),
+        slots: announcement.slots,
+        connections: announcement.connections,
+        is_draining,
+    }
+}
--- /dev/null
+++ b/buckthorn/src/node/mod.rs
@@ -0,0 +1,331 @@
+//! A whole node: the kernel's thread, the log's threads, and the servers on its ports.
+//!
+//! The kernel's thread decides; a small tokio runtime carries calls and control messages; a few
+//! plain threads wait on the platform's log. The path of a call reads the routing table and the
+//! owner by one atomic pointer each.
+
+mod driver;
+mod platform;
+pub mod settings;
+pub mod status;
+pub mod telemetry;
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use anyhow::Context as _;
+use arc_swap::{ArcSwap, ArcSwapOption};
+use crossbeam::channel::{self, Sender};
+use slog::{Logger, info};
+use tokio::runtime::{self, Runtime};
+
+use self::driver::{Driver, Edges, Input, Path};
+use self::platform::Platform;
+use self::settings::Settings;
+use self::status::Status;
+use self::telemetry::Statsd;
+use crate::admin;
+use crate::admin::announcement::Announcement;
+use crate::clock::Clock;
+use crate::counter::Board;
+use crate::kernel::{Event, Identity, Kernel, Registry};
+use crate::platform::client::Client;
+use crate::proxy::limit::Limits;
+use crate::proxy::secret::Secrets;
+use crate::proxy::{Drained, Plane};
+use crate::routing::table::Table;
+use crate::{journal, membership, name, proxy, rollout, rpc};
+
+/// Inputs that may wait for the kernel's thread.
+const MAX_INPUTS: usize = 4_096;
+
+/// Control messages that may wait for the kernel's thread.
+const MAX_INBOUND: usize = 512;
+
+/// Longest wait for the kernel's thread to tell its status.
+const INSPECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time for the word of leaving to reach the peers before calls are refused.
+const LEAVE_GRACE: Duration = Duration::from_millis(500);
+
+/// A running node.
+pub struct Node {
+    /// Addresses that the node listens on.
+    addresses: Addresses,
+    /// What the path of a call reads.
+    path: Path,
+    /// Inputs of the kernel's thread.
+    inputs: Sender<Input>,
+    /// Kernel's thread.
+    kernel: Option<JoinHandle<()>>,
+    /// Servers of callers and of other nodes.
+    proxy: Option<proxy::Handle>,
+    /// Server of the control protocol.
+    rpc: rpc::server::Handle,
+    /// Server of the operators' page.
+    admin: Option<admin::Handle>,
+    /// Runtime of the servers.
+    runtime: Option<Runtime>,
+    /// Longest wait for calls in flight at shutdown.
+    drain_timeout: Duration,
+    /// Log of decisions.
+    logger: Logger,
+}
+
+/// Addresses that a node listens on.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    /// Callers.
+    pub callers: SocketAddr,
+    /// Data path between nodes.
+    pub hop: SocketAddr,
+    /// Control protocol between nodes.
+    pub rpc: SocketAddr,
+    /// Announcements and the operators' page.
+    pub admin: SocketAddr,
+}
+
+impl Node {
+    /// Starts a node.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a port cannot be bound or a thread cannot be started.
+    pub fn start(settings: &Settings, logger: Logger) -> anyhow::Result<Self> {
+        let clock = Clock::new();
+        let counters = Arc::new(Board::new());
+        let callers = bind("listen", settings.listen)?;
+        let hop = bind("hop-listen", settings.hop_listen)?;
+        let control = bind("rpc-listen", settings.rpc_listen)?;
+        let path = Path {
+            table: Arc::new(ArcSwap::from_pointee(Table::default())),
+            owner: Arc::new(ArcSwapOption::empty()),
+            counters: counters.clone(),
+            clock: clock.clone(),
+        };
+        let runtime = runtime::Builder::new_multi_thread()
+            .worker_threads(settings.threads)
+            .enable_all()
+            .thread_name("buckthorn")
+            .build()
+            .context("the runtime could not be started")?;
+        let (inputs, input_queue) = channel::bounded(MAX_INPUTS);
+        let (inbound, inbound_queue) = channel::bounded(MAX_INBOUND);
+
+        let addresses = Addresses {
+            callers: callers.local_addr()?,
+            hop: hop.local_addr()?,
+            rpc: control.local_addr()?,
+            admin: settings.admin_listen,
+        };
+        let identity = Identity {
+            host: settings.host.clone(),
+            incarnation: clock.now().0,
+            region: settings.region.clone(),
+            failure_domain: settings.failure_domain.clone(),
+            rpc: SocketAddr::new(settings.advertise, addresses.rpc.port()),
+            hop: SocketAddr::new(settings.advertise, addresses.hop.port()),
+            seeds: settings.seeds.clone(),
+        };
+        let (proxy, rpc, client) = runtime.block_on(async {
+            let plane = plane(settings, &path);
+            let callers = tokio::net::TcpListener::from_std(callers)?;
+            let hop = tokio::net::TcpListener::from_std(hop)?;
+            let secret = secret(settings);
+            let client = rpc::client::Client::new(
+                &secret,
+                rpc::client::Timeouts::default(),
+                counters.clone(),
+            )?;
+            let rpc = rpc::server::serve(
+                settings.host.clone(),
+                control,
+                secret,
+                rpc::server::Limits::default(),
+                counters.clone(),
+                inbound,
+            )?;
+            anyhow::Ok((proxy::serve(plane, callers, hop), rpc, client))
+        })?;
+
+        let log: Arc<dyn crate::platform::Log> = Arc::new(Client::new(&settings.platform)?);
+        let edges = Edges {
+            platform: Platform::start(&log, &inputs),
+            client: Arc::new(client),
+            runtime: runtime.handle().clone(),
+            statsd: settings.statsd.map(|a| Statsd::new(a, counters.clone())).transpose()?,
+            logger: logger.clone(),
+        };
+        let seed = name::rendezvous(&settings.host, &identity.incarnation.to_string());
+        let kernel = Kernel::new(identity, counters.clone(), seed, clock.now(), plugins());
+        let driver = Driver::new(kernel, path.clone(), edges, inputs.clone());
+        let kernel = thread::Builder::new()
+            .name("kernel".into())
+            .spawn(move || driver.run(&input_queue, &inbound_queue))
+            .context("the kernel's thread could not be started")?;
+
+        let handler = Handler { path: path.clone(), inputs: inputs.clone() };
+        let admin = admin::serve(settings.admin_listen, handler)?;
+        let addresses = Addresses { admin: admin.address(), ..addresses };
+        info!(logger, "node started";
+            "callers" => %addresses.callers, "hop" => %addresses.hop,
+            "rpc" => %addresses.rpc, "admin" => %addresses.admin);
+        Ok(Self {
+            addresses,
+            path,
+            inputs,
+            kernel: Some(kernel),
+            proxy: Some(proxy),
+            rpc,
+            admin: Some(admin),
+            runtime: Some(runtime),
+            drain_timeout: settings.drain_timeout,
+            logger,
+        })
+    }
+
+    /// Addresses that the node listens on.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Counters.
+    pub fn counters(&self) -> &Arc<Board> {
+        &self.path.counters
+    }
+
+    /// Configuration version in force on the path of a call.
+    pub fn version(&self) -> u64 {
+        self.path.table.load().version
+    }
+
+    /// Routing table in force.
+    pub fn table(&self) -> Arc<Table> {
+        self.path.table.load_full()
+    }
+
+    /// Status, unless the kernel's thread does not answer in time.
+    pub fn status(&self) -> Option<Status> {
+        inspect(&self.inputs)
+    }
+
+    /// Shuts down gracefully: tells the peers, refuses new work, finishes what is in flight.
+    pub fn shutdown(mut self) -> Drained {
+        info!(self.logger, "shutting down");
+        let _ = self.inputs.send(Input::Left);
+        let _ = self.inputs.send(Input::Event(Event::Shutdown));
+        thread::sleep(LEAVE_GRACE);
+        let drained = match (&self.runtime, self.proxy.take()) {
+            (Some(runtime), Some(proxy)) => runtime.block_on(proxy.drain(self.drain_timeout)),
+            _ => Drained::Clean,
+        };
+        self.stop();
+        info!(self.logger, "stopped"; "is_clean" => drained == Drained::Clean);
+        drained
+    }
+
+    /// Stops at once, as a crash would: nobody is told and calls in flight are cut.
+    pub fn kill(mut self) {
+        self.stop();
+    }
+
+    /// Ends every thread.
+    fn stop(&mut self) {
+        self.rpc.stop();
+        drop(self.admin.take());
+        let _ = self.inputs.send(Input::Stop);
+        if let Some(kernel) = self.kernel.take() {
+            // A kernel that broke an invariant has told of it by its panic.
+            let _ = kernel.join();
+        }
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+/// Plug-ins of a node, in the order in which they see events.
+pub fn plugins() -> Registry {
+    let mut registry = Registry::default();
+    membership::plugin::register(&mut registry);
+    journal::plugin::register(&mut registry);
+    rollout::plugin::register(&mut registry);
+    registry
+}
+
+/// Binds a listener and names the setting when that fails.
+fn bind(flag: &str, address: SocketAddr) -> anyhow::Result<TcpListener> {
+    let listener = TcpListener::bind(address)
+        .with_context(|| format!("--{flag}: {address} could not be bound"))?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
+/// Path of a call as the settings want it.
+fn plane(settings: &Settings, path: &Path) -> Arc<Plane> {
+    let previous = settings.previous_secret.as_deref().map(Arc::from);
+    let secrets = Secrets::new(settings.secret.as_str(), previous);
+    let limits = Limits {
+        body_bytes: settings.max_body_bytes,
+        caller_connections: settings.max_connections,
+        ..Limits::default()
+    };
+    let plane = Plane::builder(settings.host.clone(), settings.failure_domain.clone(), secrets)
+        .table(path.table.clone())
+        .owner(path.owner.clone())
+        .counters(path.counters.clone())
+        .clock(path.clock.clone())
+        .limits(limits)
+        .build();
+    Arc::new(plane)
+}
+
+/// Secret of the control protocol.
+fn secret(settings: &Settings) -> rpc::secret::Secret {
+    let current = rpc::secret::Secret::new(&settings.secret);
+    match &settings.previous_secret {
+        Some(previous) => current.with_previous(previous),
+        None => current,
+    }
+}
+
+/// Asks the kernel's thread for the status.
+fn inspect(inputs: &Sender<Input>) -> Option<Status> {
+    let (sender, receiver) = channel::bounded(1);
+    inputs.send_timeout(Input::Inspect(sender), INSPECT_TIMEOUT).ok()?;
+    receiver.recv_timeout(INSPECT_TIMEOUT).ok()
+}
+
+/// Answers the operators' page.
+struct Handler {
+    /// What the path of a call reads.
+    path: Path,
+    /// Inputs of the kernel's thread.
+    inputs: Sender<Input>,
+}
+
+impl admin::Handler for Handler {
+    fn announce(&self, announcement: Announcement) -> Result<(), admin::Refusal> {
+        self.inputs
+            .try_send(Input::Announced(announcement))
+            .map_err(|_| admin::Refusal::Busy)
+    }
+
+    fn leave(&self) {
+        let _ = self.inputs.try_send(Input::Left);
+    }
+
+    fn status(&self) -> Option<serde_json::Value> {
+        inspect(&self.inputs).and_then(|status| serde_json::to_value(status).ok())
+    }
+
+    fn is_ready(&self) -> bool {
+        self.path.table.load().version > 0
+    }
+
+    fn counters(&self) -> &Arc<Board> {
+        &self.path.counters
+    }
+}
--- a/buckthorn_lab/src/flags.rs
+++ b/buckthorn_lab/src/flags.rs
@@ -45,6 +45,8 @@
         cmd scale {
             /// Node counts, separated by commas.
             optional --nodes nodes: String
+            /// File for the JSON.
+            optional --json json: PathBuf
         }
         /// Writes one HTML page from the experiments' JSON.
         cmd report {
--- /dev/null
+++ b/buckthorn_lab/src/scale/mod.rs
@@ -0,0 +1,524 @@
+//! Control cost and convergence against the number of nodes, with real processes on loopback.
+//!
+//! For each number of nodes the run starts that many `buckthornd` processes with a stand-in of the
+//! log, announces a backend server to each, and measures a quiet window, changes published one by
+//! one, and backend servers replaced one by one. Lines of least squares through the points give
+//! the slopes that docs/CAPACITY.md works with.
+
+pub mod fit;
+pub mod process;
+
+use std::path::{Path, PathBuf};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use anyhow::{Context as _, ensure};
+use crossbeam::channel::{self, Receiver};
+use serde::{Deserialize, Serialize};
+
+use buckthorn::clock::Clock;
+use buckthorn::config::change::{Change, Operation};
+use buckthorn::journal::fold::State;
+use buckthorn::journal::record::{self, Body, CONFIG_STREAM};
+use buckthorn::platform::client::Client;
+use buckthorn::platform::{Append, Log};
+
+use self::fit::Line;
+use self::process::{Cost, InForce, Process, Spec};
+use crate::{flags, log};
+
+/// Node counts when none are given.
+const DEFAULT_NODES: &[usize] = &[9, 30, 60, 90];
+
+/// Most processes of one run.
+const MAX_PROCESSES: usize = 300;
+
+/// Failure domains of the design size, and the region of each.
+const FAILURE_DOMAINS: &[(&str, &str)] = &[
+    ("a1", "a"),
+    ("a2", "a"),
+    ("a3", "a"),
+    ("b1", "b"),
+    ("b2", "b"),
+    ("b3", "b"),
+    ("c1", "c"),
+    ("c2", "c"),
+    ("c3", "c"),
+];
+
+/// Services of the design size.
+const SERVICES: usize = 70;
+
+/// Length of the quiet window.
+const WINDOW: Duration = Duration::from_secs(15);
+
+/// Interval at which backend servers announce themselves.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(4);
+
+/// Changes published one after another.
+const CHANGES: usize = 8;
+
+/// Backend servers replaced one after another.
+const REPLACEMENTS: usize = 8;
+
+/// Pause between two changes or replacements.
+const PAUSE: Duration = Duration::from_millis(1_500);
+
+/// Longest wait for all nodes to know each other.
+const JOIN_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Longest wait for a change to be in force everywhere, over the target of 10 s.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Figures for one number of nodes; rates are means over the nodes.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Point {
+    /// Nodes.
+    pub nodes: usize,
+    /// Time until every node knew every other, in seconds.
+    pub join_s: f64,
+    /// Resident memory of a node in megabytes, mean.
+    pub memory_mb: f64,
+    /// Resident memory of a node in megabytes, largest.
+    pub memory_worst_mb: f64,
+    /// Share of a core that a quiet node spends, in percent.
+    pub cpu_percent: f64,
+    /// Share of a core that the busiest quiet node spends, in percent.
+    pub cpu_worst_percent: f64,
+    /// Control bytes in and out of a quiet node a second, mean.
+    pub bytes_per_s: f64,
+    /// Control bytes in and out of the busiest quiet node a second.
+    pub bytes_worst_per_s: f64,
+    /// Control messages that a quiet node sends a second.
+    pub messages_per_s: f64,
+    /// Appends a second on the log while quiet.
+    pub appends_per_s: f64,
+    /// Control bytes in and out of a node for one change, beyond the quiet rate.
+    pub bytes_per_change: f64,
+    /// Processor time of a node for one change in milliseconds, beyond the quiet rate.
+    pub cpu_ms_per_change: f64,
+    /// Control bytes in and out of a node for one backend server replaced, beyond the quiet rate.
+    pub bytes_per_replacement: f64,
+    /// Median time from append to in force on the last node, in seconds.
+    pub converge_p50_s: f64,
+    /// Longest such time.
+    pub converge_worst_s: f64,
+}
+
+/// Result of a run.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Outcome {
+    /// Figures for each number of nodes.
+    pub points: Vec<Point>,
+    /// Lines through the figures.
+    pub slopes: Vec<Slope>,
+}
+
+/// Line through one figure.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Slope {
+    /// Figure.
+    pub figure: String,
+    /// Line against the number of nodes.
+    pub line: Line,
+    /// Value at 780 nodes, extrapolated.
+    pub at_780: f64,
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// Fails when the daemon is missing, a node does not start, or a change does not converge.
+pub fn run(flags: &flags::Scale) -> anyhow::Result<()> {
+    let counts = parse_counts(flags.nodes.as_deref())?;
+    let program = daemon()?;
+    let mut points = Vec::new();
+    for count in counts {
+        eprintln!("measuring {count} nodes");
+        let point = Fleet::start(&program, count)?.measure()?;
+        println!("{}", line(&point));
+        points.push(point);
+    }
+    let slopes = slopes(&points);
+    for slope in &slopes {
+        println!(
+            "{:<24} {:>12.4} + {:>10.6} x nodes (residual {:.4}); at 780: {:.4}",
+            slope.figure, slope.line.intercept, slope.line.slope, slope.line.residual, slope.at_780
+        );
+    }
+    if let Some(path) = &flags.json {
+        std::fs::write(path, serde_json::to_string_pretty(&Outcome { points, slopes })?)?;
+    }
+    Ok(())
+}
+
+/// Node counts of the command line.
+fn parse_counts(text: Option<&str>) -> anyhow::Result<Vec<usize>> {
+    let Some(text) = text else { return Ok(DEFAULT_NODES.to_vec()) };
+    text.split(',')
+        .map(|part| {
+            let count: usize =
+                part.trim().parse().with_context(|| format!("--nodes: {part:?} is no number"))?;
+            ensure!(
+                (1..=MAX_PROCESSES).contains(&count),
+                "--nodes: {count} is not between 1 and {MAX_PROCESSES}"
+            );
+            Ok(count)
+        })
+        .collect()
+}
+
+/// Path of the daemon, built beside this program.
+fn daemon() -> anyhow::Result<PathBuf> {
+    let path = std::env::current_exe()?.with_file_name("buckthornd");
+    ensure!(
+        path.exists(),
+        "buckthornd is not built beside this program: run cargo build --release --workspace first"
+    );
+    Ok(path)
+}
+
+/// One line of the table.
+fn line(point: &Point) -> String {
+    format!(
+        "{:>4} nodes: join {:.1} s, {:.1} MB (worst {:.1}), cpu {:.2}% (worst {:.2}), {:.0} B/s \
+         (worst {:.0}), {:.2} messages/s, {:.2} appends/s, change {:.0} B {:.2} ms, replacement \
+         {:.0} B, converged in {:.2} s (worst {:.2})",
+        point.nodes,
+        point.join_s,
+        point.memory_mb,
+        point.memory_worst_mb,
+        point.cpu_percent,
+        point.cpu_worst_percent,
+        point.bytes_per_s,
+        point.bytes_worst_per_s,
+        point.messages_per_s,
+        point.appends_per_s,
+        point.bytes_per_change,
+        point.cpu_ms_per_change,
+        point.bytes_per_replacement,
+        point.converge_p50_s,
+        point.converge_worst_s,
+    )
+}
+
+/// Name and value of a figure.
+type Figure = (&'static str, fn(&Point) -> f64);
+
+/// Figures that lines are fitted to.
+const FIGURES: &[Figure] = &[
+    ("join_s", |p| p.join_s),
+    ("memory_mb", |p| p.memory_mb),
+    ("memory_worst_mb", |p| p.memory_worst_mb),
+    ("cpu_percent", |p| p.cpu_percent),
+    ("cpu_worst_percent", |p| p.cpu_worst_percent),
+    ("bytes_per_s", |p| p.bytes_per_s),
+    ("bytes_worst_per_s", |p| p.bytes_worst_per_s),
+    ("messages_per_s", |p| p.messages_per_s),
+    ("appends_per_s", |p| p.appends_per_s),
+    ("bytes_per_change", |p| p.bytes_per_change),
+    ("cpu_ms_per_change", |p| p.cpu_ms_per_change),
+    ("bytes_per_replacement", |p| p.bytes_per_replacement),
+    ("converge_p50_s", |p| p.converge_p50_s),
+    ("converge_worst_s", |p| p.converge_worst_s),
+];
+
+/// Lines through every figure.
+fn slopes(points: &[Point]) -> Vec<Slope> {
+    FIGURES
+        .iter()
+        .filter_map(|(figure, value)| {
+            let xy: Vec<(f64, f64)> =
+                points.iter().map(|point| (point.nodes as f64, value(point))).collect();
+            let line = Line::fit(&xy)?;
+            Some(Slope { figure: (*figure).to_owned(), line, at_780: line.at(780.0) })
+        })
+        .collect()
+}
+
+/// Nodes, the log, and what they tell.
+struct Fleet {
+    /// Log stand-in.
+    log: log::Server,
+    /// Client of the log.
+    client: Client,
+    /// Running nodes.
+    nodes: Vec<Process>,
+    /// Versions that each node's backend server runs.
+    versions: Vec<String>,
+    /// Words of configurations in force.
+    in_force: Receiver<InForce>,
+    /// When the nodes were last announced to.
+    announced: Instant,
+    /// Clock of the changes.
+    clock: Clock,
+    /// When the first node was started.
+    started: Instant,
+}
+
+impl Fleet {
+    /// Starts the log and the nodes.
+    fn start(program: &Path, count: usize) -> anyhow::Result<Self> {
+        let log = log::Server::start("127.0.0.1:0".parse()?)?;
+        let client = Client::new(&log.url())?;
+        let (sender, in_force) = channel::unbounded();
+        let started = Instant::now();
+        let mut nodes: Vec<Process> = Vec::with_capacity(count);
+        for index in 0..count {
+            let (failure_domain, region) = FAILURE_DOMAINS[index % FAILURE_DOMAINS.len()];
+            let seeds: Vec<_> = nodes.iter().take(3).map(|node| node.rpc).collect();
+            let spec = Spec {
+                program,
+                host: format!("h{index:03}"),
+                region,
+                failure_domain,
+                platform: &log.url(),
+                seeds: &seeds,
+            };
+            nodes.push(Process::start(&spec, &sender)?);
+        }
+        let versions = vec!["v1".to_owned(); count];
+        let announced = Instant::now();
+        let clock = Clock::new();
+        let mut fleet =
+            Self { log, client, nodes, versions, in_force, announced, clock, started };
+        fleet.announce_all()?;
+        Ok(fleet)
+    }
+
+    /// Measures everything and stops the nodes.
+    fn measure(mut self) -> anyhow::Result<Point> {
+        let mut point = Point { nodes: self.nodes.len(), ..Point::default() };
+        point.join_s = self.wait_joined()?;
+        self.publish_services()?;
+        // Let the joins and first tables settle before the quiet window.
+        self.idle(Duration::from_secs(5))?;
+        let quiet = self.measure_quiet(&mut point)?;
+        self.measure_changes(&mut point, &quiet)?;
+        self.measure_replacements(&mut point, &quiet)?;
+        self.nodes.drain(..).for_each(Process::kill);
+        self.log.stop();
+        Ok(point)
+    }
+
+    /// Waits until every node knows every other.
+    fn wait_joined(&mut self) -> anyhow::Result<f64> {
+        let count = self.nodes.len() as u64;
+        let limit = Instant::now() + JOIN_TIMEOUT;
+        loop {
+            let known = |node: &Process| {
+                let status = node.status().ok()?;
+                status.pointer("/members/alive")?.as_u64()
+            };
+            let lagging = self.nodes.iter().filter(|node| known(node) != Some(count)).count();
+            if lagging == 0 {
+                return Ok(self.started.elapsed().as_secs_f64());
+            }
+            ensure!(Instant::now() < limit, "{lagging} of {count} nodes do not know all others");
+            self.idle(Duration::from_millis(500))?;
+        }
+    }
+
+    /// Publishes the services of the design size.
+    fn publish_services(&mut self) -> anyhow::Result<()> {
+        let operations = (0..SERVICES)
+            .map(|index| Operation::Serve {
+                service: service(index).into(),
+                route: "".into(),
+                version: "v1".into(),
+            })
+            .collect();
+        self.publish(operations).map(drop)
+    }
+
+    /// Waits while keeping the announcements alive.
+    fn idle(&mut self, duration: Duration) -> anyhow::Result<()> {
+        let end = Instant::now() + duration;
+        while Instant::now() < end {
+            if self.announced.elapsed() >= ANNOUNCE_INTERVAL {
+                self.announce_all()?;
+            }
+            thread::sleep(Duration::from_millis(50).min(duration));
+        }
+        Ok(())
+    }
+
+    /// Announces every node's backend server.
+    fn announce_all(&mut self) -> anyhow::Result<()> {
+        self.announced = Instant::now();
+        for (index, node) in self.nodes.iter().enumerate() {
+            node.announce(&service(index % SERVICES), &self.versions[index])?;
+        }
+        Ok(())
+    }
+
+    /// Cost of every node so far.
+    fn costs(&self) -> anyhow::Result<Vec<Cost>> {
+        self.nodes.iter().map(Process::cost).collect()
+    }
+
+    /// Measures a quiet window and returns the mean rates.
+    fn measure_quiet(&mut self, point: &mut Point) -> anyhow::Result<Rate> {
+        let appends = self.log.appends();
+        let (before, start) = (self.costs()?, Instant::now());
+        self.idle(WINDOW)?;
+        let (after, elapsed) = (self.costs()?, start.elapsed().as_secs_f64());
+        let rates: Vec<Rate> =
+            before.iter().zip(&after).map(|(b, a)| Rate::between(b, a, elapsed)).collect();
+        let mean = Rate::mean(&rates);
+        point.memory_mb = average(after.iter().map(|c| c.memory)) / 1e6;
+        point.memory_worst_mb = after.iter().map(|c| c.memory).fold(0.0, f64::max) / 1e6;
+        point.cpu_percent = mean.cpu * 100.0;
+        point.cpu_worst_percent = rates.iter().map(|r| r.cpu).fold(0.0, f64::max) * 100.0;
+        point.bytes_per_s = mean.bytes;
+        point.bytes_worst_per_s = rates.iter().map(|r| r.bytes).fold(0.0, f64::max);
+        point.messages_per_s = mean.messages;
+        point.appends_per_s = (self.log.appends() - appends) as f64 / elapsed;
+        Ok(mean)
+    }
+
+    /// Measures changes published one after another.
+    fn measure_changes(&mut self, point: &mut Point, quiet: &Rate) -> anyhow::Result<()> {
+        let (before, start) = (self.costs()?, Instant::now());
+        let mut times = Vec::new();
+        for index in 0..CHANGES {
+            let operation = Operation::Serve {
+                service: format!("extra-{index}").into(),
+                route: "".into(),
+                version: "v1".into(),
+            };
+            times.push(self.publish(vec![operation])?.as_secs_f64());
+            self.idle(PAUSE)?;
+        }
+        let (after, elapsed) = (self.costs()?, start.elapsed().as_secs_f64());
+        let extra = Rate::extra(&before, &after, elapsed, quiet);
+        point.bytes_per_change = extra.bytes / CHANGES as f64;
+        point.cpu_ms_per_change = extra.cpu * 1_000.0 / CHANGES as f64;
+        times.sort_by(f64::total_cmp);
+        point.converge_p50_s = times[times.len() / 2];
+        point.converge_worst_s = times[times.len() - 1];
+        Ok(())
+    }
+
+    /// Measures backend servers replaced one after another.
+    fn measure_replacements(&mut self, point: &mut Point, quiet: &Rate) -> anyhow::Result<()> {
+        let (before, start) = (self.costs()?, Instant::now());
+        for index in 0..REPLACEMENTS.min(self.nodes.len()) {
+            self.versions[index] = "v2".to_owned();
+            self.nodes[index].announce(&service(index % SERVICES), "v2")?;
+            self.idle(PAUSE)?;
+        }
+        let (after, elapsed) = (self.costs()?, start.elapsed().as_secs_f64());
+        let extra = Rate::extra(&before, &after, elapsed, quiet);
+        point.bytes_per_replacement = extra.bytes / REPLACEMENTS as f64;
+        Ok(())
+    }
+
+    /// Publishes a change and waits until it is in force on every node.
+    fn publish(&mut self, operations: Vec<Operation>) -> anyhow::Result<Duration> {
+        let state = self.fold()?;
+        let change = Change {
+            base: state.intent_version,
+            author: "scale".into(),
+            at: self.clock.now(),
+            operations,
+        };
+        let payload = record::encode(Body::Change(change));
+        let id = format!("scale-{}", self.clock.now().0);
+        let start = Instant::now();
+        let version = match self.client.append(CONFIG_STREAM, &id, &payload) {
+            Append::Done { offset } => offset + 1,
+            other => anyhow::bail!("the log did not take a change: {other:?}"),
+        };
+        let mut last = start;
+        loop {
+            while let Ok(word) = self.in_force.try_recv() {
+                if word.version >= version {
+                    last = last.max(word.at);
+                }
+            }
+            if self.nodes.iter().all(|node| node.version() >= version) {
+                while let Ok(word) = self.in_force.try_recv() {
+                    last = last.max(word.at);
+                }
+                return Ok(last - start);
+            }
+            let lagging = self.nodes.iter().filter(|node| node.version() < version).count();
+            ensure!(
+                start.elapsed() < CHANGE_TIMEOUT,
+                "version {version} is not in force on {lagging} nodes after {CHANGE_TIMEOUT:?}"
+            );
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    /// State folded from the log.
+    fn fold(&self) -> anyhow::Result<State> {
+        let mut state = State::new();
+        loop {
+            let batch = self.client.read(CONFIG_STREAM, state.next, Duration::ZERO)?;
+            for record in &batch.records {
+                state.apply(record);
+            }
+            if state.next >= batch.next {
+                return Ok(state);
+            }
+        }
+    }
+}
+
+/// Rates of one node.
+#[derive(Clone, Copy, Debug, Default)]
+struct Rate {
+    /// Share of a core.
+    cpu: f64,
+    /// Control bytes a second, in and out.
+    bytes: f64,
+    /// Control messages sent a second.
+    messages: f64,
+}
+
+impl Rate {
+    /// Rate between two costs.
+    fn between(before: &Cost, after: &Cost, elapsed: f64) -> Self {
+        let bytes = |cost: &Cost| cost.bytes_in + cost.bytes_out;
+        Self {
+            cpu: (after.cpu - before.cpu) / elapsed,
+            bytes: (bytes(after) - bytes(before)) / elapsed,
+            messages: (after.messages - before.messages) / elapsed,
+        }
+    }
+
+    /// Mean of rates.
+    fn mean(rates: &[Self]) -> Self {
+        Self {
+            cpu: average(rates.iter().map(|r| r.cpu)),
+            bytes: average(rates.iter().map(|r| r.bytes)),
+            messages: average(rates.iter().map(|r| r.messages)),
+        }
+    }
+
+    /// Whole cost of a window beyond the quiet rate, as a mean over the nodes.
+    fn extra(before: &[Cost], after: &[Cost], elapsed: f64, quiet: &Self) -> Self {
+        let rates: Vec<Self> =
+            before.iter().zip(after).map(|(b, a)| Self::between(b, a, elapsed)).collect();
+        let mean = Self::mean(&rates);
+        Self {
+            cpu: (mean.cpu - quiet.cpu) * elapsed,
+            bytes: (mean.bytes - quiet.bytes) * elapsed,
+            messages: (mean.messages - quiet.messages) * elapsed,
+        }
+    }
+}
+
+/// Mean of some values, zero for none.
+fn average(values: impl ExactSizeIterator<Item = f64>) -> f64 {
+    let count = values.len().max(1) as f64;
+    values.sum::<f64>() / count
+}
+
+/// Name of a service by number.
+fn service(index: usize) -> String {
+    format!("service-{index:02}")
+}
--- /dev/null
+++ b/buckthorn_lab/src/scale/process.rs
@@ -0,0 +1,260 @@
+//! One `buckthornd` process: started, measured and stopped.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use anyhow::{Context as _, bail};
+use crossbeam::channel::{self, Receiver, Sender};
+use oxhttp::model::{Body, Method, Request};
+use serde_json::Value;
+
+/// Secret of the measured nodes.
+const SECRET: &str = "a secret of the lab, not of anyone";
+
+/// Longest wait for a node's first lines.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Longest wait for an answer of the operators' page.
+const PAGE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Clock ticks a second in `/proc`, fixed by the kernel's interface to user space.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+/// What a process is started with.
+#[derive(Clone, Debug)]
+pub struct Spec<'a> {
+    /// Path of the daemon.
+    pub program: &'a Path,
+    /// Host.
+    pub host: String,
+    /// Region.
+    pub region: &'a str,
+    /// Failure domain.
+    pub failure_domain: &'a str,
+    /// URL of the log stand-in.
+    pub platform: &'a str,
+    /// Control addresses to join through.
+    pub seeds: &'a [SocketAddr],
+}
+
+/// A running node.
+#[derive(Debug)]
+pub struct Process {
+    /// Host.
+    pub host: String,
+    /// Operators' page.
+    pub admin: SocketAddr,
+    /// Control address.
+    pub rpc: SocketAddr,
+    /// Process.
+    child: Child,
+    /// Configuration version last logged as in force.
+    version: Arc<AtomicU64>,
+}
+
+/// A node's word that a configuration version is in force.
+#[derive(Clone, Copy, Debug)]
+pub struct InForce {
+    /// Configuration version.
+    pub version: u64,
+    /// When its line was read.
+    pub at: Instant,
+}
+
+/// Cost of one process so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Cost {
+    /// Processor time in seconds.
+    pub cpu: f64,
+    /// Resident memory in bytes.
+    pub memory: f64,
+    /// Control bytes received.
+    pub bytes_in: f64,
+    /// Control bytes sent.
+    pub bytes_out: f64,
+    /// Control messages sent.
+    pub messages: f64,
+}
+
+impl Process {
+    /// Starts a node on ports of the system's choice.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process cannot be started or does not tell its addresses.
+    pub fn start(spec: &Spec<'_>, in_force: &Sender<InForce>) -> anyhow::Result<Self> {
+        let seeds: Vec<String> = spec.seeds.iter().map(ToString::to_string).collect();
+        let mut child = Command::new(spec.program)
+            .args(["--host", &spec.host, "--region", spec.region])
+            .args(["--failure-domain", spec.failure_domain, "--platform", spec.platform])
+            .args(["--listen", "127.0.0.1:0", "--hop-listen", "127.0.0.1:0"])
+            .args(["--rpc-listen", "127.0.0.1:0", "--admin-listen", "127.0.0.1:0"])
+            .args(["--seeds", &seeds.join(","), "--drain-timeout", "1"])
+            .env("BUCKTHORN_SECRET", SECRET)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()
+            .with_context(|| format!("{} could not be started", spec.program.display()))?;
+        let stderr = child.stderr.take().context("no standard error")?;
+        let version = Arc::new(AtomicU64::new(0));
+        let (started, addresses) = channel::bounded(1);
+        let reader = Reader { version: version.clone(), in_force: in_force.clone(), started };
+        thread::Builder::new().stack_size(128 * 1024).spawn(move || {
+            BufReader::new(stderr).lines().map_while(Result::ok).for_each(|line| reader.take(&line));
+        })?;
+        let (admin, rpc) = match wait(&addresses) {
+            Ok(addresses) => addresses,
+            Err(error) => {
+                let _ = child.kill();
+                let _ = child.wait();
+                return Err(error.context(format!("{} did not start", spec.host)));
+            }
+        };
+        Ok(Self { host: spec.host.clone(), admin, rpc, child, version })
+    }
+
+    /// Configuration version last told.
+    pub fn version(&self) -> u64 {
+        self.version.load(Ordering::Relaxed)
+    }
+
+    /// Announces a backend server to the node.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the node does not take the announcement.
+    pub fn announce(&self, service: &str, version: &str) -> anyhow::Result<()> {
+        let body = serde_json::json!({
+            "service": service, "version": version, "address": "127.0.0.1:9",
+            "slots": 10, "connections": 130,
+        });
+        self.page(Method::POST, "/v1/announce", body.to_string()).map(drop)
+    }
+
+    /// Status page.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the node does not answer.
+    pub fn status(&self) -> anyhow::Result<Value> {
+        self.page(Method::GET, "/v1/status", String::new())
+    }
+
+    /// Cost so far.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process is gone or its page does not answer.
+    pub fn cost(&self) -> anyhow::Result<Cost> {
+        let counters = self.page(Method::GET, "/v1/counters", String::new())?;
+        let counter = |name: &str| find(&counters, name).unwrap_or(0.0);
+        let (cpu, memory) = usage(self.child.id())?;
+        Ok(Cost {
+            cpu,
+            memory,
+            bytes_in: counter("peer.bytes_in"),
+            bytes_out: counter("peer.bytes_out"),
+            messages: counter("peer.sent"),
+        })
+    }
+
+    /// Kills the process as a crash would.
+    pub fn kill(mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Asks the operators' page.
+    fn page(&self, method: Method, path: &str, body: String) -> anyhow::Result<Value> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.admin))
+            .header("content-type", "application/json")
+            .body(Body::from(body))?;
+        let response =
+            oxhttp::Client::new().with_global_timeout(PAGE_TIMEOUT).request(request)?;
+        let status = response.status();
+        let text = response.into_body().to_string()?;
+        if !status.is_success() {
+            bail!("{path} answered {status}: {text}");
+        }
+        if text.is_empty() { Ok(Value::Null) } else { Ok(serde_json::from_str(&text)?) }
+    }
+}
+
+/// Value of a counter, wherever the page holds it.
+fn find(page: &Value, name: &str) -> Option<f64> {
+    match page {
+        Value::Object(map) => map
+            .get(name)
+            .and_then(Value::as_f64)
+            .or_else(|| map.values().find_map(|value| find(value, name))),
+        Value::Array(list) => list.iter().find_map(|entry| {
+            let is_it = entry.get("name").and_then(Value::as_str) == Some(name);
+            if is_it { entry.get("value").and_then(Value::as_f64) } else { None }
+        }),
+        _ => None,
+    }
+}
+
+/// Reader of a node's log lines.
+struct Reader {
+    /// Configuration version last logged as in force.
+    version: Arc<AtomicU64>,
+    /// Where each such line is reported.
+    in_force: Sender<InForce>,
+    /// Where the addresses are reported.
+    started: Sender<(SocketAddr, SocketAddr)>,
+}
+
+impl Reader {
+    /// Takes one line.
+    fn take(&self, line: &str) {
+        let Ok(entry) = serde_json::from_str::<Value>(line) else { return };
+        let text = |key: &str| entry.get(key).and_then(Value::as_str);
+        match text("msg") {
+            Some("node started") => {
+                let address = |key| text(key).and_then(|t| t.parse().ok());
+                if let (Some(admin), Some(rpc)) = (address("admin"), address("rpc")) {
+                    let _ = self.started.try_send((admin, rpc));
+                }
+            }
+            Some("configuration in force") => {
+                let Some(version) = entry.get("version").and_then(Value::as_u64) else { return };
+                self.version.store(version, Ordering::Relaxed);
+                let _ = self.in_force.try_send(InForce { version, at: Instant::now() });
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Waits for a node's addresses.
+fn wait(addresses: &Receiver<(SocketAddr, SocketAddr)>) -> anyhow::Result<(SocketAddr, SocketAddr)> {
+    addresses.recv_timeout(START_TIMEOUT).context("no line with its addresses")
+}
+
+/// Processor time in seconds and resident memory in bytes, from `/proc` (see proc(5)).
+fn usage(pid: u32) -> anyhow::Result<(f64, f64)> {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat"))?;
+    let rest = stat.rsplit_once(')').context("malformed stat")?.1;
+    let fields: Vec<&str> = rest.split_whitespace().collect();
+    let ticks = |index: usize| fields.get(index).and_then(|f| f.parse::<f64>().ok());
+    // Fields 14 and 15 of the whole line: user and system time in clock ticks.
+    let (user, system) = ticks(11).zip(ticks(12)).context("malformed stat")?;
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
+    let resident = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:"))
+        .and_then(|rest| rest.trim().strip_suffix("kB"))
+        .and_then(|kilobytes| kilobytes.trim().parse::<f64>().ok())
+        .context("no resident size")?;
+    Ok(((user + system) / TICKS_PER_SECOND, resident * 1_024.0))
+}
--- /dev/null
+++ b/buckthornd/src/flags.rs
@@ -0,0 +1,127 @@
+//! Flags of the daemon.
+
+use std::ffi::OsString;
+use std::fmt::Write as _;
+
+use buckthorn::node::settings::ENTRIES;
+
+xflags::xflags! {
+    /// Node of the mesh; runs beside a backend server.
+    cmd buckthornd {
+        /// Host identifier.
+        optional --host host: String
+        /// Region.
+        optional --region region: String
+        /// Failure domain.
+        optional --failure-domain failure_domain: String
+        /// Address for callers.
+        optional --listen listen: String
+        /// Address of the data path between nodes.
+        optional --hop-listen hop_listen: String
+        /// Address of the control protocol between nodes.
+        optional --rpc-listen rpc_listen: String
+        /// Address of announcements and the operators' page.
+        optional --admin-listen admin_listen: String
+        /// IP number under which other nodes reach this one.
+        optional --advertise advertise: String
+        /// URL of the platform's log service.
+        optional --platform platform: String
+        /// Control addresses of nodes to join through.
+        optional --seeds seeds: String
+        /// Lowest level that is logged.
+        optional --log-level log_level: String
+        /// Address of a statsd daemon.
+        optional --statsd statsd: String
+        /// Longest wait for calls in flight at shutdown, in seconds.
+        optional --drain-timeout drain_timeout: String
+        /// Connections taken from callers at once.
+        optional --max-connections max_connections: String
+        /// Largest request body in bytes.
+        optional --max-body-bytes max_body_bytes: String
+        /// Threads that carry calls.
+        optional --threads threads: String
+    }
+}
+
+/// Flags as given.
+#[derive(Debug)]
+pub(crate) struct Flags(Buckthornd);
+
+/// What the command line asks for.
+#[derive(Debug)]
+pub(crate) enum Parsed {
+    /// Run with these flags.
+    Run(Flags),
+    /// Print the help text.
+    Help,
+}
+
+impl Flags {
+    /// Parses a command line without its program name.
+    ///
+    /// # Errors
+    ///
+    /// Names the first flag that is unknown or lacks a value.
+    pub(crate) fn parse(args: impl Iterator<Item = OsString>) -> Result<Parsed, String> {
+        let args: Vec<OsString> = args.collect();
+        if args.iter().any(|arg| arg == "--help" || arg == "-h" || arg == "help") {
+            return Ok(Parsed::Help);
+        }
+        match Buckthornd::from_vec(args) {
+            Ok(flags) => Ok(Parsed::Run(Self(flags))),
+            Err(error) => Err(format!("{error}; see --help")),
+        }
+    }
+
+    /// Value of a flag by its name; secrets have none.
+    pub(crate) fn get(&self, flag: &str) -> Option<String> {
+        let Self(flags) = self;
+        let value = match flag {
+            "host" => &flags.host,
+            "region" => &flags.region,
+            "failure-domain" => &flags.failure_domain,
+            "listen" => &flags.listen,
+            "hop-listen" => &flags.hop_listen,
+            "rpc-listen" => &flags.rpc_listen,
+            "admin-listen" => &flags.admin_listen,
+            "advertise" => &flags.advertise,
+            "platform" => &flags.platform,
+            "seeds" => &flags.seeds,
+            "log-level" => &flags.log_level,
+            "statsd" => &flags.statsd,
+            "drain-timeout" => &flags.drain_timeout,
+            "max-connections" => &flags.max_connections,
+            "max-body-bytes" => &flags.max_body_bytes,
+            "threads" => &flags.threads,
+            _ => &None,
+        };
+        value.clone()
+    }
+}
+
+/// Help text, made from the table of settings.
+pub(crate) fn help() -> String {
+    let mut text = String::from(
+        "buckthornd: node of the mesh; runs beside a backend server.\n\n\
+         Each setting is a flag and an environment variable; a flag goes first.\n\
+         Secrets are taken from the environment only.\n\n",
+    );
+    for entry in ENTRIES {
+        let default = match entry.default {
+            None => "required".to_owned(),
+            Some("") => "default: none".to_owned(),
+            Some(value) => format!("default: {value}"),
+        };
+        // Writing to a string cannot fail.
+        let _ = writeln!(
+            text,
+            "  --{:<17} {:<26} {} ({default})",
+            entry.flag, entry.variable, entry.expected
+        );
+    }
+    text.push_str(
+        "\nSIGTERM and SIGINT: graceful shutdown that cuts no request in flight.\n\
+         Exit codes: 0 stopped, 1 not started or calls were cut, 2 bad setting.\n",
+    );
+    text
+}
