Serve announcements and the operators' page

Cause: a node without it cannot learn of its backend server. Change: hyper server with bounded connections, bodies and header time; bearer secret off loopback. oxhttp's server neither tells the port it bound nor stops, so it was left out here. Digests tell whether the sender is synced, so that two nodes that start together do not take each other's word.

--- a/buckthorn/src/journal/plugin.rs
+++ b/buckthorn/src/journal/plugin.rs
@@ -312,7 +312,7 @@
                 send_to(cx, from, vec![pull]);
             }
             Message::Ping(digest) | Message::Ack(digest)
-                if digest.next > 0 && digest.next <= cx.shared.tail.state().next =>
+                if digest.is_synced && digest.next <= cx.shared.tail.state().next =>
             {
                 sync(cx);
             }
--- a/buckthorn/src/lib.rs
+++ b/buckthorn/src/lib.rs
@@ -8,6 +8,7 @@
 //! events and the time and return what to do; they perform no I/O. [`proxy`], [`rpc`] and
 //! [`platform`] are the edges that do. [`kernel`] connects the two.
 
+pub mod admin;
 pub mod admission;
 pub mod clock;
 pub mod config;
--- a/buckthorn/src/membership/plugin.rs
+++ b/buckthorn/src/membership/plugin.rs
@@ -542,6 +542,7 @@
         next: cx.shared.tail.state().next,
         view: cx.shared.view.digest(),
         quarantine: cx.shared.quarantine.digest(),
+        is_synced: cx.shared.is_synced,
     }
 }
 
--- a/buckthorn/src/node/driver.rs
+++ b/buckthorn/src/node/driver.rs
@@ -29,7 +29,7 @@
 use crate::rpc::message::{Envelope, Message};
 
 /// Silence of a backend server after which its announcement expires.
-pub const ANNOUNCEMENT_TTL: Duration = Duration::from_secs(10);
+const ANNOUNCEMENT_TTL: Duration = Duration::from_secs(10);
 
 /// Time between telling the peers of a drain and refusing new work.
 const DRAIN_GRACE: Duration = Duration::from_millis(500);
@@ -217,7 +217,9 @@
 
     /// Hands what the owner counted to the kernel.
     fn observe(&mut self) {
-        let Some(owner) = self.path.owner.load_full() else { return };
+        let Some(owner) = self.path.owner.load_full() else {
+            return;
+        };
         let identity = &self.kernel.shared().identity;
         let report = owner.book.report(
             &identity.host,
@@ -235,9 +237,17 @@
         for action in self.kernel.handle(now, event) {
             match action {
                 Action::Reply(messages) => self.reply.extend(messages),
-                Action::Send { host, address, messages } => self.send(host, address, messages),
+                Action::Send {
+                    host,
+                    address,
+                    messages,
+                } => self.send(host, address, messages),
                 Action::Read { stream, from, wait } => self.edges.platform.read(stream, from, wait),
-                Action::Append { stream, id, payload } => self.append(stream, id, payload),
+                Action::Append {
+                    stream,
+                    id,
+                    payload,
+                } => self.append(stream, id, payload),
                 Action::Rebuild => is_stale = true,
                 Action::Note { text } => info!(self.edges.logger, "{}", text),
             }
@@ -262,7 +272,10 @@
             &shared.identity.region,
         );
         let in_force = self.path.table.load().version;
-        assert!(table.version >= in_force, "invariant: the routing table never goes back");
+        assert!(
+            table.version >= in_force,
+            "invariant: the routing table never goes back"
+        );
         if table.version > in_force {
             info!(self.edges.logger, "configuration in force"; "version" => table.version);
         }
@@ -283,7 +296,7 @@
         let client = self.edges.client.clone();
         let from = self.kernel.shared().identity.host.clone();
         self.edges.runtime.spawn(async move {
-            let event = match client.exchange(address, Envelope { from, messages }).await {
+            let event = match client.exchange(address, &Envelope { from, messages }).await {
                 Ok(Envelope { from, messages }) => Event::Answered { from, messages },
                 Err(_) => {
                     counters.hit(Counter::PeersUnreachable);
@@ -301,8 +314,12 @@
         if self.edges.platform.append(stream, id.clone(), payload) {
             return;
         }
-        let result = Append::Refused { reason: "too many appends under way".into() };
-        let _ = self.inputs.try_send(Input::Event(Event::Appended { id, result }));
+        let result = Append::Refused {
+            reason: "too many appends under way".into(),
+        };
+        let _ = self
+            .inputs
+            .try_send(Input::Event(Event::Appended { id, result }));
     }
 
     /// Takes an announcement of the own backend server.
@@ -311,7 +328,10 @@
         let is_same = matches!(&self.announced, Announced::Present { last, .. }
             if *last == announcement);
         let server = backend_server(&announcement, false);
-        self.announced = Announced::Present { last: announcement.clone(), at };
+        self.announced = Announced::Present {
+            last: announcement.clone(),
+            at,
+        };
         if is_same {
             return;
         }
@@ -340,7 +360,9 @@
 
     /// Starts the drain of the own backend server.
     fn leave(&mut self) {
-        let Announced::Present { last, .. } = &self.announced else { return };
+        let Announced::Present { last, .. } = &self.announced else {
+            return;
+        };
         info!(self.edges.logger, "backend server leaves"; "service" => %last.service);
         let server = backend_server(last, true);
         let close_at = self.path.clock.now() + DRAIN_GRACE;
--- a/buckthorn/src/node/mod.rs
+++ b/buckthorn/src/node/mod.rs
@@ -99,6 +99,7 @@
         let callers = bind("listen", settings.listen)?;
         let hop = bind("hop-listen", settings.hop_listen)?;
         let control = bind("rpc-listen", settings.rpc_listen)?;
+        let page = bind("admin-listen", settings.admin_listen)?;
         let path = Path {
             table: Arc::new(ArcSwap::from_pointee(Table::default())),
             owner: Arc::new(ArcSwapOption::empty()),
@@ -118,7 +119,7 @@
             callers: callers.local_addr()?,
             hop: hop.local_addr()?,
             rpc: control.local_addr()?,
-            admin: settings.admin_listen,
+            admin: page.local_addr()?,
         };
         let identity = Identity {
             host: settings.host.clone(),
@@ -155,7 +156,10 @@
             platform: Platform::start(&log, &inputs),
             client: Arc::new(client),
             runtime: runtime.handle().clone(),
-            statsd: settings.statsd.map(|a| Statsd::new(a, counters.clone())).transpose()?,
+            statsd: settings
+                .statsd
+                .map(|a| Statsd::new(a, counters.clone()))
+                .transpose()?,
             logger: logger.clone(),
         };
         let seed = name::rendezvous(&settings.host, &identity.incarnation.to_string());
@@ -166,9 +170,15 @@
             .spawn(move || driver.run(&input_queue, &inbound_queue))
             .context("the kernel's thread could not be started")?;
 
-        let handler = Handler { path: path.clone(), inputs: inputs.clone() };
-        let admin = admin::serve(settings.admin_listen, handler)?;
-        let addresses = Addresses { admin: admin.address(), ..addresses };
+        let handler = Handler {
+            path: path.clone(),
+            inputs: inputs.clone(),
+        };
+        let admin = {
+            let _guard = runtime.enter();
+            let access = admin::Access::of(addresses.admin, secrets(settings));
+            admin::serve(page, access, handler)?
+        };
         info!(logger, "node started";
             "callers" => %addresses.callers, "hop" => %addresses.hop,
             "rpc" => %addresses.rpc, "admin" => %addresses.admin);
@@ -265,36 +275,42 @@
 
 /// Path of a call as the settings want it.
 fn plane(settings: &Settings, path: &Path) -> Arc<Plane> {
-    let previous = settings.previous_secret.as_deref().map(Arc::from);
-    let secrets = Secrets::new(settings.secret.as_str(), previous);
     let limits = Limits {
         body_bytes: settings.max_body_bytes,
         caller_connections: settings.max_connections,
         ..Limits::default()
     };
-    let plane = Plane::builder(settings.host.clone(), settings.failure_domain.clone(), secrets)
-        .table(path.table.clone())
-        .owner(path.owner.clone())
-        .counters(path.counters.clone())
-        .clock(path.clock.clone())
-        .limits(limits)
-        .build();
+    let plane = Plane::builder(
+        settings.host.clone(),
+        settings.failure_domain.clone(),
+        secrets(settings),
+    )
+    .table(path.table.clone())
+    .owner(path.owner.clone())
+    .counters(path.counters.clone())
+    .clock(path.clock.clone())
+    .limits(limits)
+    .build();
     Arc::new(plane)
 }
 
+/// Secrets of the data path and the operators' page.
+fn secrets(settings: &Settings) -> Secrets {
+    let previous = settings.previous_secret.as_deref().map(Arc::from);
+    Secrets::new(settings.secret.as_str(), previous)
+}
+
 /// Secret of the control protocol.
 fn secret(settings: &Settings) -> rpc::secret::Secret {
-    let current = rpc::secret::Secret::new(&settings.secret);
-    match &settings.previous_secret {
-        Some(previous) => current.with_previous(previous),
-        None => current,
-    }
+    rpc::secret::Secret::new(&settings.secret).with_previous(settings.previous_secret.clone())
 }
 
 /// Asks the kernel's thread for the status.
 fn inspect(inputs: &Sender<Input>) -> Option<Status> {
     let (sender, receiver) = channel::bounded(1);
-    inputs.send_timeout(Input::Inspect(sender), INSPECT_TIMEOUT).ok()?;
+    inputs
+        .send_timeout(Input::Inspect(sender), INSPECT_TIMEOUT)
+        .ok()?;
     receiver.recv_timeout(INSPECT_TIMEOUT).ok()
 }
 
--- a/buckthorn/src/node/platform.rs
+++ b/buckthorn/src/node/platform.rs
@@ -79,7 +79,13 @@
 
     /// Starts an append; returns false when too many are under way.
     pub(super) fn append(&self, stream: &'static str, id: Name, payload: String) -> bool {
-        self.append.try_send(Job::Append { stream, id, payload }).is_ok()
+        self.append
+            .try_send(Job::Append {
+                stream,
+                id,
+                payload,
+            })
+            .is_ok()
     }
 }
 
@@ -108,7 +114,11 @@
             Ok(batch) => Event::LogRead { stream, batch },
             Err(_) => Event::LogFailed { stream },
         },
-        Job::Append { stream, id, payload } => {
+        Job::Append {
+            stream,
+            id,
+            payload,
+        } => {
             let result: Append = log.append(stream, &id, &payload);
             Event::Appended { id, result }
         }
--- a/buckthorn/src/node/settings.rs
+++ b/buckthorn/src/node/settings.rs
@@ -68,27 +68,72 @@
 
 /// Every setting, in the order of the documentation.
 pub const ENTRIES: &[Entry] = &[
-    entry("host", "BUCKTHORN_HOST", "a name of 1 to 128 visible characters", None),
-    entry("region", "BUCKTHORN_REGION", "a name of 1 to 128 visible characters", None),
+    entry(
+        "host",
+        "BUCKTHORN_HOST",
+        "a name of 1 to 128 visible characters",
+        None,
+    ),
+    entry(
+        "region",
+        "BUCKTHORN_REGION",
+        "a name of 1 to 128 visible characters",
+        None,
+    ),
     entry(
         "failure-domain",
         "BUCKTHORN_FAILURE_DOMAIN",
         "a name of 1 to 128 visible characters",
         None,
     ),
-    entry("listen", "BUCKTHORN_LISTEN", "an IP address and port", Some("0.0.0.0:8080")),
-    entry("hop-listen", "BUCKTHORN_HOP_LISTEN", "an IP address and port", Some("0.0.0.0:8081")),
-    entry("rpc-listen", "BUCKTHORN_RPC_LISTEN", "an IP address and port", Some("0.0.0.0:8082")),
+    entry(
+        "listen",
+        "BUCKTHORN_LISTEN",
+        "an IP address and port",
+        Some("0.0.0.0:8080"),
+    ),
+    entry(
+        "hop-listen",
+        "BUCKTHORN_HOP_LISTEN",
+        "an IP address and port",
+        Some("0.0.0.0:8081"),
+    ),
+    entry(
+        "rpc-listen",
+        "BUCKTHORN_RPC_LISTEN",
+        "an IP address and port",
+        Some("0.0.0.0:8082"),
+    ),
     entry(
         "admin-listen",
         "BUCKTHORN_ADMIN_LISTEN",
         "an IP address and port",
         Some("127.0.0.1:8083"),
     ),
-    entry("advertise", "BUCKTHORN_ADVERTISE", "an IP number that other hosts can reach", None),
-    entry("platform", "BUCKTHORN_PLATFORM", "an http URL with an IP number and port", None),
-    entry("seeds", "BUCKTHORN_SEEDS", "IP addresses and ports, separated by commas", Some("")),
-    entry("secret", "BUCKTHORN_SECRET", "at least 16 bytes; environment only", None),
+    entry(
+        "advertise",
+        "BUCKTHORN_ADVERTISE",
+        "an IP number that other hosts can reach",
+        None,
+    ),
+    entry(
+        "platform",
+        "BUCKTHORN_PLATFORM",
+        "an http URL with an IP number and port",
+        None,
+    ),
+    entry(
+        "seeds",
+        "BUCKTHORN_SEEDS",
+        "IP addresses and ports, separated by commas",
+        Some(""),
+    ),
+    entry(
+        "secret",
+        "BUCKTHORN_SECRET",
+        "at least 16 bytes; environment only",
+        None,
+    ),
     entry(
         "previous-secret",
         "BUCKTHORN_SECRET_PREVIOUS",
@@ -101,7 +146,12 @@
         "trace, debug, info, warning, error or critical",
         Some("info"),
     ),
-    entry("statsd", "BUCKTHORN_STATSD", "an IP address and port, or empty", Some("")),
+    entry(
+        "statsd",
+        "BUCKTHORN_STATSD",
+        "an IP address and port, or empty",
+        Some(""),
+    ),
     entry(
         "drain-timeout",
         "BUCKTHORN_DRAIN_TIMEOUT",
@@ -120,7 +170,12 @@
         "a number of bytes between 1 and 1099511627776",
         Some("1073741824"),
     ),
-    entry("threads", "BUCKTHORN_THREADS", "a number between 1 and 64", Some("2")),
+    entry(
+        "threads",
+        "BUCKTHORN_THREADS",
+        "a number between 1 and 64",
+        Some("2"),
+    ),
 ];
 
 /// Entry of the table.
@@ -130,7 +185,12 @@
     expected: &'static str,
     default: Option<&'static str>,
 ) -> Entry {
-    Entry { flag, variable, expected, default }
+    Entry {
+        flag,
+        variable,
+        expected,
+        default,
+    }
 }
 
 /// Why a setting was not accepted.
@@ -148,10 +208,18 @@
 
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { flag, variable, expected, given } = self;
+        let Self {
+            flag,
+            variable,
+            expected,
+            given,
+        } = self;
         match self.given.as_str() {
             "" => write!(f, "--{flag} ({variable}): expected {expected}"),
-            _ => write!(f, "--{flag} ({variable}): expected {expected}, got {given:?}"),
+            _ => write!(
+                f,
+                "--{flag} ({variable}): expected {expected}, got {given:?}"
+            ),
         }
     }
 }
@@ -178,7 +246,9 @@
             advertise: source.advertise(listen)?,
             platform: source.platform()?,
             seeds: source.seeds()?,
-            secret: source.secret("secret")?.ok_or_else(|| source.error("secret", ""))?,
+            secret: source
+                .secret("secret")?
+                .ok_or_else(|| source.error("secret", ""))?,
             previous_secret: source.secret("previous-secret")?,
             log_level: source.parse("log-level")?,
             statsd: source.optional("statsd")?,
@@ -278,7 +348,9 @@
     /// URL of the log service.
     fn platform(&self) -> Result<String, Error> {
         let text = self.required("platform")?;
-        let authority = text.strip_prefix("http://").map(|rest| rest.trim_end_matches('/'));
+        let authority = text
+            .strip_prefix("http://")
+            .map(|rest| rest.trim_end_matches('/'));
         let is_address = authority.is_some_and(|a| a.parse::<SocketAddr>().is_ok());
         if !is_address {
             return Err(self.error("platform", &text));
@@ -299,5 +371,8 @@
 
 /// Entry of a flag.
 fn find(flag: &str) -> &'static Entry {
-    ENTRIES.iter().find(|e| e.flag == flag).expect("every setting is in the table")
+    ENTRIES
+        .iter()
+        .find(|e| e.flag == flag)
+        .expect("every setting is in the table")
 }
--- a/buckthorn/src/node/status.rs
+++ b/buckthorn/src/node/status.rs
@@ -90,7 +90,13 @@
         controller: state.lease.holder.clone(),
         members: count(shared),
         routes: routes(table),
-        moves: state.intent.moves.iter().filter(|m| !m.phase.is_ended()).cloned().collect(),
+        moves: state
+            .intent
+            .moves
+            .iter()
+            .filter(|m| !m.phase.is_ended())
+            .cloned()
+            .collect(),
         out: table.out.clone(),
     }
 }
--- a/buckthorn/src/node/telemetry.rs
+++ b/buckthorn/src/node/telemetry.rs
@@ -44,12 +44,20 @@
     ///
     /// Fails when no socket can be made.
     pub fn new(address: SocketAddr, counters: Arc<Board>) -> anyhow::Result<Self> {
-        let local = if address.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
+        let local = if address.is_ipv4() {
+            "0.0.0.0:0"
+        } else {
+            "[::]:0"
+        };
         let socket = UdpSocket::bind(local)?;
         socket.set_nonblocking(true)?;
         let sink = QueuingMetricSink::from(BufferedUdpMetricSink::from(address, socket)?);
         let client = StatsdClient::from_sink(METRIC_PREFIX, sink);
-        Ok(Self { client, counters, sent: vec![0; Counter::ALL.len()] })
+        Ok(Self {
+            client,
+            counters,
+            sent: vec![0; Counter::ALL.len()],
+        })
     }
 
     /// Sends what was counted since the last time.
--- a/buckthorn/src/rpc/message.rs
+++ b/buckthorn/src/rpc/message.rs
@@ -84,6 +84,9 @@
     /// Hash over the accusations held.
     #[serde(rename = "q")]
     pub quarantine: u64,
+    /// Whether the sender's fold has once been as far as the log or a peer that was.
+    #[serde(rename = "s", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_synced: bool,
 }
 
 /// Liveness of a member without its facts.
--- a/buckthorn_lab/src/scale/fit.rs
+++ b/buckthorn_lab/src/scale/fit.rs
@@ -28,11 +28,23 @@
         if spread == 0.0 {
             return None;
         }
-        let slope = points.iter().map(|p| (p.0 - mean_x) * (p.1 - mean_y)).sum::<f64>() / spread;
+        let slope = points
+            .iter()
+            .map(|p| (p.0 - mean_x) * (p.1 - mean_y))
+            .sum::<f64>()
+            / spread;
         let intercept = mean_y - slope * mean_x;
-        let squares: f64 = points.iter().map(|p| (p.1 - intercept - slope * p.0).powi(2)).sum();
+        let squares: f64 = points
+            .iter()
+            .map(|p| (p.1 - intercept - slope * p.0).powi(2))
+            .sum();
         let residual = (squares / count).sqrt();
-        Some(Self { intercept, slope, residual, points: points.len() })
+        Some(Self {
+            intercept,
+            slope,
+            residual,
+            points: points.len(),
+        })
     }
 
     /// Value at `x`.
--- a/buckthorn_lab/src/scale/mod.rs
+++ b/buckthorn_lab/src/scale/mod.rs
@@ -148,18 +148,25 @@
         );
     }
     if let Some(path) = &flags.json {
-        std::fs::write(path, serde_json::to_string_pretty(&Outcome { points, slopes })?)?;
+        std::fs::write(
+            path,
+            serde_json::to_string_pretty(&Outcome { points, slopes })?,
+        )?;
     }
     Ok(())
 }
 
 /// Node counts of the command line.
 fn parse_counts(text: Option<&str>) -> anyhow::Result<Vec<usize>> {
-    let Some(text) = text else { return Ok(DEFAULT_NODES.to_vec()) };
+    let Some(text) = text else {
+        return Ok(DEFAULT_NODES.to_vec());
+    };
     text.split(',')
         .map(|part| {
-            let count: usize =
-                part.trim().parse().with_context(|| format!("--nodes: {part:?} is no number"))?;
+            let count: usize = part
+                .trim()
+                .parse()
+                .with_context(|| format!("--nodes: {part:?} is no number"))?;
             ensure!(
                 (1..=MAX_PROCESSES).contains(&count),
                 "--nodes: {count} is not between 1 and {MAX_PROCESSES}"
@@ -229,10 +236,16 @@
     FIGURES
         .iter()
         .filter_map(|(figure, value)| {
-            let xy: Vec<(f64, f64)> =
-                points.iter().map(|point| (point.nodes as f64, value(point))).collect();
+            let xy: Vec<(f64, f64)> = points
+                .iter()
+                .map(|point| (point.nodes as f64, value(point)))
+                .collect();
             let line = Line::fit(&xy)?;
-            Some(Slope { figure: (*figure).to_owned(), line, at_780: line.at(780.0) })
+            Some(Slope {
+                figure: (*figure).to_owned(),
+                line,
+                at_780: line.at(780.0),
+            })
         })
         .collect()
 }
@@ -281,15 +294,26 @@
         let versions = vec!["v1".to_owned(); count];
         let announced = Instant::now();
         let clock = Clock::new();
-        let mut fleet =
-            Self { log, client, nodes, versions, in_force, announced, clock, started };
+        let mut fleet = Self {
+            log,
+            client,
+            nodes,
+            versions,
+            in_force,
+            announced,
+            clock,
+            started,
+        };
         fleet.announce_all()?;
         Ok(fleet)
     }
 
     /// Measures everything and stops the nodes.
     fn measure(mut self) -> anyhow::Result<Point> {
-        let mut point = Point { nodes: self.nodes.len(), ..Point::default() };
+        let mut point = Point {
+            nodes: self.nodes.len(),
+            ..Point::default()
+        };
         point.join_s = self.wait_joined()?;
         self.publish_services()?;
         // Let the joins and first tables settle before the quiet window.
@@ -311,11 +335,18 @@
                 let status = node.status().ok()?;
                 status.pointer("/members/alive")?.as_u64()
             };
-            let lagging = self.nodes.iter().filter(|node| known(node) != Some(count)).count();
+            let lagging = self
+                .nodes
+                .iter()
+                .filter(|node| known(node) != Some(count))
+                .count();
             if lagging == 0 {
                 return Ok(self.started.elapsed().as_secs_f64());
             }
-            ensure!(Instant::now() < limit, "{lagging} of {count} nodes do not know all others");
+            ensure!(
+                Instant::now() < limit,
+                "{lagging} of {count} nodes do not know all others"
+            );
             self.idle(Duration::from_millis(500))?;
         }
     }
@@ -364,8 +395,11 @@
         let (before, start) = (self.costs()?, Instant::now());
         self.idle(WINDOW)?;
         let (after, elapsed) = (self.costs()?, start.elapsed().as_secs_f64());
-        let rates: Vec<Rate> =
-            before.iter().zip(&after).map(|(b, a)| Rate::between(b, a, elapsed)).collect();
+        let rates: Vec<Rate> = before
+            .iter()
+            .zip(&after)
+            .map(|(b, a)| Rate::between(b, a, elapsed))
+            .collect();
         let mean = Rate::mean(&rates);
         point.memory_mb = average(after.iter().map(|c| c.memory)) / 1e6;
         point.memory_worst_mb = after.iter().map(|c| c.memory).fold(0.0, f64::max) / 1e6;
@@ -444,7 +478,11 @@
                 }
                 return Ok(last - start);
             }
-            let lagging = self.nodes.iter().filter(|node| node.version() < version).count();
+            let lagging = self
+                .nodes
+                .iter()
+                .filter(|node| node.version() < version)
+                .count();
             ensure!(
                 start.elapsed() < CHANGE_TIMEOUT,
                 "version {version} is not in force on {lagging} nodes after {CHANGE_TIMEOUT:?}"
@@ -457,7 +495,9 @@
     fn fold(&self) -> anyhow::Result<State> {
         let mut state = State::new();
         loop {
-            let batch = self.client.read(CONFIG_STREAM, state.next, Duration::ZERO)?;
+            let batch = self
+                .client
+                .read(CONFIG_STREAM, state.next, Duration::ZERO)?;
             for record in &batch.records {
                 state.apply(record);
             }
@@ -501,8 +541,11 @@
 
     /// Whole cost of a window beyond the quiet rate, as a mean over the nodes.
     fn extra(before: &[Cost], after: &[Cost], elapsed: f64, quiet: &Self) -> Self {
-        let rates: Vec<Self> =
-            before.iter().zip(after).map(|(b, a)| Self::between(b, a, elapsed)).collect();
+        let rates: Vec<Self> = before
+            .iter()
+            .zip(after)
+            .map(|(b, a)| Self::between(b, a, elapsed))
+            .collect();
         let mean = Self::mean(&rates);
         Self {
             cpu: (mean.cpu - quiet.cpu) * elapsed,
--- a/buckthorn_lab/src/scale/process.rs
+++ b/buckthorn_lab/src/scale/process.rs
@@ -92,9 +92,19 @@
         let seeds: Vec<String> = spec.seeds.iter().map(ToString::to_string).collect();
         let mut child = Command::new(spec.program)
             .args(["--host", &spec.host, "--region", spec.region])
-            .args(["--failure-domain", spec.failure_domain, "--platform", spec.platform])
+            .args([
+                "--failure-domain",
+                spec.failure_domain,
+                "--platform",
+                spec.platform,
+            ])
             .args(["--listen", "127.0.0.1:0", "--hop-listen", "127.0.0.1:0"])
-            .args(["--rpc-listen", "127.0.0.1:0", "--admin-listen", "127.0.0.1:0"])
+            .args([
+                "--rpc-listen",
+                "127.0.0.1:0",
+                "--admin-listen",
+                "127.0.0.1:0",
+            ])
             .args(["--seeds", &seeds.join(","), "--drain-timeout", "1"])
             .env("BUCKTHORN_SECRET", SECRET)
             .stdin(Stdio::null())
@@ -105,10 +115,19 @@
         let stderr = child.stderr.take().context("no standard error")?;
         let version = Arc::new(AtomicU64::new(0));
         let (started, addresses) = channel::bounded(1);
-        let reader = Reader { version: version.clone(), in_force: in_force.clone(), started };
-        thread::Builder::new().stack_size(128 * 1024).spawn(move || {
-            BufReader::new(stderr).lines().map_while(Result::ok).for_each(|line| reader.take(&line));
-        })?;
+        let reader = Reader {
+            version: version.clone(),
+            in_force: in_force.clone(),
+            started,
+        };
+        thread::Builder::new()
+            .stack_size(128 * 1024)
+            .spawn(move || {
+                BufReader::new(stderr)
+                    .lines()
+                    .map_while(Result::ok)
+                    .for_each(|line| reader.take(&line));
+            })?;
         let (admin, rpc) = match wait(&addresses) {
             Ok(addresses) => addresses,
             Err(error) => {
@@ -117,7 +136,13 @@
                 return Err(error.context(format!("{} did not start", spec.host)));
             }
         };
-        Ok(Self { host: spec.host.clone(), admin, rpc, child, version })
+        Ok(Self {
+            host: spec.host.clone(),
+            admin,
+            rpc,
+            child,
+            version,
+        })
     }
 
     /// Configuration version last told.
@@ -135,7 +160,8 @@
             "service": service, "version": version, "address": "127.0.0.1:9",
             "slots": 10, "connections": 130,
         });
-        self.page(Method::POST, "/v1/announce", body.to_string()).map(drop)
+        self.page(Method::POST, "/v1/announce", body.to_string())
+            .map(drop)
     }
 
     /// Status page.
@@ -178,14 +204,19 @@
             .uri(format!("http://{}{path}", self.admin))
             .header("content-type", "application/json")
             .body(Body::from(body))?;
-        let response =
-            oxhttp::Client::new().with_global_timeout(PAGE_TIMEOUT).request(request)?;
+        let response = oxhttp::Client::new()
+            .with_global_timeout(PAGE_TIMEOUT)
+            .request(request)?;
         let status = response.status();
         let text = response.into_body().to_string()?;
         if !status.is_success() {
             bail!("{path} answered {status}: {text}");
         }
-        if text.is_empty() { Ok(Value::Null) } else { Ok(serde_json::from_str(&text)?) }
+        if text.is_empty() {
+            Ok(Value::Null)
+        } else {
+            Ok(serde_json::from_str(&text)?)
+        }
     }
 }
 
@@ -198,7 +229,11 @@
             .or_else(|| map.values().find_map(|value| find(value, name))),
         Value::Array(list) => list.iter().find_map(|entry| {
             let is_it = entry.get("name").and_then(Value::as_str) == Some(name);
-            if is_it { entry.get("value").and_then(Value::as_f64) } else { None }
+            if is_it {
+                entry.get("value").and_then(Value::as_f64)
+            } else {
+                None
+            }
         }),
         _ => None,
     }
@@ -217,7 +252,9 @@
 impl Reader {
     /// Takes one line.
     fn take(&self, line: &str) {
-        let Ok(entry) = serde_json::from_str::<Value>(line) else { return };
+        let Ok(entry) = serde_json::from_str::<Value>(line) else {
+            return;
+        };
         let text = |key: &str| entry.get(key).and_then(Value::as_str);
         match text("msg") {
             Some("node started") => {
@@ -227,9 +264,14 @@
                 }
             }
             Some("configuration in force") => {
-                let Some(version) = entry.get("version").and_then(Value::as_u64) else { return };
+                let Some(version) = entry.get("version").and_then(Value::as_u64) else {
+                    return;
+                };
                 self.version.store(version, Ordering::Relaxed);
-                let _ = self.in_force.try_send(InForce { version, at: Instant::now() });
+                let _ = self.in_force.try_send(InForce {
+                    version,
+                    at: Instant::now(),
+                });
             }
             _ => {}
         }
@@ -237,8 +279,12 @@
 }
 
 /// Waits for a node's addresses.
-fn wait(addresses: &Receiver<(SocketAddr, SocketAddr)>) -> anyhow::Result<(SocketAddr, SocketAddr)> {
-    addresses.recv_timeout(START_TIMEOUT).context("no line with its addresses")
+fn wait(
+    addresses: &Receiver<(SocketAddr, SocketAddr)>,
+) -> anyhow::Result<(SocketAddr, SocketAddr)> {
+    addresses
+        .recv_timeout(START_TIMEOUT)
+        .context("no line with its addresses")
 }
 
 /// Processor time in seconds and resident memory in bytes, from `/proc` (see proc(5)).
--- a/buckthornd/src/flags.rs
+++ b/buckthornd/src/flags.rs
@@ -51,7 +51,7 @@
 #[derive(Debug)]
 pub(crate) enum Parsed {
     /// Run with these flags.
-    Run(Flags),
+    Run(Box<Flags>),
     /// Print the help text.
     Help,
 }
@@ -64,11 +64,14 @@
     /// Names the first flag that is unknown or lacks a value.
     pub(crate) fn parse(args: impl Iterator<Item = OsString>) -> Result<Parsed, String> {
         let args: Vec<OsString> = args.collect();
-        if args.iter().any(|arg| arg == "--help" || arg == "-h" || arg == "help") {
+        if args
+            .iter()
+            .any(|arg| arg == "--help" || arg == "-h" || arg == "help")
+        {
             return Ok(Parsed::Help);
         }
         match Buckthornd::from_vec(args) {
-            Ok(flags) => Ok(Parsed::Run(Self(flags))),
+            Ok(flags) => Ok(Parsed::Run(Box::new(Self(flags)))),
             Err(error) => Err(format!("{error}; see --help")),
         }
     }
--- a/buckthornd/src/main.rs
+++ b/buckthornd/src/main.rs
@@ -26,7 +26,11 @@
             return ExitCode::from(EXIT_BAD_SETTING);
         }
     };
-    let lookup = |entry: &Entry| flags.get(entry.flag).or_else(|| env::var(entry.variable).ok());
+    let lookup = |entry: &Entry| {
+        flags
+            .get(entry.flag)
+            .or_else(|| env::var(entry.variable).ok())
+    };
     let settings = match Settings::parse(lookup) {
         Ok(settings) => settings,
         Err(error) => {
@@ -60,7 +64,9 @@
 
 /// Waits for a signal to stop and returns its name.
 fn wait() -> anyhow::Result<&'static str> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     runtime.block_on(async {
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
