--- a/buckthorn/src/lib.rs
+++ b/buckthorn/src/lib.rs
@@ -8,6 +8,7 @@
 //! events and the time and return what to do; they perform no I/O. [`proxy`], [`rpc`] and
 //! [`platform`] are the edges that do. [`kernel`] connects the two.
 
+pub mod admin;
 pub mod admission;
 pub mod clock;
 pub mod config;
@@ -16,6 +17,7 @@
 pub mod kernel;
 pub mod membership;
 pub mod name;
+pub mod node;
 pub mod platform;
 pub mod proxy;
 pub mod rollout;
