Report each failure domain and join through the log

Change: nodes tell the first reader of their failure domain which version they have in force; it appends a report when something changed, at most once a second, and once a minute in any case. Nodes append their address to a stream of the log every 15 minutes on average; readers, and nodes without a live peer, read its end and try what they do not know. The first four sends of a delta are not held up by the allowance. A join record that could not be appended is tried again within a minute.

Conclusion: islands heal without seeds once the log is back.

--- a/buckthorn/src/membership/gossip.rs
+++ b/buckthorn/src/membership/gossip.rs
@@ -51,6 +51,9 @@
 /// Sends beyond the logarithm, against loss in small meshes.
 const EXTRA_SENDS: u32 = 2;
 
+/// Sends of a delta that the allowance does not hold up.
+const FRESH_SENDS: u32 = 4;
+
 /// Whether a delta needs the whole member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Kind {
@@ -159,11 +162,18 @@
         self.refilled = now;
         self.allowance =
             (self.allowance + elapsed.as_secs_f64() * BYTES_PER_SECOND).min(BURST_BYTES);
-        if self.deltas.is_empty() || self.allowance < 0.0 {
+        if self.deltas.is_empty() {
             return None;
         }
-        let messages = self.take(view, PUSH);
-        self.allowance -= cost(&messages);
+        let bounds = if self.allowance >= 0.0 {
+            PUSH
+        } else if self.deltas.iter().any(|delta| delta.sent < FRESH_SENDS) {
+            PIGGYBACK
+        } else {
+            return None;
+        };
+        let messages = self.take(view, bounds);
+        self.allowance = (self.allowance - cost(&messages)).max(-BURST_BYTES);
         (!messages.is_empty()).then_some(messages)
     }
 }
--- a/buckthorn/src/membership/mod.rs
+++ b/buckthorn/src/membership/mod.rs
@@ -10,6 +10,7 @@
 pub mod member;
 pub mod plugin;
 pub mod prober;
+pub mod report;
 pub mod sync;
 pub mod view;
 
--- a/buckthorn/src/membership/plugin.rs
+++ b/buckthorn/src/membership/plugin.rs
@@ -8,14 +8,17 @@
 
 use crate::clock::Time;
 use crate::counter::Counter;
+use crate::journal::record::JOIN_STREAM;
 use crate::kernel::{Action, Context, Event, Plugin, Registry};
 use crate::name::Name;
+use crate::platform::Append;
 use crate::rpc::message::{Digest, Message, Verdict};
 
 use super::gossip::{Kind, Queue};
-use super::join::{self, Joiner};
+use super::join::{self, Address, Directory, Joiner};
 use super::member::{BackendServer, Member, Status};
 use super::prober::{Next, Prober};
+use super::report::Reporter;
 use super::sync::{self, Syncer};
 use super::view::{Merge, View};
 
@@ -67,6 +70,7 @@
 /// Adds the plug-in.
 pub fn register(registry: &mut Registry) {
     registry.add(Membership::default());
+    registry.add(Reporter::default());
 }
 
 /// Membership of one node.
@@ -74,6 +78,8 @@
 pub struct Membership {
     /// Attempts to join.
     joiner: Joiner,
+    /// Addresses in the log.
+    directory: Directory,
     /// Probes.
     prober: Prober,
     /// Deltas to be told.
@@ -117,6 +123,15 @@
             Event::Unreachable { host, .. } => self.prober.failed(host, cx.now),
             Event::Announced(backend_server) => self.announce(cx, backend_server.clone()),
             Event::Shutdown => self.leave(cx),
+            Event::LogRead { stream, batch } if *stream == JOIN_STREAM => {
+                self.directory.read(batch, cx.now, cx.rng);
+            }
+            Event::Appended { id, result } if !matches!(result, Append::Done { .. }) => {
+                self.directory.not_appended(id, cx.now, cx.rng);
+            }
+            Event::LogFailed { stream } if *stream == JOIN_STREAM => {
+                self.directory.failed(cx.now, cx.rng);
+            }
             _ => {}
         }
         if std::mem::take(&mut self.is_routing_stale) {
@@ -136,6 +151,7 @@
         if cx.shared.member.status == Status::Left {
             return;
         }
+        self.consult_log(cx);
         self.join(cx);
         self.refute(cx);
         let polled = self
@@ -150,6 +166,36 @@
         self.push(cx);
     }
 
+    /// Reads addresses from the log when they may be needed, and appends the own one.
+    fn consult_log(&mut self, cx: &mut Context<'_>) {
+        let identity = &cx.shared.identity;
+        let is_reader =
+            || super::readers(&cx.shared.view, &identity.failure_domain).contains(&identity.host);
+        if (!self.joiner.is_joined() || is_reader())
+            && let Some(from) = self.directory.poll_read(cx.now)
+        {
+            cx.act(Action::Read {
+                stream: JOIN_STREAM,
+                from,
+                wait: Duration::ZERO,
+            });
+        }
+        let identity = &cx.shared.identity;
+        if let Some(id) = self.directory.poll_append(&identity.host, cx.now, cx.rng) {
+            let address = Address {
+                host: identity.host.clone(),
+                rpc: identity.rpc,
+                failure_domain: identity.failure_domain.clone(),
+            };
+            let payload = serde_json::to_string(&address).expect("addresses encode as JSON");
+            cx.act(Action::Append {
+                stream: JOIN_STREAM,
+                id,
+                payload,
+            });
+        }
+    }
+
     /// Joins through a seed: at the start, when no peer is live, and now and then through one that
     /// is not known, so that groups that were started apart find each other.
     fn join(&mut self, cx: &mut Context<'_>) {
@@ -165,6 +211,7 @@
             .identity
             .seeds
             .iter()
+            .chain(self.directory.addresses())
             .copied()
             .filter(|address| !is_live(address))
             .collect();
