Decide in one place what follows from announcements and leaves

Cause: an announcement that crossed the leave on its way let the backend server in again, because the node's driver took any announcement as a return; found by reading, shown by admin_registration's crossing test. Announcements were also answered before they were taken, body limits were not counted apart, and JSON depth was left to the parser.

Change: admin::registration is the pure bookkeeping (open, drain, close, gone, expired) and the driver carries it out; for 5 s after a leave the same start of a backend server is refused with 409, another instance or version is not. The page waits for the kernel's answer.

--- a/buckthorn/src/admin/announcement.rs
+++ b/buckthorn/src/admin/announcement.rs
@@ -1,4 +1,7 @@
 //! What a backend server tells its own node of itself.
+//!
+//! Fields that are not known are passed over, so that a newer backend server can announce itself to
+//! an older node.
 
 use std::fmt;
 use std::net::SocketAddr;
@@ -6,8 +9,15 @@
 use serde::{Deserialize, Serialize};
 
 use crate::journal::fold::MAX_NAME_BYTES;
+use crate::membership::member::BackendServer;
 use crate::name::Name;
 
+/// Bytes of an announcement.
+pub const MAX_BYTES: usize = 16 * 1024;
+
+/// Nesting of objects and arrays in an announcement.
+pub const MAX_DEPTH: usize = 16;
+
 /// Calls that a backend server may say it runs at once.
 pub const MAX_SLOTS: u32 = 10_000;
 
@@ -27,6 +37,9 @@
     pub slots: u32,
     /// Connections it takes.
     pub connections: u32,
+    /// Distinguishes one start of the backend server from the next, when given.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub instance: Option<Name>,
 }
 
 /// What is wrong with an announcement.
@@ -61,10 +74,20 @@
     ///
     /// Names the first field that is not as expected.
     pub fn parse(body: &[u8]) -> Result<Self, Error> {
+        if body.len() > MAX_BYTES {
+            return Err(Error::Malformed(format!("longer than {MAX_BYTES} bytes")));
+        }
+        if depth(body) > MAX_DEPTH {
+            let what = format!("nested deeper than {MAX_DEPTH} levels");
+            return Err(Error::Malformed(what));
+        }
         let announcement: Self =
             serde_json::from_slice(body).map_err(|error| Error::Malformed(error.to_string()))?;
         check_name("service", &announcement.service)?;
         check_name("version", &announcement.version)?;
+        if let Some(instance) = &announcement.instance {
+            check_name("instance", instance)?;
+        }
         check_number("slots", announcement.slots, MAX_SLOTS)?;
         check_number("connections", announcement.connections, MAX_CONNECTIONS)?;
         if announcement.address.port() == 0 || announcement.address.ip().is_unspecified() {
@@ -75,6 +98,25 @@
         }
         Ok(announcement)
     }
+
+    /// What the peers are told.
+    pub fn backend_server(&self, is_draining: bool) -> BackendServer {
+        BackendServer {
+            service: self.service.clone(),
+            version: self.version.clone(),
+            slots: self.slots,
+            connections: self.connections,
+            is_draining,
+        }
+    }
+
+    /// Whether another announcement comes from the same start of the same backend server.
+    pub fn is_same_start(&self, other: &Self) -> bool {
+        self.service == other.service
+            && self.version == other.version
+            && self.address == other.address
+            && self.instance == other.instance
+    }
 }
 
 /// Checks a name's length and characters.
@@ -95,3 +137,24 @@
     }
     Ok(())
 }
+
+/// Deepest nesting of objects and arrays in a JSON text.
+fn depth(bytes: &[u8]) -> usize {
+    let (mut depth, mut deepest) = (0_usize, 0);
+    let (mut is_string, mut is_escaped) = (false, false);
+    for byte in bytes {
+        if is_string {
+            is_string = is_escaped || *byte != b'"';
+            is_escaped = !is_escaped && *byte == b'\\';
+            continue;
+        }
+        match byte {
+            b'"' => is_string = true,
+            b'[' | b'{' => depth += 1,
+            b']' | b'}' => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+        deepest = deepest.max(depth);
+    }
+    deepest
+}
--- /dev/null
+++ b/buckthorn/src/admin/registration.rs
@@ -0,0 +1,146 @@
+//! What follows from announcements, leaves and silence of the own backend server.
+//!
+//! A backend server announces itself every few seconds; silence for [`EXPIRY`] withdraws it. A
+//! leave is told to the peers at once; [`DRAIN_GRACE`] later new work is refused, and once nothing
+//! is in flight the backend server is gone. Announcements that cross the leave on their way are
+//! refused for [`LEAVE_HOLD`], unless they come from another start of the backend server.
+
+use std::time::Duration;
+
+use super::{Announcement, Refusal};
+use crate::clock::Time;
+
+/// Interval at which backend servers are asked to announce themselves.
+pub const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(3);
+
+/// Silence after which a backend server is withdrawn.
+pub const EXPIRY: Duration = Duration::from_secs(10);
+
+/// Time between telling the peers of a leave and refusing new work.
+pub const DRAIN_GRACE: Duration = Duration::from_millis(500);
+
+/// Time after a leave during which the same start of a backend server cannot return.
+pub const LEAVE_HOLD: Duration = Duration::from_secs(5);
+
+/// The backend server of one host, as far as its node has been told.
+#[derive(Clone, Debug, Default)]
+pub struct Registration {
+    /// What holds now.
+    state: State,
+    /// Who took its leave last, and when.
+    departed: Option<(Announcement, Time)>,
+}
+
+/// What holds of the backend server.
+#[derive(Clone, Debug, Default)]
+enum State {
+    /// Nothing is known.
+    #[default]
+    Absent,
+    /// It announces itself.
+    Present {
+        /// Last announcement.
+        last: Announcement,
+        /// When it came.
+        at: Time,
+    },
+    /// It has taken its leave and finishes what is in flight.
+    Leaving {
+        /// Last announcement.
+        last: Announcement,
+        /// When the leave came.
+        at: Time,
+        /// Whether new work is refused.
+        is_closed: bool,
+    },
+}
+
+/// What follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Nothing changed.
+    Nothing,
+    /// The backend server is new or has changed: let it in and tell the peers.
+    Open,
+    /// Tell the peers that it drains.
+    Drain,
+    /// Refuse new work; what is in flight goes on.
+    Close,
+    /// It has drained: forget it.
+    Gone,
+    /// It was silent for too long: forget it.
+    Expired,
+}
+
+impl Registration {
+    /// Registration before the first announcement.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The last announcement, unless the backend server is gone.
+    pub fn current(&self) -> Option<&Announcement> {
+        match &self.state {
+            State::Absent => None,
+            State::Present { last, .. } | State::Leaving { last, .. } => Some(last),
+        }
+    }
+
+    /// Takes an announcement.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a backend server that has just taken its leave.
+    pub fn announce(&mut self, announcement: &Announcement, now: Time) -> Result<Next, Refusal> {
+        let is_held = self.departed.as_ref().is_some_and(|(departed, at)| {
+            now.since(*at) < LEAVE_HOLD && departed.is_same_start(announcement)
+        });
+        if is_held {
+            return Err(Refusal::Leaving);
+        }
+        let is_known = matches!(&self.state, State::Present { last, .. } if *last == *announcement);
+        self.state = State::Present {
+            last: announcement.clone(),
+            at: now,
+        };
+        Ok(if is_known { Next::Nothing } else { Next::Open })
+    }
+
+    /// Takes the backend server's leave.
+    pub fn leave(&mut self, now: Time) -> Next {
+        let State::Present { last, .. } = &self.state else {
+            return Next::Nothing;
+        };
+        let last = last.clone();
+        self.departed = Some((last.clone(), now));
+        self.state = State::Leaving {
+            last,
+            at: now,
+            is_closed: false,
+        };
+        Next::Drain
+    }
+
+    /// Does what is due by the clock; `running` is the number of calls in flight.
+    ///
+    /// New work is refused before calls in flight are counted, so that none slips in between.
+    pub fn poll(&mut self, now: Time, running: usize) -> Next {
+        match &mut self.state {
+            State::Present { at, .. } if now.since(*at) >= EXPIRY => {
+                self.state = State::Absent;
+                Next::Expired
+            }
+            State::Leaving { at, is_closed, .. } if now.since(*at) >= DRAIN_GRACE => {
+                if !std::mem::replace(is_closed, true) {
+                    return Next::Close;
+                }
+                if running > 0 {
+                    return Next::Nothing;
+                }
+                self.state = State::Absent;
+                Next::Gone
+            }
+            State::Absent | State::Present { .. } | State::Leaving { .. } => Next::Nothing,
+        }
+    }
+}
--- a/buckthorn/src/node/driver.rs
+++ b/buckthorn/src/node/driver.rs
@@ -13,12 +13,12 @@
 use super::platform::Platform;
 use super::status::{self, Status};
 use super::telemetry::Statsd;
-use crate::admin::announcement::Announcement;
+use crate::admin::registration::{Next, Registration};
+use crate::admin::{Announcement, Refusal};
 use crate::admission::door::Door;
 use crate::clock::{Clock, Time};
 use crate::counter::{Board, Counter};
 use crate::kernel::{Action, Event, Kernel, TICK_INTERVAL};
-use crate::membership::member::BackendServer;
 use crate::name::Name;
 use crate::platform::Append;
 use crate::proxy::owner::Owner;
@@ -28,12 +28,6 @@
 use crate::rpc;
 use crate::rpc::message::{Envelope, Message};
 
-/// Silence of a backend server after which its announcement expires.
-const ANNOUNCEMENT_TTL: Duration = Duration::from_secs(10);
-
-/// Time between telling the peers of a drain and refusing new work.
-const DRAIN_GRACE: Duration = Duration::from_millis(500);
-
 /// Interval at which evidence is handed to the kernel.
 const EVIDENCE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -49,7 +43,12 @@
     /// An event for the kernel.
     Event(Event),
     /// The own backend server announced itself.
-    Announced(Announcement),
+    Announced {
+        /// What it said.
+        announcement: Announcement,
+        /// Where the answer goes.
+        reply: Sender<Result<(), Refusal>>,
+    },
     /// The own backend server is leaving.
     Left,
     /// Someone asks for the status.
@@ -100,7 +99,7 @@
     /// Exchanges under way.
     exchanges: Arc<AtomicUsize>,
     /// Backend server of this host.
-    announced: Announced,
+    registration: Registration,
     /// When evidence was last handed over.
     evidence_at: Time,
     /// When metrics were last sent.
@@ -109,25 +108,6 @@
     reply: Vec<Message>,
 }
 
-/// What is known of the own backend server.
-#[derive(Clone, Debug)]
-enum Announced {
-    /// Nothing.
-    Absent,
-    /// It announces itself.
-    Present {
-        /// Last announcement.
-        last: Announcement,
-        /// When it came.
-        at: Time,
-    },
-    /// It is leaving; new work is refused from `close_at` on.
-    Leaving {
-        /// When the door closes.
-        close_at: Time,
-    },
-}
-
 impl Driver {
     /// Driver of a kernel.
     pub(super) fn new(kernel: Kernel, path: Path, edges: Edges, inputs: Sender<Input>) -> Self {
@@ -138,7 +118,7 @@
             inputs,
             loads: Registry::default(),
             exchanges: Arc::default(),
-            announced: Announced::Absent,
+            registration: Registration::new(),
             evidence_at: Time::default(),
             statsd_at: Time::default(),
             reply: Vec::new(),
@@ -177,7 +157,14 @@
     fn take(&mut self, input: Input) {
         match input {
             Input::Event(event) => self.handle(&event),
-            Input::Announced(announcement) => self.announce(announcement),
+            Input::Announced {
+                announcement,
+                reply,
+            } => {
+                let result = self.announce(announcement);
+                // Whoever announced may have gone.
+                let _ = reply.try_send(result);
+            }
             Input::Left => self.leave(),
             Input::Inspect(reply) => {
                 let now = self.path.clock.now();
@@ -201,7 +188,7 @@
     /// Does what is due by the clock.
     fn tick(&mut self) {
         let now = self.path.clock.now();
-        self.check_announced(now);
+        self.check_registration(now);
         if now.since(self.evidence_at) >= EVIDENCE_INTERVAL {
             self.evidence_at = now;
             self.observe();
@@ -323,20 +310,14 @@
     }
 
     /// Takes an announcement of the own backend server.
-    fn announce(&mut self, announcement: Announcement) {
-        let at = self.path.clock.now();
-        let is_same = matches!(&self.announced, Announced::Present { last, .. }
-            if *last == announcement);
-        let server = backend_server(&announcement, false);
-        self.announced = Announced::Present {
-            last: announcement.clone(),
-            at,
-        };
-        if is_same {
-            return;
+    fn announce(&mut self, announcement: Announcement) -> Result<(), Refusal> {
+        let now = self.path.clock.now();
+        if self.registration.announce(&announcement, now)? != Next::Open {
+            return Ok(());
         }
         info!(self.edges.logger, "backend server announced";
             "service" => %announcement.service, "version" => %announcement.version);
+        let server = announcement.backend_server(false);
         let door = Door::new(
             self.path.clock.clone(),
             self.path.counters.clone(),
@@ -356,40 +337,44 @@
         );
         self.path.owner.store(Some(Arc::new(owner)));
         self.handle(&Event::Announced(Some(server)));
+        Ok(())
     }
 
     /// Starts the drain of the own backend server.
     fn leave(&mut self) {
-        let Announced::Present { last, .. } = &self.announced else {
+        let now = self.path.clock.now();
+        if self.registration.leave(now) != Next::Drain {
+            return;
+        }
+        let Some(last) = self.registration.current() else {
             return;
         };
         info!(self.edges.logger, "backend server leaves"; "service" => %last.service);
-        let server = backend_server(last, true);
-        let close_at = self.path.clock.now() + DRAIN_GRACE;
-        self.announced = Announced::Leaving { close_at };
+        let server = last.backend_server(true);
         self.handle(&Event::Announced(Some(server)));
     }
 
     /// Expires a silent backend server and ends a drain.
-    fn check_announced(&mut self, now: Time) {
-        match &self.announced {
-            Announced::Absent => {}
-            Announced::Present { last, at } if now.since(*at) >= ANNOUNCEMENT_TTL => {
-                warn!(self.edges.logger, "backend server expired"; "service" => %last.service);
-                self.path.counters.hit(Counter::AnnouncementsExpired);
-                self.forget();
-            }
-            Announced::Present { .. } => {}
-            Announced::Leaving { close_at } if now >= *close_at => {
-                let running = self.path.owner.load().as_ref().map_or(0, |owner| {
+    fn check_registration(&mut self, now: Time) {
+        let running = self
+            .path
+            .owner
+            .load()
+            .as_ref()
+            .map_or(0, |owner| owner.door.running());
+        match self.registration.poll(now, running as usize) {
+            Next::Nothing | Next::Open | Next::Drain => {}
+            Next::Close => {
+                if let Some(owner) = self.path.owner.load_full() {
                     owner.door.close();
-                    owner.door.running()
-                });
-                if running == 0 {
-                    self.forget();
                 }
             }
-            Announced::Leaving { .. } => {}
+            Next::Gone => self.forget(),
+            Next::Expired => {
+                warn!(self.edges.logger, "backend server expired");
+                self.path.counters.hit(Counter::AnnouncementsExpired);
+                self.forget();
+            }
         }
     }
 
@@ -398,18 +383,6 @@
         if let Some(owner) = self.path.owner.swap(None) {
             owner.door.close();
         }
-        self.announced = Announced::Absent;
         self.handle(&Event::Announced(None));
     }
 }
-
-/// What the peers are told of an announcement.
-fn backend_server(announcement: &Announcement, is_draining: bool) -> BackendServer {
-    BackendServer {
-        service: announcement.service.clone(),
-        version: announcement.version.clone(),
-        slots: announcement.slots,
-        connections: announcement.connections,
-        is_draining,
-    }
-}
--- a/buckthorn/src/node/mod.rs
+++ b/buckthorn/src/node/mod.rs
@@ -324,9 +324,17 @@
 
 impl admin::Handler for Handler {
     fn announce(&self, announcement: Announcement) -> Result<(), admin::Refusal> {
+        let (reply, answer) = channel::bounded(1);
+        let input = Input::Announced {
+            announcement,
+            reply,
+        };
         self.inputs
-            .try_send(Input::Announced(announcement))
-            .map_err(|_| admin::Refusal::Busy)
+            .try_send(input)
+            .map_err(|_| admin::Refusal::Busy)?;
+        answer
+            .recv_timeout(INSPECT_TIMEOUT)
+            .unwrap_or(Err(admin::Refusal::Busy))
     }
 
     fn leave(&self) {
--- /dev/null
+++ b/buckthorn/tests/admin_registration.rs
@@ -0,0 +1,179 @@
+//! What follows from announcements, leaves and silence.
+
+use std::time::Duration;
+
+use buckthorn::admin::registration::{ANNOUNCE_INTERVAL, DRAIN_GRACE, EXPIRY, LEAVE_HOLD, Next};
+use buckthorn::admin::{Announcement, Refusal, Registration};
+use buckthorn::clock::Time;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// Time of the first announcement.
+const START: Time = Time::from_secs(1_000);
+
+/// Announcement of a version.
+fn announcement(version: &str) -> Announcement {
+    Announcement {
+        service: "rungs".into(),
+        version: version.into(),
+        address: "127.0.0.1:9000".parse().unwrap(),
+        slots: 12,
+        connections: 120,
+        instance: None,
+    }
+}
+
+/// Registration that has taken an announcement of `v1` at [`START`].
+fn announced() -> Registration {
+    let mut registration = Registration::new();
+    let next = registration.announce(&announcement("v1"), START);
+    assert_eq!(next, Ok(Next::Open));
+    registration
+}
+
+#[test]
+fn only_changes_follow() {
+    let mut registration = announced();
+    let later = START + ANNOUNCE_INTERVAL;
+    assert_eq!(
+        registration.announce(&announcement("v1"), later),
+        Ok(Next::Nothing)
+    );
+    assert_eq!(
+        registration.announce(&announcement("v2"), later),
+        Ok(Next::Open)
+    );
+    assert_eq!(registration.current(), Some(&announcement("v2")));
+}
+
+#[test]
+fn silence_expires_the_backend_server_once() {
+    let mut registration = announced();
+    let end = START + EXPIRY;
+    assert_eq!(
+        registration.poll(end - Duration::from_micros(1), 0),
+        Next::Nothing
+    );
+    assert_eq!(registration.poll(end, 3), Next::Expired);
+    assert_eq!(registration.poll(end, 3), Next::Nothing);
+    assert_eq!(registration.current(), None);
+    assert_eq!(
+        registration.announce(&announcement("v1"), end),
+        Ok(Next::Open)
+    );
+}
+
+#[test]
+fn a_leave_drains_before_the_backend_server_is_gone() {
+    assert_eq!(Registration::new().leave(START), Next::Nothing);
+    let mut registration = announced();
+    assert_eq!(registration.leave(START), Next::Drain);
+    assert_eq!(registration.leave(START), Next::Nothing);
+    assert_eq!(registration.poll(START, 0), Next::Nothing);
+    let closing = START + DRAIN_GRACE;
+    assert_eq!(registration.poll(closing, 0), Next::Close);
+    assert_eq!(registration.poll(closing, 0), Next::Gone);
+
+    let mut registration = announced();
+    registration.leave(START);
+    assert_eq!(registration.poll(closing, 2), Next::Close);
+    assert_eq!(registration.poll(closing + EXPIRY, 1), Next::Nothing);
+    assert_eq!(registration.poll(closing + EXPIRY, 0), Next::Gone);
+}
+
+#[test]
+fn an_announcement_that_crosses_the_leave_does_not_bring_it_back() {
+    for gone_before in [false, true] {
+        let mut registration = announced();
+        registration.leave(START);
+        if gone_before {
+            registration.poll(START + DRAIN_GRACE, 0);
+            assert_eq!(registration.poll(START + DRAIN_GRACE, 0), Next::Gone);
+        }
+        let crossing = registration.announce(&announcement("v1"), START + ANNOUNCE_INTERVAL);
+        assert_eq!(crossing, Err(Refusal::Leaving));
+        let back = registration.announce(&announcement("v1"), START + LEAVE_HOLD);
+        assert_eq!(back, Ok(Next::Open));
+    }
+}
+
+#[test]
+fn another_start_is_taken_during_the_hold() {
+    let mut restarted = announcement("v1");
+    restarted.instance = Some("2".into());
+    for next in [announcement("v2"), restarted] {
+        let mut registration = announced();
+        registration.leave(START);
+        assert_eq!(registration.announce(&next, START), Ok(Next::Open));
+        assert_eq!(registration.poll(START + DRAIN_GRACE, 0), Next::Nothing);
+    }
+}
+
+/// Cases drawn from a fixed seed.
+fn fixed_seed() -> ProptestConfig {
+    ProptestConfig {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed_seed())]
+
+    /// After a leave, nothing but another start or the end of the hold opens the door again.
+    #[test]
+    fn a_leave_holds(steps in prop::collection::vec((0_u8..4, 0_u64..3_000, 0_usize..3), 1..80)) {
+        let mut registration = Registration::new();
+        let mut now = START;
+        let mut left: Option<Time> = None;
+        for (kind, millis, running) in steps {
+            now = now + Duration::from_millis(millis);
+            let next = match kind {
+                0 => registration.announce(&announcement("v1"), now).unwrap_or(Next::Nothing),
+                1 => registration.leave(now),
+                _ => registration.poll(now, running),
+            };
+            match next {
+                Next::Open => {
+                    prop_assert!(left.is_none_or(|at| now.since(at) >= LEAVE_HOLD));
+                    left = None;
+                }
+                Next::Drain => left = Some(now),
+                Next::Close => prop_assert!(left.is_some_and(|at| now.since(at) >= DRAIN_GRACE)),
+                Next::Gone => prop_assert_eq!(running, 0),
+                Next::Expired => prop_assert!(left.is_none_or(|at| now.since(at) >= LEAVE_HOLD)),
+                Next::Nothing => {}
+            }
+        }
+    }
+
+    /// Whatever arrives is taken or refused with a reason.
+    #[test]
+    fn any_announcement_is_taken_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        if let Err(error) = Announcement::parse(&bytes) {
+            prop_assert!(!error.to_string().is_empty());
+        }
+    }
+
+    /// An announcement survives its own encoding.
+    #[test]
+    fn an_announcement_is_read_back(
+        service in "[a-z-]{1,40}",
+        version in "[a-z0-9.]{1,20}",
+        slots in 1_u32..1_000,
+        connections in 1_u32..1_000,
+        instance in prop::option::of("[a-z0-9]{1,8}"),
+    ) {
+        let announcement = Announcement {
+            service: service.into(),
+            version: version.into(),
+            slots,
+            connections,
+            instance: instance.map(Into::into),
+            ..announcement("v1")
+        };
+        let bytes = serde_json::to_vec(&announcement).unwrap();
+        prop_assert_eq!(Announcement::parse(&bytes), Ok(announcement));
+    }
+}
--- /dev/null
+++ b/buckthorn/tests/admin_server.rs
@@ -0,0 +1,309 @@
+//! The operators' page and announcements over real sockets.
+
+use std::io::{Read as _, Write as _};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use buckthorn::admin::server::MAX_HEADER_BYTES;
+use buckthorn::admin::{self, Access, Announcement, Handle, Handler, Refusal, announcement};
+use buckthorn::counter::{Board, Counter};
+use buckthorn::proxy::secret::Secrets;
+use expect_test::{Expect, expect};
+use serde_json::{Value, json};
+use tokio::runtime::Runtime;
+
+/// Node that notes what it is told.
+#[derive(Clone, Default)]
+struct Node {
+    /// Counters.
+    counters: Arc<Board>,
+    /// Announcements and leaves.
+    told: Arc<Mutex<Vec<String>>>,
+}
+
+impl Handler for Node {
+    fn announce(&self, announcement: Announcement) -> Result<(), Refusal> {
+        match &*announcement.version {
+            "leaving" => return Err(Refusal::Leaving),
+            "busy" => return Err(Refusal::Busy),
+            _ => {}
+        }
+        let told = format!("{} {}", announcement.service, announcement.slots);
+        self.told.lock().unwrap().push(told);
+        Ok(())
+    }
+
+    fn leave(&self) {
+        self.told.lock().unwrap().push("leave".into());
+    }
+
+    fn status(&self) -> Option<Value> {
+        Some(json!({ "version": 7 }))
+    }
+
+    fn is_ready(&self) -> bool {
+        !self.told.lock().unwrap().is_empty()
+    }
+
+    fn counters(&self) -> &Arc<Board> {
+        &self.counters
+    }
+}
+
+/// A node's page and what runs it.
+struct Page {
+    /// Node behind the page.
+    node: Node,
+    /// Address of the page.
+    address: SocketAddr,
+    /// Stops the page when dropped.
+    handle: Option<Handle>,
+    /// Runs the page.
+    _runtime: Runtime,
+}
+
+/// Serves a node with the given access.
+fn start(access: Access) -> Page {
+    let runtime = Runtime::new().unwrap();
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let node = Node::default();
+    let handle = {
+        let _guard = runtime.enter();
+        admin::serve(listener, access, node.clone()).unwrap()
+    };
+    Page {
+        node,
+        address: handle.address(),
+        handle: Some(handle),
+        _runtime: runtime,
+    }
+}
+
+/// Waits for what a task of the runtime is about to do.
+fn eventually(mut is_so: impl FnMut() -> bool) {
+    for _ in 0..2_000 {
+        if is_so() {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    panic!("it did not happen");
+}
+
+/// Sends raw bytes and gives status and body of the answer.
+fn send(address: SocketAddr, request: &str) -> (u16, String) {
+    let mut stream = TcpStream::connect((Ipv4Addr::LOCALHOST, address.port())).unwrap();
+    stream.write_all(request.as_bytes()).unwrap();
+    let mut answer = String::new();
+    // A connection that is reset after its answer still gave the answer.
+    let _ = stream.read_to_string(&mut answer);
+    let status = answer.split(' ').nth(1).unwrap_or("0").parse().unwrap();
+    let body = answer.split_once("\r\n\r\n").unwrap_or_default().1;
+    (status, body.to_owned())
+}
+
+/// Sends a request without a body.
+fn get(address: SocketAddr, line: &str) -> (u16, String) {
+    send(
+        address,
+        &format!("{line} HTTP/1.1\r\nhost: node\r\nconnection: close\r\n\r\n"),
+    )
+}
+
+/// Posts an announcement.
+fn announce(address: SocketAddr, body: &str) -> (u16, String) {
+    let request = format!(
+        "POST /v1/announce HTTP/1.1\r\nhost: node\r\nconnection: close\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    send(address, &request)
+}
+
+/// Announcement that is taken.
+const GOOD: &str = r#"{"service":"card-desk","version":"v1","address":"127.0.0.1:9000",
+    "slots":10,"connections":130,"from_a_newer_release":[1]}"#;
+
+#[test]
+fn an_announcement_and_a_leave_reach_the_node() {
+    let page = start(Access::Loopback);
+    let node = &page.node;
+    let address = page.address;
+    assert_eq!(
+        get(address, "GET /v1/ready"),
+        (503, r#"{"ready":false}"#.into())
+    );
+    assert_eq!(
+        announce(address, GOOD),
+        (200, r#"{"announced":true}"#.into())
+    );
+    assert_eq!(get(address, "GET /v1/ready").0, 200);
+    assert_eq!(
+        get(address, "POST /v1/leave"),
+        (200, r#"{"leaving":true}"#.into())
+    );
+    assert_eq!(*node.told.lock().unwrap(), ["card-desk 10", "leave"]);
+    assert_eq!(get(address, "GET /v1/live").0, 200);
+    assert_eq!(
+        get(address, "GET /v1/status"),
+        (200, r#"{"version":7}"#.into())
+    );
+    assert_eq!(get(address, "GET /v1/announce").0, 405);
+    assert_eq!(get(address, "DELETE /v1/status").0, 405);
+    assert_eq!(get(address, "GET /v2").0, 404);
+}
+
+#[test]
+fn every_counter_is_listed_zero_included() {
+    let page = start(Access::Loopback);
+    let node = &page.node;
+    node.counters.hit(Counter::Calls);
+    let (_, body) = get(page.address, "GET /v1/counters");
+    let listed: Value = serde_json::from_str(&body).unwrap();
+    assert_eq!(listed.as_object().unwrap().len(), Counter::ALL.len());
+    assert_eq!(listed["call.total"], 1);
+    assert_eq!(listed["announce.refused"], 0);
+}
+
+#[test]
+fn a_bad_announcement_is_refused_and_counted() {
+    let page = start(Access::Loopback);
+    let node = &page.node;
+    let check = |body: &str, expected: Expect| {
+        let before = node.counters.get(Counter::AnnouncementsRefused);
+        let (status, text) = announce(page.address, body);
+        expected.assert_eq(&format!("{status} {text}"));
+        let after = node.counters.get(Counter::AnnouncementsRefused);
+        assert_eq!(after, before + 1);
+    };
+    check(
+        "",
+        expect![[
+            r#"400 {"error":"malformed announcement: EOF while parsing a value at line 1 column 0"}"#
+        ]],
+    );
+    check(
+        "{}",
+        expect![[
+            r#"400 {"error":"malformed announcement: missing field `service` at line 1 column 2"}"#
+        ]],
+    );
+    check(
+        &GOOD.replace("10", "0"),
+        expect![[r#"400 {"error":"slots: expected a number between 1 and 10000"}"#]],
+    );
+    check(
+        &GOOD.replace("10", "-1"),
+        expect![[
+            r#"400 {"error":"malformed announcement: invalid value: integer `-1`, expected u32 at line 2 column 14"}"#
+        ]],
+    );
+    check(
+        &GOOD.replace("card-desk", ""),
+        expect![[r#"400 {"error":"service: expected 1 to 128 visible characters"}"#]],
+    );
+    check(
+        &GOOD.replace("v1", "v 1"),
+        expect![[r#"400 {"error":"version: expected 1 to 128 visible characters"}"#]],
+    );
+    check(
+        &GOOD.replace("v1", "leaving"),
+        expect![[r#"409 {"error":"the backend server has just taken its leave"}"#]],
+    );
+    check(
+        &GOOD.replace(":9000", ""),
+        expect![[
+            r#"400 {"error":"malformed announcement: invalid socket address syntax at line 1 column 59"}"#
+        ]],
+    );
+    check(
+        &GOOD.replace("127.0.0.1", "0.0.0.0"),
+        expect![[
+            r#"400 {"error":"address: expected an IP number and port that the node can connect to"}"#
+        ]],
+    );
+    check(
+        &GOOD.replace("[1]", &"[".repeat(99)),
+        expect![[r#"400 {"error":"malformed announcement: nested deeper than 16 levels"}"#]],
+    );
+    check(
+        &" ".repeat(announcement::MAX_BYTES + 1),
+        expect![[r#"413 {"error":"longer than 16384 bytes"}"#]],
+    );
+    assert_eq!(node.counters.get(Counter::RefusedBodySize), 1);
+    assert!(node.told.lock().unwrap().is_empty());
+}
+
+#[test]
+fn an_endless_body_is_refused_without_being_read() {
+    let page = start(Access::Loopback);
+    let node = &page.node;
+    let head = "POST /v1/announce HTTP/1.1\r\nhost: node\r\n";
+    let (status, _) = send(
+        page.address,
+        &format!(
+            "{head}transfer-encoding: chunked\r\n\r\n{}",
+            "fff\r\n".to_owned() + &"x".repeat(4095) + "\r\n8000\r\n" + &"x".repeat(0x8000)
+        ),
+    );
+    assert_eq!(status, 413);
+    assert_eq!(node.counters.get(Counter::RefusedBodySize), 1);
+}
+
+#[test]
+fn a_stalled_body_ends_in_a_timeout() {
+    let page = start(Access::Loopback);
+    let node = &page.node;
+    let head = "POST /v1/announce HTTP/1.1\r\nhost: node\r\ncontent-length: 10\r\n\r\n{";
+    assert_eq!(send(page.address, head).0, 408);
+    assert_eq!(node.counters.get(Counter::RefusedBodyTimeout), 1);
+    assert_eq!(node.counters.get(Counter::AnnouncementsRefused), 1);
+}
+
+#[test]
+fn a_page_off_loopback_needs_the_secret() {
+    let loopback = "127.0.0.1:1".parse().unwrap();
+    let other = "10.0.0.7:1".parse().unwrap();
+    let secrets = || Secrets::new("hush", Some("before".into()));
+    assert!(matches!(Access::of(loopback, secrets()), Access::Loopback));
+    let access = Access::of(other, secrets());
+    assert!(matches!(access, Access::Secret(_)));
+
+    let page = start(access);
+    let with = |header: &str| {
+        let head = "GET /v1/live HTTP/1.1\r\nhost: n\r\nconnection: close\r\n";
+        send(page.address, &format!("{head}{header}\r\n")).0
+    };
+    assert_eq!(with("authorization: Bearer hush\r\n"), 200);
+    assert_eq!(with("authorization: Bearer before\r\n"), 200);
+    for header in [
+        "",
+        "authorization: Bearer hus\r\n",
+        "authorization: hush\r\n",
+    ] {
+        assert_eq!(with(header), 401, "{header}");
+    }
+    assert_eq!(page.node.counters.get(Counter::RefusedUnauthenticated), 3);
+    let empty = start(Access::of(other, Secrets::new("", None)));
+    let request = "GET /v1/live HTTP/1.1\r\nhost: n\r\nconnection: close\r\n\
+                   authorization: Bearer \r\n\r\n";
+    assert_eq!(send(empty.address, request).0, 401);
+}
+
+#[test]
+fn headers_over_the_limit_are_refused_and_counted() {
+    let page = start(Access::Loopback);
+    let header = "x".repeat(MAX_HEADER_BYTES);
+    let (status, _) = get(page.address, &format!("GET /v1/live?{header}"));
+    assert!(matches!(status, 414 | 431), "{status}");
+    eventually(|| page.node.counters.get(Counter::RefusedHeaderSize) == 1);
+}
+
+#[test]
+fn a_dropped_handle_frees_the_port() {
+    let mut page = start(Access::Loopback);
+    assert_eq!(get(page.address, "GET /v1/live").0, 200);
+    drop(page.handle.take());
+    eventually(|| TcpStream::connect(page.address).is_err());
+}
