--- a/buckthorn/src/config/plan.rs
+++ b/buckthorn/src/config/plan.rs
@@ -260,11 +260,8 @@
                     );
                     self.line(Effect::Warn, Some(line), subject, text);
                 }
-                Standing::Known(known)
-                    if known.phase == Phase::Waiting && self.check_from(entry).is_err() =>
-                {
-                    let text = format!("waits for {} to serve, which no move brings", entry.from);
-                    self.line(Effect::Warn, Some(line), subject, text);
+                Standing::Known(known) if known.phase == Phase::Waiting => {
+                    self.keep_waiting(line, subject, entry);
                 }
                 Standing::Known(known) => {
                     let text = format!("is known ({} at {})", known.phase, percent(known.share));
@@ -279,6 +276,27 @@
         }
     }
 
+    /// Keeps a known move that has not begun, unless this very plan withdraws the one it follows.
+    fn keep_waiting(&mut self, line: u64, subject: String, entry: &sheet::Move) {
+        let Err((column, fault_text)) = self.check_from(entry) else {
+            let text = format!("is known ({} at {})", Phase::Waiting, percent(0));
+            self.line(Effect::Keep, Some(line), subject, text);
+            return;
+        };
+        let follows_withdrawn = self
+            .intent
+            .moves
+            .iter()
+            .any(|other| self.is_withdrawn(&other.id) && self.follows(entry, other));
+        if follows_withdrawn {
+            let text = format!("{fault_text}, and the move that brings it is not named");
+            self.faults.push(fault(line, Some(column), text));
+            return;
+        }
+        let text = format!("waits for {} to serve, which no move brings", entry.from);
+        self.line(Effect::Warn, Some(line), subject, text);
+    }
+
     /// Adds a move, or the faults that speak against it.
     fn add_move(&mut self, line: u64, subject: String, entry: &sheet::Move) {
         if entry.deadline <= self.now {
--- a/buckthorn/src/config/sheet.rs
+++ b/buckthorn/src/config/sheet.rs
@@ -6,6 +6,7 @@
 //! by [`super::plan`]. Every fault names the line and the column.
 
 use std::fmt;
+use std::io::Read as _;
 
 use csv::{ByteRecord, ReaderBuilder};
 use serde::Serialize;
@@ -27,6 +28,9 @@
 /// Form of the times in a sheet.
 const TIME_FORM: &str = "RFC 3339 with an offset, such as 2026-05-04T06:30:00+02:00";
 
+/// Row put after the last one; a quoted field that is never closed swallows it.
+const END_ROW: &[u8] = b"\n\0end";
+
 /// Characters of a field that a fault shows.
 const MAX_SHOWN_CHARS: usize = 60;
 
@@ -255,12 +259,20 @@
         let mut reader = ReaderBuilder::new()
             .has_headers(false)
             .flexible(true)
-            .from_reader(bytes);
+            .from_reader(bytes.chain(END_ROW));
         let mut record = ByteRecord::new();
         let mut layout: Option<(Layout, usize)> = None;
         let mut rows = 0;
         while matches!(reader.read_byte_record(&mut record), Ok(true)) {
             let line = first_line(bytes, &record);
+            if record.iter().any(|field| field.ends_with(END_ROW)) {
+                let text = "a quoted field that starts on this row is not closed";
+                self.faults.push(fault(line, None, text));
+                return;
+            }
+            if record.len() == 1 && record.get(0) == END_ROW.strip_prefix(b"\n") {
+                break;
+            }
             let texts = match decode(&record, line) {
                 Ok(texts) => texts,
                 Err(fault) => {
