--- a/buckthorn/src/journal/fold.rs
+++ b/buckthorn/src/journal/fold.rs
@@ -30,9 +30,18 @@
 /// Routes that a service may hold.
 pub const MAX_ROUTES: usize = 256;
 
-/// Length of a name in bytes.
+/// Failure domains that an intent may hold.
+pub const MAX_FAILURE_DOMAINS: usize = 256;
+
+/// Moves that may be open at once.
+pub const MAX_OPEN_MOVES: usize = 4_096;
+
+/// Length of a name or identifier in bytes.
 pub const MAX_NAME_BYTES: usize = 128;
 
+/// Characters kept of a reason or a line of the history.
+pub const MAX_TEXT_CHARS: usize = 1_024;
+
 /// Share to which a hold may lower a move in order to compare the versions, in thousandths.
 pub const COMPARISON_SHARE: u16 = 200;
 
@@ -144,7 +153,12 @@
         }
         let before = self.version;
         self.next = record.offset + 1;
-        let outcome = match record::decode(&record.payload) {
+        let body = if record.id.len() > MAX_NAME_BYTES {
+            Err(format!("identifier longer than {MAX_NAME_BYTES} bytes"))
+        } else {
+            record::decode(&record.payload)
+        };
+        let outcome = match body {
             Ok(body) => self.apply_body(record, body),
             Err(what) => {
                 let refusal = Refusal::Malformed(what);
@@ -232,17 +246,26 @@
 
     /// Applies a claim of the lease; the first claim of a term in log order wins.
     fn apply_claim(&mut self, claim: &Claim) -> Outcome {
+        if let Err(what) = check_name("host", &claim.host, false) {
+            return Outcome::Refused(Refusal::Invalid(what));
+        }
         self.lease.claim(claim)
     }
 
     /// Adds a failure domain.
     fn apply_domain(&mut self, record: &Record, domain: Domain) -> Outcome {
-        if domain.name.is_empty() || domain.name.len() > MAX_NAME_BYTES {
-            return Outcome::Refused(Refusal::Invalid("bad failure domain name".into()));
+        let checked = check_name("failure domain", &domain.name, false)
+            .and_then(|()| check_name("region", &domain.region, false));
+        if let Err(what) = checked {
+            return Outcome::Refused(Refusal::Invalid(what));
         }
         let domains = &mut self.intent.failure_domains;
         match domains.binary_search_by(|d| d.name.cmp(&domain.name)) {
             Ok(_) => Outcome::Duplicate,
+            Err(_) if domains.len() >= MAX_FAILURE_DOMAINS => {
+                let what = format!("more than {MAX_FAILURE_DOMAINS} failure domains");
+                Outcome::Refused(Refusal::Invalid(what))
+            }
             Err(index) => {
                 let entry = FailureDomain {
                     name: domain.name,
@@ -271,10 +294,11 @@
     /// Adds a line to the history.
     fn note(&mut self, record: &Record, at: Time, author: &str, text: String, is_accepted: bool) {
         let author = author.chars().take(MAX_NAME_BYTES).collect();
-        let text = text.chars().take(1_024).collect();
+        let id: String = record.id.chars().take(MAX_NAME_BYTES).collect();
+        let text = text.chars().take(MAX_TEXT_CHARS).collect();
         let entry = Entry {
             offset: record.offset,
-            id: record.id.clone(),
+            id: id.into(),
             at,
             author,
             text,
@@ -454,6 +478,9 @@
             !other.phase.is_ended() && other.service == entry.service && other.route == entry.route
         })
         .collect();
+    if intent.moves.iter().filter(|m| !m.phase.is_ended()).count() >= MAX_OPEN_MOVES {
+        return Err(format!("more than {MAX_OPEN_MOVES} open moves"));
+    }
     let follows = open
         .iter()
         .any(|&i| intent.moves[i].to == entry.from && intent.moves[i].deadline <= entry.start);
@@ -553,7 +580,7 @@
     }
     entry.phase = step.phase;
     entry.share = step.share;
-    entry.reason = step.reason.clone();
+    entry.reason = step.reason.chars().take(MAX_TEXT_CHARS).collect();
     entry.changed = step.at;
     if step.phase == Phase::Done {
         let (service, route, to) = (entry.service.clone(), entry.route.clone(), entry.to.clone());
--- a/buckthorn/tests/sheet_plan.rs
+++ b/buckthorn/tests/sheet_plan.rs
@@ -263,14 +263,24 @@
         expect!["line 2, column from: v2 is not serving card-desk, v1 is"],
     );
     let mut both = applied(&format!("{MOVING}{second}"));
-    check(&both.state, second, expect!["line 2, column from: v2 is not serving card-desk, v1 is, and the move that brings it is not named"]);
+    check(
+        &both.state,
+        second,
+        expect![
+            "line 2, column from: v2 is not serving card-desk, v1 is, and the move that brings it is not named"
+        ],
+    );
     let first = both.state.intent.moves[0].id.clone();
     both.step(&first, Phase::TakenBack, 0);
-    check(&both.state, second, expect![[r#"
+    check(
+        &both.state,
+        second,
+        expect![[r#"
         ! move card-desk-v3-22abd0: waits for v2 to serve, which no move brings
         = failure domain east: not named, stays in service
         = failure domain west: not named, stays in service
-        0 operations"#]]);
+        0 operations"#]],
+    );
 }
 
 #[test]
