--- a/buckthorn/tests/sheet_parse.rs
+++ b/buckthorn/tests/sheet_parse.rs
@@ -236,3 +236,11 @@
 fn the_header_is_the_agreed_one() {
     assert_eq!(Column::ALL.map(Column::name).join(",") + "\n", HEADER);
 }
+
+#[test]
+fn the_example_of_the_page_is_a_good_sheet() {
+    let page = include_str!("../../docs/SHEET.md");
+    let start = page.find(HEADER).unwrap();
+    let example = page[start..].split("```").next().unwrap();
+    assert_eq!(sheet::parse(example.as_bytes()).unwrap().rows.len(), 4);
+}
--- a/buckthornctl/src/session.rs
+++ b/buckthornctl/src/session.rs
@@ -189,6 +189,13 @@
             if self.state.next >= batch.next {
                 return Ok(());
             }
+            if batch.records.is_empty() {
+                bail!(
+                    "the log gives no record at offset {}, though it ends at {}",
+                    self.state.next,
+                    batch.next
+                );
+            }
         }
     }
 
--- a/buckthornctl/src/settings.rs
+++ b/buckthornctl/src/settings.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::Context as _;
+use anyhow::{Context as _, ensure};
 use buckthorn::platform::Log;
 use buckthorn::platform::client::Client;
 
@@ -18,6 +18,9 @@
 /// Time to go on trying while the log is away, unless a flag gives another.
 pub const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Longest time to go on trying, in seconds.
+pub const MAX_TIMEOUT_SECS: u64 = 24 * 60 * 60;
+
 /// Environment variables that settings may come from.
 #[derive(Clone, Debug, Default)]
 pub struct Environment {
@@ -80,6 +83,10 @@
                 let host = environment.host.as_deref().unwrap_or("unknown");
                 format!("{user}@{host}")
             });
+        ensure!(
+            flags.timeout.unwrap_or_default() <= MAX_TIMEOUT_SECS,
+            "--timeout is at most {MAX_TIMEOUT_SECS} seconds"
+        );
         let timeout = flags.timeout.map_or(DEFAULT_TIMEOUT, Duration::from_secs);
         Ok(Self {
             log: Arc::new(log),
--- a/buckthornctl/tests/commands.rs
+++ b/buckthornctl/tests/commands.rs
@@ -8,6 +8,8 @@
 use buckthorn::journal::{checkpoint, record};
 use buckthorn::platform::Log as _;
 use buckthorn_lab::log::Faults;
+use buckthornctl::flags::Buckthornctl;
+use buckthornctl::settings::{Environment, Settings};
 use expect_test::expect;
 use serde_json::Value;
 use support::Bench;
@@ -232,3 +234,33 @@
     assert!(record::decode("{}").is_err());
     assert!(bench.client.read(CONFIG_STREAM, 0, Duration::ZERO).is_ok());
 }
+
+#[test]
+fn settings_that_are_missing_or_malformed_are_named() {
+    let check = |args: &[&str], expected: expect_test::Expect| {
+        let args = args.iter().map(Into::into).collect();
+        let flags = Buckthornctl::from_vec(args).unwrap();
+        let error = Settings::new(&flags, &Environment::default())
+            .err()
+            .unwrap();
+        expected.assert_eq(&format!("{error:#}"));
+    };
+    check(
+        &["status"],
+        expect!["--platform or BUCKTHORN_PLATFORM is needed, such as http://10.0.0.5:7400"],
+    );
+    check(
+        &["status", "--platform", "10.0.0.5:7400"],
+        expect![[r#"--platform: platform URL "10.0.0.5:7400" does not start with http://"#]],
+    );
+    let long = [
+        "status",
+        "--platform",
+        "http://h",
+        "--timeout",
+        "99999999999999",
+    ];
+    check(&long, expect!["--timeout is at most 86400 seconds"]);
+    assert!(Buckthornctl::from_vec(vec!["apply".into()]).is_err());
+    assert!(Buckthornctl::from_vec(vec!["publish".into()]).is_err());
+}
