Measure convergence in virtual time and push suspicions less

Cause: at 20% loss a node spent 3674 control bytes a second (90 nodes, bound 3000), most of it on pushes of suspicions that were refuted anyway.

Change: the convergence command measures the time from append to in force over node counts, loss, deaths and an outage of the log, against nodes that poll the log by themselves.

--- a/buckthorn/src/membership/gossip.rs
+++ b/buckthorn/src/membership/gossip.rs
@@ -54,9 +54,14 @@
 /// Sends of a delta that the allowance does not hold up.
 const FRESH_SENDS: u32 = 4;
 
+/// Sends of a suspicion that are pushed.
+const SUSPICION_PUSHES: u32 = 2;
+
 /// Whether a delta needs the whole member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Kind {
+    /// Rank only; pushed once, then probes carry it.
+    Suspicion,
     /// Rank only.
     Verdict,
     /// Facts too.
@@ -96,7 +101,9 @@
         match self.deltas.binary_search_by(|d| d.host.cmp(host)) {
             Ok(index) => {
                 let delta = &mut self.deltas[index];
-                delta.kind = delta.kind.max(kind);
+                // Facts that were not told yet are still to be told.
+                let owed = (delta.kind == Kind::Member).then_some(Kind::Member);
+                delta.kind = owed.unwrap_or(kind);
                 delta.sent = 0;
             }
             Err(index) => {
@@ -145,10 +152,10 @@
             };
             match delta.kind {
                 Kind::Member if members.len() < bounds.members => members.push(member.clone()),
-                Kind::Verdict if verdicts.len() < bounds.verdicts => {
-                    verdicts.push(member.verdict())
+                Kind::Suspicion | Kind::Verdict if verdicts.len() < bounds.verdicts => {
+                    verdicts.push(member.verdict());
                 }
-                Kind::Member | Kind::Verdict => continue,
+                Kind::Member | Kind::Suspicion | Kind::Verdict => continue,
             }
             delta.sent += 1;
         }
@@ -162,12 +169,18 @@
         self.refilled = now;
         self.allowance =
             (self.allowance + elapsed.as_secs_f64() * BYTES_PER_SECOND).min(BURST_BYTES);
-        if self.deltas.is_empty() {
+        let is_urgent =
+            |delta: &Delta| delta.kind != Kind::Suspicion || delta.sent < SUSPICION_PUSHES;
+        if !self.deltas.iter().any(is_urgent) {
             return None;
         }
         let bounds = if self.allowance >= 0.0 {
             PUSH
-        } else if self.deltas.iter().any(|delta| delta.sent < FRESH_SENDS) {
+        } else if self
+            .deltas
+            .iter()
+            .any(|delta| is_urgent(delta) && delta.sent < FRESH_SENDS)
+        {
             PIGGYBACK
         } else {
             return None;
--- a/buckthorn/src/membership/plugin.rs
+++ b/buckthorn/src/membership/plugin.rs
@@ -242,7 +242,7 @@
                 {
                     cx.shared.counters.hit(Counter::Suspicions);
                     self.changed = cx.now;
-                    self.queue.push(&host, Kind::Verdict);
+                    self.queue.push(&host, Kind::Suspicion);
                 }
             }
             Next::Report { to, host, is_alive } => {
@@ -417,6 +417,8 @@
             kind == Kind::Member || held.is_some_and(|held| held.is_usable() != member.is_usable());
         if cx.shared.view.merge(&member, cx.now) == Merge::Changed {
             self.changed = cx.now;
+            let is_suspicion = kind == Kind::Verdict && member.status == Status::Suspect;
+            let kind = if is_suspicion { Kind::Suspicion } else { kind };
             self.queue.push(&member.host, kind);
         }
     }
--- a/buckthorn/src/membership/prober.rs
+++ b/buckthorn/src/membership/prober.rs
@@ -26,10 +26,10 @@
 const CROSS_EVERY: u64 = 4;
 
 /// Time for a direct answer.
-const DIRECT_TIMEOUT: Duration = Duration::from_millis(500);
+const DIRECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Direct attempts.
-const DIRECT_ATTEMPTS: u32 = 2;
+const DIRECT_ATTEMPTS: u32 = 3;
 
 /// Time for an answer through helpers.
 const INDIRECT_TIMEOUT: Duration = Duration::from_millis(1_500);
--- a/buckthorn_lab/src/flags.rs
+++ b/buckthorn_lab/src/flags.rs
@@ -76,6 +76,10 @@
         }
         /// Measures convergence under message loss, deaths and log outages.
         cmd convergence {
+            /// Node counts, separated by commas.
+            optional --nodes nodes: String
+            /// Changes measured in each case.
+            optional --changes changes: u32
             /// Seed.
             optional --seed seed: u64
             /// File for the JSON.
--- a/buckthorn_lab/src/harness/log.rs
+++ b/buckthorn_lab/src/harness/log.rs
@@ -170,7 +170,9 @@
             from,
             ..
         } = waiting;
-        let is_reachable = !self.log.is_away && self.links.reaches_log(&self.nodes[node].identity);
+        let is_lost = self.rng.random_bool(self.links.loss);
+        let is_reachable =
+            !self.log.is_away && !is_lost && self.links.reaches_log(&self.nodes[node].identity);
         let event = if is_reachable {
             self.log.reads += 1;
             let batch = self.log.batch(stream, from);
@@ -178,7 +180,12 @@
         } else {
             Event::LogFailed { stream }
         };
-        self.schedule(ANSWER_TIME, Due::Deliver { node, start, event });
+        let delay = if is_reachable {
+            ANSWER_TIME
+        } else {
+            FAILURE_TIME
+        };
+        self.schedule(delay, Due::Deliver { node, start, event });
     }
 
     /// Answers the long polls of a stream.
