--- a/buckthorn/src/node/mod.rs
+++ b/buckthorn/src/node/mod.rs
@@ -163,7 +163,9 @@
             logger: logger.clone(),
         };
         let seed = name::rendezvous(&settings.host, &identity.incarnation.to_string());
-        let kernel = Kernel::new(identity, counters.clone(), seed, clock.now(), plugins());
+        let mut registry = Registry::default();
+        register(&mut registry);
+        let kernel = Kernel::new(identity, counters.clone(), seed, clock.now(), registry);
         let driver = Driver::new(kernel, path.clone(), edges, inputs.clone());
         let kernel = thread::Builder::new()
             .name("kernel".into())
@@ -256,13 +258,11 @@
     }
 }
 
-/// Plug-ins of a node, in the order in which they see events.
-pub fn plugins() -> Registry {
-    let mut registry = Registry::default();
-    membership::plugin::register(&mut registry);
-    journal::plugin::register(&mut registry);
-    rollout::plugin::register(&mut registry);
-    registry
+/// Adds every plug-in of a node, in the order in which they see events.
+pub fn register(registry: &mut Registry) {
+    membership::plugin::register(registry);
+    journal::plugin::register(registry);
+    rollout::plugin::register(registry);
 }
 
 /// Binds a listener and names the setting when that fails.
