--- a/buckthorn/src/config/plan.rs
+++ b/buckthorn/src/config/plan/planner.rs
@@ -1,110 +1,16 @@
-//! The difference between the intent in force and a sheet.
-//!
-//! The sheet is the agreed plan for the day:
-//!
-//! - services and failure domains that it does not name stay as they are;
-//! - moves that it no longer names are withdrawn when they have not begun, and go on when they
-//!   have;
-//! - what it names and what is in force already is no change, so that a sheet may be applied again
-//!   at any time, also after its moves are done.
-//!
-//! [`make`] checks the whole sheet against the state. It gives either every fault with its place,
-//! or the operations that bring the intent to the sheet together with a line for each thing that
-//! changes or stays.
+//! The comparison of a sheet with the intent in force.
 
-use std::fmt;
-
-use serde::Serialize;
-
-use super::change::{Change, Operation};
-use super::intent::{self, Intent, Phase};
-use super::sheet::{self, Column, Entry, Fault, Sheet, fault};
+use super::{Effect, Line, Plan, failure_domain_line, percent, unknown_failure_domain};
 use crate::clock::Time;
-use crate::journal::fold::{self, State};
+use crate::config::change::Operation;
+use crate::config::intent::{self, Intent, Phase};
+use crate::config::sheet::{self, Column, Entry, Fault, Sheet, fault};
+use crate::journal::amend;
+use crate::journal::fold::State;
 use crate::name::Name;
 
-/// What applying a sheet would do.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
-pub struct Plan {
-    /// Intent version that the plan is made on.
-    pub base: u64,
-    /// What changes and what stays, in order.
-    pub lines: Vec<Line>,
-    /// Operations to publish; empty when nothing changes.
-    pub operations: Vec<Operation>,
-}
-
-/// One thing that changes or stays.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
-pub struct Line {
-    /// What happens to it.
-    pub effect: Effect,
-    /// Line of the sheet that says so, `None` for what the sheet does not name.
-    pub line: Option<u64>,
-    /// The service and route, move or failure domain.
-    pub subject: String,
-    /// What happens, in words.
-    pub text: String,
-}
-
-/// What happens to a thing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Effect {
-    /// It begins.
-    Add,
-    /// It ends.
-    Remove,
-    /// It changes.
-    Change,
-    /// It stays.
-    Keep,
-    /// It stays, which the operator may not expect.
-    Warn,
-}
-
-impl Effect {
-    /// Mark at the start of a line.
-    pub const fn mark(self) -> char {
-        match self {
-            Self::Add => '+',
-            Self::Remove => '-',
-            Self::Change => '~',
-            Self::Keep => '=',
-            Self::Warn => '!',
-        }
-    }
-}
-
-impl fmt::Display for Line {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} {}: {}", self.effect.mark(), self.subject, self.text)
-    }
-}
-
-impl Plan {
-    /// Whether anything is to be published.
-    pub fn is_change(&self) -> bool {
-        !self.operations.is_empty()
-    }
-
-    /// Change that carries the plan out.
-    pub fn change(&self, author: impl Into<String>, at: Time) -> Change {
-        Change {
-            base: self.base,
-            author: author.into(),
-            at,
-            operations: self.operations.clone(),
-        }
-    }
-}
-
 /// Compares a sheet with the state in force.
-///
-/// # Errors
-///
-/// Gives up to [`sheet::MAX_FAULTS`] faults, in the order of the lines.
-pub fn make(state: &State, sheet: &Sheet, now: Time) -> Result<Plan, Vec<Fault>> {
+pub(super) fn compare(state: &State, sheet: &Sheet, now: Time) -> Result<Plan, Vec<Fault>> {
     let mut planner = Planner {
         intent: &state.intent,
         sheet,
@@ -121,24 +27,6 @@
     planner.finish(state)
 }
 
-/// Plan of one operation that needs no sheet: a failure domain out of service or back.
-///
-/// # Errors
-///
-/// Fails when the failure domain is not known.
-pub fn set_failure_domain(state: &State, name: &str, is_out: bool) -> Result<Plan, String> {
-    let domain = state
-        .intent
-        .failure_domain(name)
-        .ok_or_else(|| unknown_failure_domain(&state.intent, name))?;
-    let (line, operation) = failure_domain_line(&domain.name, domain.is_out, is_out, None);
-    Ok(Plan {
-        base: state.intent_version,
-        lines: vec![line],
-        operations: operation.into_iter().collect(),
-    })
-}
-
 /// State of one comparison.
 struct Planner<'a> {
     /// Intent in force.
@@ -426,7 +314,7 @@
         };
         // The fold has the last word, on limits for one.
         if self.faults.is_empty()
-            && let Err(what) = fold::amend(self.intent, &plan.change("", self.now))
+            && let Err(what) = amend::amend(self.intent, &plan.change("", self.now))
         {
             self.faults.push(fault(0, None, what));
         }
@@ -523,59 +411,3 @@
         });
     }
 }
-
-/// Line and operation for a failure domain.
-fn failure_domain_line(
-    name: &Name,
-    was_out: bool,
-    is_out: bool,
-    line: Option<u64>,
-) -> (Line, Option<Operation>) {
-    let subject = format!("failure domain {name}");
-    let place = if is_out { "out of" } else { "in" };
-    if was_out == is_out {
-        let line = Line {
-            effect: Effect::Keep,
-            line,
-            subject,
-            text: format!("stays {place} service"),
-        };
-        return (line, None);
-    }
-    let failure_domain = name.clone();
-    let (text, operation) = if is_out {
-        ("is taken out of service", Operation::Out { failure_domain })
-    } else {
-        (
-            "is brought back into service",
-            Operation::In { failure_domain },
-        )
-    };
-    let line = Line {
-        effect: Effect::Change,
-        line,
-        subject,
-        text: text.into(),
-    };
-    (line, Some(operation))
-}
-
-/// Fault of a failure domain that is not known.
-fn unknown_failure_domain(intent: &Intent, name: &str) -> String {
-    let known: Vec<&str> = intent.failure_domains.iter().map(|d| &*d.name).collect();
-    if known.is_empty() {
-        return format!("unknown failure domain {name}, none has made itself known");
-    }
-    format!(
-        "unknown failure domain {name}, known are {}",
-        known.join(", ")
-    )
-}
-
-/// Share in thousandths as a percentage.
-pub fn percent(share: u16) -> String {
-    if share.is_multiple_of(10) {
-        return format!("{}%", share / 10);
-    }
-    format!("{}.{}%", share / 10, share % 10)
-}
--- /dev/null
+++ b/buckthorn/src/config/sheet/row.rs
@@ -0,0 +1,162 @@
+//! Fields of one row and what they say.
+
+use super::{Column, Entry, Fault, Move, Serve, fault};
+use crate::clock::Time;
+use crate::journal::amend;
+use crate::name::Name;
+
+/// Form of the times in a sheet.
+const TIME_FORM: &str = "RFC 3339 with an offset, such as 2026-05-04T06:30:00+02:00";
+
+/// Characters of a field that a fault shows.
+const MAX_SHOWN_CHARS: usize = 60;
+
+/// Fields of one row.
+pub(super) struct Fields<'a> {
+    /// Line of the file.
+    pub(super) line: u64,
+    /// Trimmed text of each column, in the order of [`Column::ALL`].
+    pub(super) texts: [&'a str; Column::ALL.len()],
+}
+
+impl Fields<'_> {
+    /// Text of a column.
+    fn text(&self, column: Column) -> &str {
+        self.texts[column as usize]
+    }
+
+    /// What the row says, or all that is wrong with it.
+    pub(super) fn entry(&self) -> Result<Entry, Vec<Fault>> {
+        use Column::{Deadline, FailureDomain, From, Route, Service, Start, To};
+        let mut faults = Vec::new();
+        let action = self.text(Column::Action).to_ascii_lowercase();
+        let entry = match action.as_str() {
+            "serve" => {
+                self.expect_empty(&[From, Start, Deadline, FailureDomain], &mut faults);
+                Entry::Serve(Serve {
+                    service: self.name(Service, &mut faults),
+                    route: self.route(Route, &mut faults),
+                    version: self.name(To, &mut faults),
+                })
+            }
+            "move" => {
+                self.expect_empty(&[FailureDomain], &mut faults);
+                Entry::Move(self.shift(&mut faults))
+            }
+            "out" | "in" => {
+                let others = [Service, Route, From, To, Start, Deadline];
+                self.expect_empty(&others, &mut faults);
+                let name = self.name(FailureDomain, &mut faults);
+                if action == "out" {
+                    Entry::Out(name)
+                } else {
+                    Entry::In(name)
+                }
+            }
+            "" => return Err(vec![self.fault(Column::Action, "missing")]),
+            _ => {
+                let text = format!(
+                    "unknown action {}, expected serve, move, out or in",
+                    shown(self.text(Column::Action))
+                );
+                return Err(vec![self.fault(Column::Action, text)]);
+            }
+        };
+        if faults.is_empty() {
+            Ok(entry)
+        } else {
+            Err(faults)
+        }
+    }
+
+    /// Move of the row.
+    fn shift(&self, faults: &mut Vec<Fault>) -> Move {
+        let entry = Move {
+            service: self.name(Column::Service, faults),
+            route: self.route(Column::Route, faults),
+            from: self.name(Column::From, faults),
+            to: self.name(Column::To, faults),
+            start: self.time(Column::Start, faults),
+            deadline: self.time(Column::Deadline, faults),
+        };
+        if faults.is_empty() && entry.deadline <= entry.start {
+            faults.push(self.fault(Column::Deadline, "not after start"));
+        }
+        if faults.is_empty() && entry.from == entry.to {
+            faults.push(self.fault(Column::To, "the same version as from"));
+        }
+        entry
+    }
+
+    /// Name in a column that must be filled.
+    fn name(&self, column: Column, faults: &mut Vec<Fault>) -> Name {
+        let text = self.text(column);
+        if text.is_empty() {
+            faults.push(self.fault(column, "missing"));
+        } else if let Err(what) = amend::check_name(column.name(), text, false) {
+            faults.push(self.fault(column, what));
+        }
+        text.into()
+    }
+
+    /// Path prefix, which may be empty.
+    fn route(&self, column: Column, faults: &mut Vec<Fault>) -> Name {
+        let text = self.text(column);
+        if let Err(what) = amend::check_name(column.name(), text, true) {
+            faults.push(self.fault(column, what));
+        }
+        text.into()
+    }
+
+    /// Time in a column that must be filled.
+    fn time(&self, column: Column, faults: &mut Vec<Fault>) -> Time {
+        match parse_time(self.text(column)) {
+            Ok(time) => time,
+            Err(what) => {
+                faults.push(self.fault(column, what));
+                Time::default()
+            }
+        }
+    }
+
+    /// Checks that columns which the action does not use are empty.
+    fn expect_empty(&self, columns: &[Column], faults: &mut Vec<Fault>) {
+        for &column in columns {
+            let text = self.text(column);
+            if !text.is_empty() {
+                let action = self.text(Column::Action);
+                let text = format!("{} is not used by {action}", shown(text));
+                faults.push(self.fault(column, text));
+            }
+        }
+    }
+
+    /// Fault in a column of this row.
+    fn fault(&self, column: Column, text: impl Into<String>) -> Fault {
+        fault(self.line, Some(column), text)
+    }
+}
+
+/// Quoted start of a field.
+fn shown(text: &str) -> String {
+    let start: String = text.chars().take(MAX_SHOWN_CHARS).collect();
+    let dots = if start.len() < text.len() { "..." } else { "" };
+    format!("{start:?}{dots}")
+}
+
+/// Time of a field.
+fn parse_time(text: &str) -> Result<Time, String> {
+    if text.is_empty() {
+        return Err("missing".into());
+    }
+    let stamp: jiff::Timestamp = match text.parse() {
+        Ok(stamp) => stamp,
+        Err(_) if text.parse::<jiff::civil::DateTime>().is_ok() => {
+            return Err(format!("{} has no zone, expected {TIME_FORM}", shown(text)));
+        }
+        Err(_) => return Err(format!("{} is no time, expected {TIME_FORM}", shown(text))),
+    };
+    u64::try_from(stamp.as_microsecond())
+        .map(Time)
+        .map_err(|_| format!("{} lies before 1970", shown(text)))
+}
--- /dev/null
+++ b/buckthorn/src/journal/amend.rs
@@ -0,0 +1,306 @@
+//! Changes of the intent: what operators and the controller may do to it.
+//!
+//! Each function either gives the whole change or says why the change is invalid.
+
+use super::fold::{
+    COMPARISON_SHARE, MAX_ENDED_MOVES, MAX_NAME_BYTES, MAX_OPEN_MOVES, MAX_ROUTES, MAX_SERVICES,
+    MAX_TEXT_CHARS,
+};
+use super::record::Step;
+use crate::clock::Time;
+use crate::config::change::{Change, Operation};
+use crate::config::intent::{self, FULL_SHARE, Intent, Move, Phase, Route, Service};
+use crate::name::Name;
+
+/// Intent after a change, or why the change is invalid.
+///
+/// # Errors
+///
+/// Names the first operation that contradicts the intent.
+pub fn amend(intent: &Intent, change: &Change) -> Result<Intent, String> {
+    let mut next = intent.clone();
+    for operation in &change.operations {
+        amend_one(&mut next, operation, change.at)?;
+    }
+    prune_ended(&mut next);
+    Ok(next)
+}
+
+/// Applies one operation to an intent.
+fn amend_one(intent: &mut Intent, operation: &Operation, at: Time) -> Result<(), String> {
+    match operation {
+        Operation::Serve {
+            service,
+            route,
+            version,
+        } => serve(intent, service, route, version),
+        Operation::Move {
+            service,
+            route,
+            from,
+            to,
+            start,
+            deadline,
+        } => {
+            let id = intent::move_id(service, route, from, to, *start, *deadline);
+            let entry = Move {
+                id,
+                service: service.clone(),
+                route: route.clone(),
+                from: from.clone(),
+                to: to.clone(),
+                start: *start,
+                deadline: *deadline,
+                phase: Phase::Waiting,
+                share: 0,
+                reason: "waiting for its start".into(),
+                changed: at,
+            };
+            add_move(intent, entry)
+        }
+        Operation::Cancel { id } => cancel(intent, id, at),
+        Operation::Out { failure_domain } => set_out(intent, failure_domain, true),
+        Operation::In { failure_domain } => set_out(intent, failure_domain, false),
+    }
+}
+
+/// Declares the version of a route.
+fn serve(intent: &mut Intent, service: &Name, route: &Name, version: &Name) -> Result<(), String> {
+    check_name("service", service, false)?;
+    check_name("route", route, true)?;
+    check_name("version", version, false)?;
+    let index = match intent.services.binary_search_by(|s| s.name.cmp(service)) {
+        Ok(index) => index,
+        Err(_) if intent.services.len() >= MAX_SERVICES => {
+            return Err(format!("more than {MAX_SERVICES} services"));
+        }
+        Err(index) => {
+            intent.services.insert(
+                index,
+                Service {
+                    name: service.clone(),
+                    routes: Vec::new(),
+                },
+            );
+            index
+        }
+    };
+    let routes = &mut intent.services[index].routes;
+    match routes.binary_search_by(|r| r.prefix.cmp(route)) {
+        Ok(at) if routes[at].version == *version => Ok(()),
+        Ok(at) => Err(format!(
+            "{service}{route} is served by {}; a move is needed to change it to {version}",
+            routes[at].version
+        )),
+        Err(_) if routes.len() >= MAX_ROUTES => Err(format!("more than {MAX_ROUTES} routes")),
+        Err(at) => {
+            routes.insert(
+                at,
+                Route {
+                    prefix: route.clone(),
+                    version: version.clone(),
+                },
+            );
+            Ok(())
+        }
+    }
+}
+
+/// Adds a move; a move on the same route that has not ended is replaced or followed.
+fn add_move(intent: &mut Intent, entry: Move) -> Result<(), String> {
+    check_name("version", &entry.to, false)?;
+    if entry.deadline <= entry.start {
+        return Err(format!("move {}: deadline is not after start", entry.id));
+    }
+    if entry.from == entry.to {
+        return Err(format!(
+            "move {}: from and to are the same version",
+            entry.id
+        ));
+    }
+    match intent.moves.binary_search_by(|m| m.id.cmp(&entry.id)) {
+        // A move that was withdrawn before it began is planned anew.
+        Ok(index) if intent.moves[index].phase == Phase::Cancelled => {
+            intent.moves.remove(index);
+        }
+        Ok(_) => return Ok(()),
+        Err(_) => {}
+    }
+    let serving = intent
+        .service(&entry.service)
+        .and_then(|service| service.route(&entry.route))
+        .map(|route| route.version.clone())
+        .ok_or_else(|| {
+            format!(
+                "move {}: {}{} is not served",
+                entry.id, entry.service, entry.route
+            )
+        })?;
+
+    // The versions that this move may start from: the serving one, or where an earlier move ends.
+    let open: Vec<usize> = (0..intent.moves.len())
+        .filter(|&i| {
+            let other = &intent.moves[i];
+            !other.phase.is_ended() && other.service == entry.service && other.route == entry.route
+        })
+        .collect();
+    if intent.moves.iter().filter(|m| !m.phase.is_ended()).count() >= MAX_OPEN_MOVES {
+        return Err(format!("more than {MAX_OPEN_MOVES} open moves"));
+    }
+    let follows = open
+        .iter()
+        .any(|&i| intent.moves[i].to == entry.from && intent.moves[i].deadline <= entry.start);
+    if serving != entry.from && !follows {
+        return Err(format!(
+            "move {}: {} is not serving {}{}, {serving} is",
+            entry.id, entry.from, entry.service, entry.route
+        ));
+    }
+    if !follows {
+        for &i in &open {
+            let other = &mut intent.moves[i];
+            other.phase = if other.phase.is_active() {
+                Phase::TakenBack
+            } else {
+                Phase::Cancelled
+            };
+            other.share = 0;
+            other.reason = format!("replaced by {}", entry.id);
+            other.changed = entry.changed;
+        }
+    }
+    let index = match intent.moves.binary_search_by(|m| m.id.cmp(&entry.id)) {
+        Ok(_) => return Ok(()),
+        Err(index) => index,
+    };
+    intent.moves.insert(index, entry);
+    Ok(())
+}
+
+/// Withdraws a move; traffic on its new version returns to the old one.
+fn cancel(intent: &mut Intent, id: &Name, at: Time) -> Result<(), String> {
+    let index = intent
+        .moves
+        .binary_search_by(|m| m.id.cmp(id))
+        .map_err(|_| format!("no move {id}"))?;
+    let entry = &mut intent.moves[index];
+    if entry.phase.is_ended() {
+        return Err(format!("move {id} has ended: {}", entry.phase));
+    }
+    entry.phase = if entry.phase.is_active() {
+        Phase::TakenBack
+    } else {
+        Phase::Cancelled
+    };
+    entry.share = 0;
+    entry.reason = "withdrawn by an operator".into();
+    entry.changed = at;
+    Ok(())
+}
+
+/// Takes a failure domain out of service or brings it back.
+fn set_out(intent: &mut Intent, failure_domain: &Name, is_out: bool) -> Result<(), String> {
+    let index = intent
+        .failure_domains
+        .binary_search_by(|d| d.name.cmp(failure_domain))
+        .map_err(|_| format!("unknown failure domain {failure_domain}"))?;
+    intent.failure_domains[index].is_out = is_out;
+    Ok(())
+}
+
+/// Checks a name's length and characters; `field` says what it names.
+///
+/// # Errors
+///
+/// Says what is wrong with the name.
+pub fn check_name(field: &str, name: &str, may_be_empty: bool) -> Result<(), String> {
+    if name.is_empty() && !may_be_empty {
+        return Err(format!("{field} is empty"));
+    }
+    if name.len() > MAX_NAME_BYTES {
+        return Err(format!("{field} is longer than {MAX_NAME_BYTES} bytes"));
+    }
+    if name.chars().any(|c| c.is_control() || c.is_whitespace()) {
+        return Err(format!(
+            "{field} {name:?} holds white space or control characters"
+        ));
+    }
+    if field == "route" && !name.is_empty() && !name.starts_with('/') {
+        return Err(format!("route {name:?} does not start with a slash"));
+    }
+    Ok(())
+}
+
+/// Applies a controller's decision to the intent.
+pub(super) fn advance(intent: &mut Intent, step: &Step) -> Result<(), String> {
+    let index = intent
+        .moves
+        .binary_search_by(|m| m.id.cmp(&step.id))
+        .map_err(|_| format!("no move {}", step.id))?;
+    let entry = &mut intent.moves[index];
+    if !is_legal(entry, step) {
+        return Err(format!(
+            "move {}: {} at {} cannot become {} at {}",
+            step.id, entry.phase, entry.share, step.phase, step.share
+        ));
+    }
+    entry.phase = step.phase;
+    entry.share = step.share;
+    entry.reason = step.reason.chars().take(MAX_TEXT_CHARS).collect();
+    entry.changed = step.at;
+    if step.phase == Phase::Done {
+        let (service, route, to) = (entry.service.clone(), entry.route.clone(), entry.to.clone());
+        set_version(intent, &service, &route, to);
+    }
+    prune_ended(intent);
+    Ok(())
+}
+
+/// Whether a decision is a legal transition of its move.
+fn is_legal(entry: &Move, step: &Step) -> bool {
+    if entry.phase.is_ended() {
+        return false;
+    }
+    match step.phase {
+        Phase::Waiting => false,
+        Phase::Shifting => {
+            entry.phase != Phase::Watching && step.share >= entry.share && step.share <= FULL_SHARE
+        }
+        Phase::Holding => {
+            // A hold may lower the share, so that both versions have calls to compare.
+            let floor = entry.share.min(COMPARISON_SHARE);
+            step.share >= floor && step.share <= FULL_SHARE
+        }
+        Phase::Watching => step.share == FULL_SHARE,
+        Phase::Done => entry.phase == Phase::Watching && step.share == FULL_SHARE,
+        Phase::TakenBack | Phase::Cancelled => step.share == 0,
+    }
+}
+
+/// Sets the serving version of a route.
+fn set_version(intent: &mut Intent, service: &str, route: &str, version: Name) {
+    let Ok(index) = intent.services.binary_search_by(|s| (*s.name).cmp(service)) else {
+        return;
+    };
+    let routes = &mut intent.services[index].routes;
+    if let Ok(at) = routes.binary_search_by(|r| (*r.prefix).cmp(route)) {
+        routes[at].version = version;
+    }
+}
+
+/// Drops the oldest ended moves over the limit.
+fn prune_ended(intent: &mut Intent) {
+    let mut ended: Vec<(Time, Name)> = intent
+        .moves
+        .iter()
+        .filter(|m| m.phase.is_ended())
+        .map(|m| (m.changed, m.id.clone()))
+        .collect();
+    if ended.len() <= MAX_ENDED_MOVES {
+        return;
+    }
+    ended.sort();
+    let cut = ended.len() - MAX_ENDED_MOVES;
+    let dropped: Vec<Name> = ended.drain(..cut).map(|(_, id)| id).collect();
+    intent.moves.retain(|m| !dropped.contains(&m.id));
+}
--- a/buckthorn/src/journal/mod.rs
+++ b/buckthorn/src/journal/mod.rs
@@ -1,5 +1,6 @@
 //! The configuration stream of the platform's log and the state folded from it.
 
+pub mod amend;
 pub mod checkpoint;
 pub mod fold;
 pub mod lease;
