Show nodes and backend servers in the status

Cause: status showed the configuration only; whether the nodes hold it had to be asked of each node.

Change: the newest report of each failure domain is read from the end of the report stream backwards, at most 16 reads of 256 records; status shows how many nodes hold the version, some of those that don't, backend servers by state and the age of the report. Reports of a newer release are read. A stream that cannot be read is said on standard error and the rest is shown.

--- a/buckthornctl/src/command.rs
+++ b/buckthornctl/src/command.rs
@@ -14,6 +14,7 @@
 use crate::Exit;
 use crate::flags::BuckthornctlCmd;
 use crate::output::Output;
+use crate::report;
 use crate::session::{Published, Session};
 use crate::settings::Settings;
 use crate::status::{self, Status};
@@ -109,7 +110,7 @@
             output.result(&plan_json(&plan, "planned"), plan_text(&plan, verdict));
             Exit::Done
         }
-        Err(obstacle) => report(output, obstacle),
+        Err(obstacle) => refuse(output, obstacle),
     }
 }
 
@@ -125,7 +126,7 @@
     };
     let plan = match make(&session) {
         Ok(plan) => plan,
-        Err(obstacle) => return report(output, obstacle),
+        Err(obstacle) => return refuse(output, obstacle),
     };
     if !plan.is_change() {
         output.result(
@@ -176,7 +177,7 @@
 }
 
 /// Tells why a plan could not be made.
-fn report(output: &mut Output<'_>, obstacle: Obstacle) -> Exit {
+fn refuse(output: &mut Output<'_>, obstacle: Obstacle) -> Exit {
     let faults = match obstacle {
         Obstacle::Input(text) => return output.fail(Exit::BadInput, text),
         Obstacle::Sheet(faults) => faults,
@@ -218,7 +219,19 @@
         Ok(session) => session,
         Err(error) => return output.fail(Exit::Failed, error),
     };
-    let status = Status::of(session.state());
+    let state = session.state();
+    let domains = &state.intent.failure_domains;
+    let wanted: Vec<&str> = domains.iter().map(|domain| &*domain.name).collect();
+    let reports = match report::newest(&*settings.log, &wanted) {
+        Ok(reports) => reports,
+        Err(error) => {
+            output.note(format!(
+                "nodes and backend servers are not known: {error:#}"
+            ));
+            Vec::new()
+        }
+    };
+    let status = Status::of(state, &reports, Clock::new().now());
     output.result(&status, status::text(&status));
     Exit::Done
 }
--- a/buckthornctl/src/lib.rs
+++ b/buckthornctl/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod command;
 pub mod flags;
 pub mod output;
+pub mod report;
 pub mod session;
 pub mod settings;
 pub mod status;
--- /dev/null
+++ b/buckthornctl/src/report.rs
@@ -0,0 +1,57 @@
+//! Newest report of each failure domain, read from the end of the report stream.
+
+use std::time::Duration;
+
+use buckthorn::journal::record::REPORT_STREAM;
+use buckthorn::membership::report::Report;
+use buckthorn::name::Name;
+use buckthorn::platform::Log;
+use buckthorn::platform::client::MAX_RECORDS;
+
+/// Reads of the stream, from its end backwards, of [`MAX_RECORDS`] each.
+const MAX_READS: usize = 16;
+
+/// Newest reports, sorted by failure domain.
+///
+/// The stream is read from its end backwards until each of the `wanted` failure domains is found, or
+/// [`MAX_READS`] reads were made. Records that cannot be read are passed over.
+///
+/// # Errors
+///
+/// Fails when the log cannot be read.
+pub fn newest(log: &dyn Log, wanted: &[&str]) -> anyhow::Result<Vec<Report>> {
+    let mut newest: Vec<Report> = Vec::new();
+    let is_found = |newest: &[Report], name: &str| {
+        newest
+            .binary_search_by(|report| (*report.failure_domain).cmp(name))
+            .is_ok()
+    };
+    let mut end = log.read(REPORT_STREAM, u64::MAX, Duration::ZERO)?.next;
+    for _ in 0..MAX_READS {
+        let from = end.saturating_sub(MAX_RECORDS as u64);
+        let batch = log.read(REPORT_STREAM, from, Duration::ZERO)?;
+        let chunk = batch.records.iter().filter(|record| record.offset < end);
+        // Within a chunk the last report of a failure domain is the newest.
+        let mut reports: Vec<Report> = chunk
+            .filter_map(|record| serde_json::from_str(&record.payload).ok())
+            .collect();
+        reports.reverse();
+        for report in reports {
+            insert(&mut newest, report);
+        }
+        end = from;
+        let is_complete = wanted.iter().all(|name| is_found(&newest, name));
+        if is_complete || end <= batch.earliest {
+            break;
+        }
+    }
+    Ok(newest)
+}
+
+/// Inserts a report unless a newer one of its failure domain is there.
+fn insert(newest: &mut Vec<Report>, report: Report) {
+    let key: &Name = &report.failure_domain;
+    if let Err(index) = newest.binary_search_by(|held| held.failure_domain.cmp(key)) {
+        newest.insert(index, report);
+    }
+}
--- a/buckthornctl/src/status.rs
+++ b/buckthornctl/src/status.rs
@@ -1,12 +1,22 @@
 //! What is in force, for people and for scripts.
+//!
+//! The configuration comes from the fold of the log, nodes and backend servers from the newest
+//! report of each failure domain; a report is as old as it says.
 
+use std::time::Duration;
+
+use buckthorn::clock::Time;
 use buckthorn::config::intent::{FULL_SHARE, Move};
 use buckthorn::config::plan::percent;
 use buckthorn::journal::fold::{self, State};
+use buckthorn::membership::report::{self, MAX_INTERVAL, Report};
 use serde::Serialize;
 
 use crate::output::table;
 
+/// Age from which a report is shown as old.
+const OLD_AGE: Duration = MAX_INTERVAL.saturating_mul(2);
+
 /// What is in force.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Status {
@@ -26,6 +36,46 @@
     pub moves: Vec<Shift>,
     /// Failure domains.
     pub failure_domains: Vec<FailureDomain>,
+    /// Nodes of each failure domain, by its newest report.
+    pub nodes: Vec<Nodes>,
+    /// Backend servers of each failure domain by kind, by its newest report.
+    pub backend_servers: Vec<BackendServers>,
+}
+
+/// Nodes of a failure domain.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Nodes {
+    /// Failure domain.
+    pub failure_domain: String,
+    /// Live nodes.
+    pub nodes: usize,
+    /// Nodes that hold the configuration version, as far as the report tells.
+    pub holding: usize,
+    /// Version that the reporting node held.
+    pub version: u64,
+    /// Some of the nodes that are not known to hold that version.
+    pub behind: Vec<String>,
+    /// Host that reported.
+    pub reported_by: String,
+    /// When it reported, by its clock.
+    pub reported_at: String,
+    /// Age of the report in seconds.
+    pub age_secs: u64,
+}
+
+/// Backend servers of one kind.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct BackendServers {
+    /// Failure domain.
+    pub failure_domain: String,
+    /// Service.
+    pub service: String,
+    /// Version.
+    pub version: String,
+    /// State: serving, draining or suspect.
+    pub state: String,
+    /// How many there are.
+    pub count: usize,
 }
 
 /// Route of a service with the share of each version.
@@ -135,8 +185,8 @@
 }
 
 impl Status {
-    /// Status of a folded state.
-    pub fn of(state: &State) -> Self {
+    /// Status of a folded state and the newest reports.
+    pub fn of(state: &State, reports: &[Report], now: Time) -> Self {
         let mut moves: Vec<&Move> = state.intent.moves.iter().collect();
         moves.sort_by_key(|m| (m.phase.is_ended(), m.start, m.id.clone()));
         Self {
@@ -157,10 +207,49 @@
                     is_in_service: !domain.is_out,
                 })
                 .collect(),
+            nodes: reports
+                .iter()
+                .map(|report| nodes(state.version, report, now))
+                .collect(),
+            backend_servers: reports.iter().flat_map(backend_servers).collect(),
         }
     }
 }
 
+/// Nodes of a report, measured against the version in force.
+fn nodes(version: u64, report: &Report, now: Time) -> Nodes {
+    let is_current = report.version >= version;
+    Nodes {
+        failure_domain: report.failure_domain.to_string(),
+        nodes: report.nodes,
+        holding: match is_current {
+            true => report.nodes.saturating_sub(report.lagging),
+            false => 0,
+        },
+        version: report.version,
+        behind: report.behind.iter().map(ToString::to_string).collect(),
+        reported_by: report.host.to_string(),
+        reported_at: report.at.to_string(),
+        age_secs: now.since(report.at).as_secs(),
+    }
+}
+
+/// Backend servers of a report.
+fn backend_servers(report: &Report) -> impl Iterator<Item = BackendServers> {
+    report.backend_servers.iter().map(|kind| BackendServers {
+        failure_domain: report.failure_domain.to_string(),
+        service: kind.service.to_string(),
+        version: kind.version.to_string(),
+        state: match kind.state {
+            report::State::Serving => "serving",
+            report::State::Draining => "draining",
+            report::State::Suspect => "suspect",
+        }
+        .into(),
+        count: kind.count,
+    })
+}
+
 /// Every route with the share of each version.
 fn routes(state: &State) -> Vec<Route> {
     let mut routes = Vec::new();
@@ -228,9 +317,46 @@
         ]
     });
     parts.push(section("failure domains", domains));
+    let nodes = status
+        .nodes
+        .iter()
+        .map(|nodes| nodes_row(status.version, nodes));
+    parts.push(section("nodes", nodes));
+    let servers = status.backend_servers.iter().map(|kind| {
+        vec![
+            kind.failure_domain.clone(),
+            kind.service.clone(),
+            kind.version.clone(),
+            format!("{} {}", kind.count, kind.state),
+        ]
+    });
+    parts.push(section("backend servers", servers));
     parts.join("\n")
 }
 
+/// Row of a failure domain's nodes.
+fn nodes_row(version: u64, nodes: &Nodes) -> Vec<String> {
+    let held = if nodes.version < version {
+        format!("last reported version {}, not {version}", nodes.version)
+    } else {
+        format!(
+            "{} of {} hold version {}",
+            nodes.holding, nodes.nodes, nodes.version
+        )
+    };
+    let behind = match nodes.behind.as_slice() {
+        [] => String::new(),
+        hosts => format!("not known to: {}", hosts.join(", ")),
+    };
+    let age = Duration::from_secs(nodes.age_secs);
+    let mark = if age >= OLD_AGE { ", out of touch" } else { "" };
+    let age = format!(
+        "reported {} s ago by {}{mark}",
+        nodes.age_secs, nodes.reported_by
+    );
+    vec![nodes.failure_domain.clone(), held, age, behind]
+}
+
 /// History as text.
 pub fn history_text(entries: &[Entry]) -> String {
     if entries.is_empty() {
--- a/buckthornctl/tests/commands.rs
+++ b/buckthornctl/tests/commands.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use buckthorn::journal::record::{CHECKPOINT_STREAM, CONFIG_STREAM};
+use buckthorn::journal::record::{CHECKPOINT_STREAM, CONFIG_STREAM, REPORT_STREAM};
 use buckthorn::journal::{checkpoint, record};
 use buckthorn::platform::Log as _;
 use buckthorn_lab::log::Faults;
@@ -56,12 +56,18 @@
         failure domains
           east  bc-lower  out
           west  bc-lower  in
+        nodes: none
+        backend servers: none
     "#]]
     .assert_eq(&run.out);
+    let report = r#"{"failure_domain":"west","host":"h1","at":1,"version":3,"nodes":3,
+        "lagging":1,"behind":["h2"],"backend_servers":[],"from_a_newer_release":1}"#;
+    bench.client.append(REPORT_STREAM, "report", report);
     let run = bench.run(&["status", "--json"]);
     let status: Value = serde_json::from_str(&run.out).unwrap();
     assert_eq!(status["moves"][0]["state"], "waiting");
     assert_eq!(status["failure_domains"][0]["is_in_service"], false);
+    assert_eq!(status["nodes"][0]["holding"], 2);
 }
 
 #[test]
