Stand in for backend servers and callers, and measure the latency added

Cause: nothing played faulty backend servers or checked answers under open-loop load. Change: a backend server stand-in with slots, connections, cold start, faults and a count of executions; bodies derived from their request; an open-loop load of both deployments' calls whose latency counts from the intended send time; a measurement of direct, one-node and two-node calls interleaved in one run.

--- /dev/null
+++ b/buckthorn_lab/src/backend/ledger.rs
@@ -0,0 +1,65 @@
+//! Count of executions, to find requests that ran more than once.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
+
+/// Executions of requests that are not idempotent, by idempotency key or request id.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    /// Keys and their executions, sorted by key.
+    executions: Mutex<Vec<(String, u32)>>,
+    /// Requests of any kind that ran.
+    requests: AtomicU64,
+}
+
+impl Ledger {
+    /// Empty ledger; servers may share one.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Counts a request of any kind.
+    pub fn count(&self) -> u64 {
+        self.requests.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    /// Requests of any kind that ran.
+    pub fn requests(&self) -> u64 {
+        self.requests.load(Ordering::Relaxed)
+    }
+
+    /// Notes an execution.
+    pub fn note(&self, key: &str) {
+        let mut executions = self
+            .executions
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        match executions.binary_search_by(|(k, _)| k.as_str().cmp(key)) {
+            Ok(index) => executions[index].1 += 1,
+            Err(index) => executions.insert(index, (key.to_owned(), 1)),
+        }
+    }
+
+    /// Executions of a key.
+    pub fn executions(&self, key: &str) -> u32 {
+        let executions = self
+            .executions
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let found = executions.binary_search_by(|(k, _)| k.as_str().cmp(key));
+        found.map_or(0, |index| executions[index].1)
+    }
+
+    /// Keys that ran more than once.
+    pub fn doubles(&self) -> Vec<String> {
+        let executions = self
+            .executions
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        executions
+            .iter()
+            .filter(|(_, n)| *n > 1)
+            .map(|(key, _)| key.clone())
+            .collect()
+    }
+}
--- a/buckthorn_lab/src/flags.rs
+++ b/buckthorn_lab/src/flags.rs
@@ -33,13 +33,61 @@
         }
         /// Runs a stand-in backend server.
         cmd backend {
-            /// Address to listen on.
+            /// Address to listen on, a port of the system's choice by default.
             optional --listen listen: SocketAddr
+            /// Node to announce to: the address of its operators' page.
+            optional --node node: SocketAddr
+            /// Service, card-desk by default.
+            optional --service service: String
+            /// Version, v1 by default.
+            optional --version version: String
+            /// Name in the answers' x-execution header.
+            optional --name name: String
+            /// Requests that run at once, 10 by default.
+            optional --slots slots: u32
+            /// Connections taken, 130 by default.
+            optional --connections connections: u32
+            /// Milliseconds that one request takes, 1 by default.
+            optional --service-ms service_ms: u64
+            /// Seconds that it stays cold after its start.
+            optional --cold-secs cold_secs: u64
+            /// Requests at once that make it fail while it is cold.
+            optional --cold-limit cold_limit: u32
+            /// Thousandths of requests answered with status 500.
+            optional --error-permille error_permille: u16
+            /// Thousandths of answers that break off before their declared length.
+            optional --broken-permille broken_permille: u16
+            /// Thousandths of requests whose connection is closed.
+            optional --reset-permille reset_permille: u16
+            /// Bytes of the body sent before the connection is closed.
+            optional --reset-at reset_at: usize
+            /// Thousandths of requests that never get an answer.
+            optional --silent-permille silent_permille: u16
+            /// Milliseconds added to every answer.
+            optional --delay-ms delay_ms: u64
+            /// Refuse requests over the slots with status 503.
+            optional --shed
+            /// Path prefix that faults are limited to.
+            optional --fault-route fault_route: String
+            /// Faults meet requests only while more than this many run.
+            optional --fault-above fault_above: u32
         }
         /// Sends open-loop load to a node and checks every answer.
         cmd load {
-            /// Address of a node's callers' port.
-            required --target target: SocketAddr
+            /// Address of a node's callers' port; may be repeated.
+            repeated --target target: SocketAddr
+            /// Measure the latency that two nodes add, in this process, and send to no target.
+            optional --latency
+            /// Deployment whose calls are mixed: fernleaf (default) or otjiwarongo.
+            optional --deployment deployment: String
+            /// Calls a second, 220 by default.
+            optional --rate rate: f64
+            /// Seconds of load, 10 by default.
+            optional --secs secs: u64
+            /// Seed.
+            optional --seed seed: u64
+            /// File for the JSON.
+            optional --json json: PathBuf
         }
         /// Measures control cost and convergence against the number of nodes.
         cmd scale {
--- /dev/null
+++ b/buckthorn_lab/src/load/client.rs
@@ -0,0 +1,177 @@
+//! Caller that keeps connections open, one call at a time on each, and checks every answer.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use super::call::{Call, Kind};
+use crate::backend::content::{self, Check, EXECUTION, REQUEST_ID};
+
+/// Sends requests on one connection.
+type Sender = http1::SendRequest<Full<Bytes>>;
+
+/// How a call ended, as its caller sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The whole answer to this request.
+    Ok {
+        /// Execution that gave it.
+        execution: String,
+    },
+    /// Refused, and said to be not run.
+    NotRun(String),
+    /// Said to be of unknown outcome.
+    Unknown(String),
+    /// Answered with an error status by the backend server.
+    Status(u16),
+    /// The answer broke off or the connection broke.
+    Broken,
+    /// The body of the answer is wrong although it ended as declared.
+    Wrong(content::Fault),
+    /// No connection to the node could be opened.
+    Unreachable,
+    /// No answer before the caller gave up.
+    GaveUp,
+}
+
+/// Caller of one node or backend server.
+#[derive(Debug)]
+pub struct Client {
+    /// Address.
+    address: SocketAddr,
+    /// Connections not in use.
+    idle: Mutex<Vec<Sender>>,
+    /// Time after which the caller gives up.
+    patience: Duration,
+}
+
+impl Client {
+    /// Caller of an address.
+    pub const fn new(address: SocketAddr, patience: Duration) -> Self {
+        Self {
+            address,
+            idle: Mutex::new(Vec::new()),
+            patience,
+        }
+    }
+
+    /// Makes a call and checks its answer.
+    pub async fn call(&self, call: &Call) -> Verdict {
+        match tokio::time::timeout(self.patience, self.exchange(call)).await {
+            Ok(verdict) => verdict,
+            Err(_) => Verdict::GaveUp,
+        }
+    }
+
+    /// Sends a call and reads its answer.
+    async fn exchange(&self, call: &Call) -> Verdict {
+        let Some(mut sender) = self.connection().await else {
+            return Verdict::Unreachable;
+        };
+        let Ok(response) = sender.send_request(self.request(call)).await else {
+            return Verdict::Broken;
+        };
+        let (head, body) = response.into_parts();
+        let Some(check) = read(call, body).await else {
+            return Verdict::Broken;
+        };
+        self.idle
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(sender);
+        judge(&Response::from_parts(head, ()), &check)
+    }
+
+    /// Open connection, a new one when none is free.
+    async fn connection(&self) -> Option<Sender> {
+        loop {
+            let idle = self
+                .idle
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .pop();
+            let Some(mut sender) = idle else { break };
+            if sender.ready().await.is_ok() {
+                return Some(sender);
+            }
+        }
+        let stream = TcpStream::connect(self.address).await.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let (sender, driver) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        tokio::spawn(driver);
+        Some(sender)
+    }
+
+    /// Request of a call.
+    fn request(&self, call: &Call) -> Request<Full<Bytes>> {
+        let body = match call.kind {
+            Kind::Order => Bytes::from(format!("{{\"order\":\"{}\"}}", call.id)),
+            Kind::Lookup | Kind::Download | Kind::Check => Bytes::new(),
+        };
+        let mut request = Request::new(Full::new(body));
+        if call.kind == Kind::Order {
+            *request.method_mut() = Method::POST;
+        }
+        *request.uri_mut() = call.path.parse().unwrap_or_default();
+        let headers = request.headers_mut();
+        insert(headers, header::HOST.as_str(), call.service);
+        insert(headers, REQUEST_ID, &call.id);
+        insert(headers, "priority", &format!("u={}", call.kind.urgency()));
+        let deadline = self.patience.as_millis().to_string();
+        insert(headers, "x-buckthorn-deadline-ms", &deadline);
+        if call.kind == Kind::Order {
+            insert(headers, "idempotency-key", &call.id);
+        }
+        request
+    }
+}
+
+/// Sets a header whose value the load itself made.
+fn insert(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = value.parse() {
+        headers.insert(name, value);
+    }
+}
+
+/// Reads a body to its end, checking it on the way; `None` when it broke off.
+async fn read(call: &Call, mut body: Incoming) -> Option<Check> {
+    let mut check = Check::new(&call.path, &call.id);
+    while let Some(frame) = body.frame().await {
+        if let Some(data) = frame.ok()?.data_ref() {
+            check.take(data);
+        }
+    }
+    Some(check)
+}
+
+/// Judges an answer that ended as declared.
+fn judge(head: &Response<()>, check: &Check) -> Verdict {
+    let text = |name| {
+        let value = head.headers().get(name).and_then(|v| v.to_str().ok());
+        value.map(str::to_owned)
+    };
+    let ran = text("x-buckthorn-ran");
+    if let (Some(ran), Some(reason)) = (ran, text("x-buckthorn-reason")) {
+        return match ran.as_str() {
+            "not-run" => Verdict::NotRun(reason),
+            _ => Verdict::Unknown(reason),
+        };
+    }
+    if !head.status().is_success() {
+        return Verdict::Status(head.status().as_u16());
+    }
+    match check.finish() {
+        Ok(()) => Verdict::Ok {
+            execution: text(EXECUTION).unwrap_or_default(),
+        },
+        Err(fault) => Verdict::Wrong(fault),
+    }
+}
--- /dev/null
+++ b/buckthorn_lab/src/load/latency.rs
@@ -0,0 +1,390 @@
+//! Latency that an ingress and an owner add to a call, against the same call sent straight to the
+//! backend server, interleaved in one run.
+//!
+//! The parts run in one process, each on threads of its own, so that their processor time can be
+//! told apart by thread name.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use buckthorn::admission::door::Door;
+use buckthorn::clock::Clock;
+use buckthorn::counter::Board;
+use buckthorn::proxy::owner::Owner;
+use buckthorn::proxy::secret::Secrets;
+use buckthorn::proxy::{self, Handle, Plane};
+use buckthorn::rollout::evidence::Book;
+use buckthorn::routing::load::Load;
+use buckthorn::routing::table::{Endpoint, Route, Service, Share, Table};
+use http_body_util::{BodyExt, Empty};
+use oxhttp::model::Request;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
+use tokio::sync::mpsc;
+
+use super::Settings;
+use super::call::{Kind, Mix};
+use super::client::{Client, Verdict};
+use super::pace::Pace;
+use super::tally::{Latency, Summary, bump};
+use crate::backend::{Ledger, Server, Settings as Backend};
+
+/// Threads of each part.
+const THREADS: usize = 2;
+/// Calls before the measurement, so that connections are open.
+const WARM_UP: usize = 200;
+/// Calls of the comparison of HTTP clients, for each.
+const CLIENT_CALLS: usize = 2_000;
+/// Time that a drain may take.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// What the measurement came to.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Report {
+    /// Calls a second on each way.
+    pub rate: f64,
+    /// Straight to the backend server.
+    pub direct: Summary,
+    /// Through ingress and owner on two nodes.
+    pub two_nodes: Summary,
+    /// Through one node that is ingress and owner.
+    pub one_node: Summary,
+    /// Median, 99th and 99.9th percentile added by two nodes, in milliseconds.
+    pub added_two_nodes_ms: [f64; 3],
+    /// Median, 99th and 99.9th percentile added by one node, in milliseconds.
+    pub added_one_node_ms: [f64; 3],
+    /// Calls without a good answer, by way and verdict.
+    pub failed: Vec<(String, u64)>,
+    /// Share of one core that the ingress node took, in percent.
+    pub ingress_cpu_percent: f64,
+    /// Share of one core that the owner node took, in percent.
+    pub owner_cpu_percent: f64,
+    /// Resident memory of the whole process, in megabytes.
+    pub process_rss_mb: f64,
+    /// One call at a time over a pooled `hyper` connection.
+    pub hyper_pooled: Summary,
+    /// One call at a time over `oxhttp`, which opens a connection for each.
+    pub oxhttp: Summary,
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "{} calls/s on each way", self.rate)?;
+        for (verdict, count) in &self.failed {
+            writeln!(f, "failed {count}: {verdict}")?;
+        }
+        writeln!(
+            f,
+            "{:>22} {:>8} {:>9} {:>9} {:>9}",
+            "", "calls", "p50 ms", "p99 ms", "p99.9 ms"
+        )?;
+        let rows = [
+            ("direct", &self.direct),
+            ("one node", &self.one_node),
+            ("ingress and owner", &self.two_nodes),
+            ("hyper, pooled", &self.hyper_pooled),
+            ("oxhttp", &self.oxhttp),
+        ];
+        for (name, s) in rows {
+            writeln!(
+                f,
+                "{name:>22} {:>8} {:>9.3} {:>9.3} {:>9.3}",
+                s.count, s.p50_ms, s.p99_ms, s.p999_ms
+            )?;
+        }
+        let [p50, p99, p999] = self.added_one_node_ms;
+        writeln!(
+            f,
+            "added by one node: p50 {p50:.3} p99 {p99:.3} p99.9 {p999:.3} ms"
+        )?;
+        let [p50, p99, p999] = self.added_two_nodes_ms;
+        writeln!(
+            f,
+            "added by two nodes: p50 {p50:.3} p99 {p99:.3} p99.9 {p999:.3} ms"
+        )?;
+        writeln!(
+            f,
+            "processor: ingress {:.2}%, owner {:.2}% of a core; memory of the process {:.1} MB",
+            self.ingress_cpu_percent, self.owner_cpu_percent, self.process_rss_mb
+        )
+    }
+}
+
+/// A node on its own threads.
+struct Node {
+    /// Threads.
+    runtime: Runtime,
+    /// Servers.
+    handle: Handle,
+    /// Plane.
+    plane: Arc<Plane>,
+    /// Address of the callers' port.
+    callers: SocketAddr,
+    /// Address of the hop port.
+    hop: SocketAddr,
+}
+
+/// Runtime whose threads carry a name.
+fn runtime(name: &str) -> anyhow::Result<Runtime> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(THREADS)
+        .thread_name(name)
+        .enable_all()
+        .build()?;
+    Ok(runtime)
+}
+
+/// Starts a node.
+fn node(host: &str, service: &str, backend: Option<SocketAddr>) -> anyhow::Result<Node> {
+    let runtime = runtime(host)?;
+    let clock = Clock::new();
+    let counters = Arc::new(Board::new());
+    let settings = Backend::default();
+    let owner = backend.map(|address| {
+        let (slots, connections) = (settings.slots, settings.connections);
+        let door = Door::new(clock.clone(), counters.clone(), slots);
+        let book = Arc::new(Book::new());
+        Arc::new(Owner::new(
+            service,
+            "v1",
+            address,
+            slots,
+            connections,
+            door,
+            book,
+        ))
+    });
+    let plane = Plane::builder(host, "fd-1", Secrets::new("latency", None))
+        .table(Arc::new(ArcSwap::default()))
+        .owner(Arc::new(ArcSwapOption::from(owner)))
+        .counters(counters)
+        .clock(clock)
+        .build();
+    let plane = Arc::new(plane);
+    let (callers, hop) = runtime.block_on(async {
+        let callers = TcpListener::bind("127.0.0.1:0").await?;
+        let hop = TcpListener::bind("127.0.0.1:0").await?;
+        anyhow::Ok((callers, hop))
+    })?;
+    let addresses = (callers.local_addr()?, hop.local_addr()?);
+    let served = plane.clone();
+    let handle = runtime.block_on(async move { proxy::serve(served, callers, hop) });
+    Ok(Node {
+        runtime,
+        handle,
+        plane,
+        callers: addresses.0,
+        hop: addresses.1,
+    })
+}
+
+/// Table that routes a service to one node.
+fn table(service: &str, host: &str, hop: SocketAddr) -> Table {
+    let endpoint = Endpoint {
+        host: host.into(),
+        hop,
+        failure_domain: "fd-1".into(),
+        region: "lab".into(),
+        slots: Backend::default().slots,
+        load: Arc::new(Load::default()),
+    };
+    let share = Share {
+        version: "v1".into(),
+        permille: 1_000,
+        move_id: None,
+        endpoints: vec![endpoint],
+    };
+    let route = Route {
+        prefix: "".into(),
+        shares: vec![share],
+    };
+    Table {
+        version: 1,
+        services: vec![Service {
+            name: service.into(),
+            routes: vec![route],
+            budget: Arc::default(),
+        }],
+        out: Vec::new(),
+        failure_domain: "fd-1".into(),
+        region: "lab".into(),
+    }
+}
+
+/// Measures the latency added.
+///
+/// # Errors
+///
+/// Fails when a part cannot be started.
+pub fn measure(settings: &Settings) -> anyhow::Result<Report> {
+    let service = settings.deployment.service(Kind::Lookup);
+    let backend_runtime = runtime("backend")?;
+    // Timers are coarse; without them nothing but the path of the call varies.
+    let instant = Backend {
+        service_time: Duration::ZERO,
+        ..Backend::default()
+    };
+    let backend = Server::start(instant, Arc::new(Ledger::new()));
+    let backend = backend_runtime.block_on(backend)?;
+    let ingress = node("ingress", service, None)?;
+    let owner = node("owner", service, Some(backend.address()))?;
+    for node in [&ingress, &owner] {
+        node.plane
+            .table
+            .store(Arc::new(table(service, "owner", owner.hop)));
+    }
+    let targets = [backend.address(), ingress.callers, owner.callers];
+    let callers = runtime("callers")?;
+    let mut report = interleave(settings, &callers, targets)?;
+    callers.block_on(compare_clients(backend.address(), &mut report))?;
+    for node in [ingress, owner] {
+        node.runtime.block_on(node.handle.drain(DRAIN_TIMEOUT));
+        node.runtime.shutdown_background();
+    }
+    backend_runtime.shutdown_background();
+    callers.shutdown_background();
+    Ok(report)
+}
+
+/// Ways that calls take in turn.
+const WAYS: [&str; 3] = ["direct", "ingress and owner", "one node"];
+
+/// Latencies by way and failures.
+struct Ways {
+    /// Latencies: direct, two nodes, one node.
+    latencies: [Latency; 3],
+    /// Calls without a good answer, by way and verdict.
+    failed: Vec<(String, u64)>,
+}
+
+/// Sends calls on three ways in turn.
+fn interleave(
+    settings: &Settings,
+    runtime: &Runtime,
+    targets: [SocketAddr; 3],
+) -> anyhow::Result<Report> {
+    let clients = targets.map(|target| Arc::new(Client::new(target, settings.patience)));
+    let mut rng = ChaCha8Rng::seed_from_u64(settings.seed);
+    let mut mix = Mix::new(settings.deployment, format!("latency-{}", settings.seed));
+    for n in 0..WARM_UP {
+        let call = mix.draw_kind(Kind::Lookup, &mut rng);
+        runtime.block_on(clients[n % clients.len()].call(&call));
+    }
+    let ways = Arc::new(Mutex::new(Ways {
+        latencies: [Latency::new()?, Latency::new()?, Latency::new()?],
+        failed: Vec::new(),
+    }));
+    let (open, mut ended) = mpsc::channel::<()>(1);
+    let before = (cpu_ticks("ingress"), cpu_ticks("owner"), Instant::now());
+    let mut pace = Pace::new(settings.rate * clients.len() as f64, settings.time);
+    let mut way = 0;
+    while let Some(intended) = pace.wait(&mut rng) {
+        way = (way + 1) % clients.len();
+        let call = mix.draw_kind(Kind::Lookup, &mut rng);
+        let (client, ways, open) = (clients[way].clone(), ways.clone(), open.clone());
+        runtime.spawn(async move {
+            let verdict = client.call(&call).await;
+            let latency = intended.elapsed();
+            let mut ways = ways.lock().unwrap_or_else(PoisonError::into_inner);
+            match verdict {
+                Verdict::Ok { .. } => ways.latencies[way].add(latency),
+                bad => bump(&mut ways.failed, &format!("{}: {bad:?}", WAYS[way])),
+            }
+            drop(open);
+        });
+    }
+    drop(open);
+    runtime.block_on(ended.recv());
+    let secs = before.2.elapsed().as_secs_f64();
+    let percent = |ticks: u64| ticks as f64 / TICKS_PER_SECOND / secs * 100.0;
+    let ways = ways.lock().unwrap_or_else(PoisonError::into_inner);
+    let [direct, two_nodes, one_node] = &ways.latencies;
+    Ok(Report {
+        rate: settings.rate,
+        direct: direct.summary(),
+        two_nodes: two_nodes.summary(),
+        one_node: one_node.summary(),
+        added_two_nodes_ms: added(two_nodes, direct),
+        added_one_node_ms: added(one_node, direct),
+        failed: ways.failed.clone(),
+        ingress_cpu_percent: percent(cpu_ticks("ingress") - before.0),
+        owner_cpu_percent: percent(cpu_ticks("owner") - before.1),
+        process_rss_mb: rss_mb(),
+        hyper_pooled: Summary::default(),
+        oxhttp: Summary::default(),
+    })
+}
+
+/// Quantiles of one way less those of another.
+fn added(way: &Latency, direct: &Latency) -> [f64; 3] {
+    [0.5, 0.99, 0.999].map(|quantile| way.millis(quantile) - direct.millis(quantile))
+}
+
+/// Compares a pooled `hyper` connection with `oxhttp`, one call at a time, in turn.
+async fn compare_clients(backend: SocketAddr, report: &mut Report) -> anyhow::Result<()> {
+    let uri = format!("http://{backend}/cards/1");
+    let stream = tokio::net::TcpStream::connect(backend).await?;
+    stream.set_nodelay(true)?;
+    let io = hyper_util::rt::TokioIo::new(stream);
+    let (mut sender, driver) = hyper::client::conn::http1::handshake(io).await?;
+    tokio::spawn(driver);
+    let (mut pooled, mut single) = (Latency::new()?, Latency::new()?);
+    for _ in 0..CLIENT_CALLS {
+        let started = Instant::now();
+        let request = http::Request::get("/cards/1")
+            .header("host", "card-desk")
+            .body(Empty::<bytes::Bytes>::new())?;
+        sender.ready().await?;
+        sender.send_request(request).await?.collect().await?;
+        pooled.add(started.elapsed());
+        let uri = uri.clone();
+        let latency = tokio::task::spawn_blocking(move || {
+            let started = Instant::now();
+            let request = Request::get(uri).body(oxhttp::model::Body::empty())?;
+            let response = oxhttp::Client::new().request(request)?;
+            response.into_body().to_vec()?;
+            anyhow::Ok(started.elapsed())
+        });
+        single.add(latency.await??);
+    }
+    report.hyper_pooled = pooled.summary();
+    report.oxhttp = single.summary();
+    Ok(())
+}
+
+/// Ticks of processor time in a second, as Linux reports them to programs.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+/// Processor time of this process's threads with a name, zero where it is not known.
+fn cpu_ticks(thread_name: &str) -> u64 {
+    let Ok(tasks) = std::fs::read_dir("/proc/self/task") else {
+        return 0;
+    };
+    tasks
+        .filter_map(|task| std::fs::read_to_string(task.ok()?.path().join("stat")).ok())
+        .filter_map(|stat| {
+            let (name, rest) = stat.split_once('(')?.1.rsplit_once(')')?;
+            // Fields 14 and 15 of the line are user and system time.
+            let mut fields = rest.split_whitespace().skip(11);
+            let user: u64 = fields.next()?.parse().ok()?;
+            let system: u64 = fields.next()?.parse().ok()?;
+            (name == thread_name).then_some(user + system)
+        })
+        .sum()
+}
+
+/// Resident memory of this process in megabytes, zero where it is not known.
+fn rss_mb() -> f64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let kilobytes = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:"))
+        .and_then(|rest| rest.trim().split(' ').next()?.parse::<f64>().ok());
+    kilobytes.unwrap_or(0.0) / 1_024.0
+}
