--- a/buckthorn/src/rollout/plugin.rs
+++ b/buckthorn/src/rollout/plugin.rs
@@ -25,7 +25,7 @@
 use super::evidence::Report;
 use super::judge;
 use super::quarantine::Accusation;
-use super::trial::{Trial, Verdict};
+use super::trial::Trial;
 
 /// Interval between an owner's reports to holder and judges.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(500);
@@ -181,10 +181,8 @@
                 continue;
             };
             let fleet = fleet(cx, intent, entry);
-            let reason = match trial.verdict(fleet.new == 1) {
-                Verdict::Guilty(reason) => reason,
-                Verdict::Suspect(reason) if trial.is_failing_alone() => reason,
-                _ => continue,
+            let Some(reason) = trial.accusation(fleet.new == 1) else {
+                continue;
             };
             let own = &cx.shared.identity.host;
             let is_known = cx.shared.quarantine.of(&entry.id).any(|a| a.host == *own);
--- a/buckthorn/src/rollout/trial.rs
+++ b/buckthorn/src/rollout/trial.rs
@@ -483,8 +483,21 @@
         self.ledger.heard(now)
     }
 
+    /// Fault for which a judge accuses the new version without the controller.
+    ///
+    /// Beside a verdict of guilty that is the failure of most calls at full share, where the old
+    /// version has no calls to compare: the controller, if there is one, lowers the share at the
+    /// suspicion, long before the recent calls have failed for the most part.
+    pub fn accusation(&self, is_sole: bool) -> Option<String> {
+        match self.verdict(is_sole) {
+            Verdict::Guilty(reason) => Some(reason),
+            Verdict::Suspect(reason) if self.is_failing_alone() => Some(reason),
+            _ => None,
+        }
+    }
+
     /// Whether most recent calls fail at full share, where the old version has none to compare.
-    pub fn is_failing_alone(&self) -> bool {
+    fn is_failing_alone(&self) -> bool {
         self.stage.1 == FULL_SHARE && self.all.failed.new.rate() >= TOTAL_FAILURE
     }
 }
--- a/buckthorn_lab/src/flags.rs
+++ b/buckthorn_lab/src/flags.rs
@@ -55,6 +55,10 @@
         cmd moves {
             /// Seed.
             optional --seed seed: u64
+            /// Moves of each kind.
+            optional --moves moves: usize
+            /// Prints each case that missed a target.
+            optional --verbose
             /// File for the JSON.
             optional --json json: PathBuf
         }
