Compare thin traffic in batches of calls

Cause: a half-second window of thin traffic rarely holds calls of both versions, so its failures were not compared; recent counts faded within seconds. Change: windows are gathered until they hold 20 calls of both versions; recent and reference counts fade by calls as well as by time, whichever leaves more. What is left: comparisons end before they have calls, and faults above some load come back after each comparison.

--- a/buckthorn/src/rollout/trial.rs
+++ b/buckthorn/src/rollout/trial.rs
@@ -29,6 +29,18 @@
 /// Time in which the old version's reference loses half of its weight.
 pub const REFERENCE_HALF_LIFE: Duration = Duration::from_secs(120);
 
+/// Calls of the new version in which recent counts lose at most half of their weight.
+pub const RECENT_CALLS: f64 = 20.0;
+
+/// Calls of the old version in which the reference loses at most half of its weight.
+pub const REFERENCE_CALLS: f64 = 200.0;
+
+/// Calls of both versions that are compared at once, so that thin traffic has some of both.
+pub const BATCH_CALLS: f64 = 20.0;
+
+/// Calls of one version alone after which a batch is given up.
+pub const MAX_BATCH_CALLS: f64 = 400.0;
+
 /// Level of the reference test at which the new version is to be compared.
 pub const SUSPICION: f64 = 9.2;
 
@@ -73,6 +85,10 @@
     concurrent: Panel,
     /// Reference test.
     reference: Panel,
+    /// New version's counts by host that wait for their comparison, sorted.
+    batch_new: Vec<(Name, Count)>,
+    /// Old version's counts that wait for their comparison.
+    batch_old: Count,
     /// New version's recent counts.
     new: Count,
     /// Old version's recent counts.
@@ -157,6 +173,11 @@
     }
 }
 
+/// Weight left after `time` and `calls`, whichever leaves more.
+fn fade(time: Duration, half_life: Duration, calls: f64, half_calls: f64) -> f64 {
+    decay(time, half_life).max((-calls / half_calls).exp2())
+}
+
 /// Weight left after `time` at a half-life.
 fn decay(time: Duration, half_life: Duration) -> f64 {
     (-time.as_secs_f64() / half_life.as_secs_f64()).exp2()
@@ -165,20 +186,44 @@
 impl Gauge {
     /// Takes one window in.
     fn take(&mut self, kind: Kind, hosts: &[(Name, Count)], old: Count, length: Duration) {
-        self.concurrent.compare(hosts, old, kind.tolerated());
+        self.gather(hosts, old);
+        if self.is_batch_full() {
+            self.concurrent
+                .compare(&self.batch_new, self.batch_old, kind.tolerated());
+            self.batch_new.clear();
+            self.batch_old = Count::default();
+        }
         if self.usual.calls >= MIN_REFERENCE_CALLS {
             self.reference.refer(hosts, self.usual_rate(kind));
         }
-        let recent = decay(length, RECENT_HALF_LIFE);
         let new = hosts.iter().fold(Count::default(), |sum, h| sum.plus(h.1));
+        let recent = fade(length, RECENT_HALF_LIFE, new.calls, RECENT_CALLS);
         self.new = self.new.scaled(recent).plus(new);
         self.old = self.old.scaled(recent).plus(old);
         if old.calls > 0.0 && !self.is_common(kind) {
-            let factor = decay(length, REFERENCE_HALF_LIFE);
+            let factor = fade(length, REFERENCE_HALF_LIFE, old.calls, REFERENCE_CALLS);
             self.usual = self.usual.scaled(factor).plus(old);
         }
     }
 
+    /// Adds one window to the batch.
+    fn gather(&mut self, hosts: &[(Name, Count)], old: Count) {
+        for (host, count) in hosts {
+            match self.batch_new.binary_search_by(|(h, _)| h.cmp(host)) {
+                Ok(index) => self.batch_new[index].1 = self.batch_new[index].1.plus(*count),
+                Err(index) => self.batch_new.insert(index, (host.clone(), *count)),
+            }
+        }
+        self.batch_old = self.batch_old.plus(old);
+    }
+
+    /// Whether the batch holds enough calls of both versions, or of one for long.
+    fn is_batch_full(&self) -> bool {
+        let new: f64 = self.batch_new.iter().map(|(_, count)| count.calls).sum();
+        let old = self.batch_old.calls;
+        (new > 0.0 && old > 0.0 && new + old >= BATCH_CALLS) || new + old >= MAX_BATCH_CALLS
+    }
+
     /// Rate of the old version that the new one is held to.
     fn usual_rate(&self, kind: Kind) -> f64 {
         (self.usual.rate() * kind.tolerated()).clamp(kind.floor(), 0.5)
@@ -237,7 +282,8 @@
         if old.calls() == 0 || !is_usual {
             return;
         }
-        let factor = decay(length, REFERENCE_HALF_LIFE);
+        let calls = old.calls() as f64;
+        let factor = fade(length, REFERENCE_HALF_LIFE, calls, REFERENCE_CALLS);
         for (weight, count) in self.latencies.iter_mut().zip(&old.buckets) {
             *weight = *weight * factor + *count as f64;
         }
