Compare at a lowered share until there are calls, with or without the log

Cause: a comparison ended before it had calls; faults above some load came back after each comparison; a common fault at full share cost the deadline; without the log nothing could be compared at full share. Change: after a suspicion a step needs 40 calls and the last moment does not cut it short; a third suspicion condemns as a fault of high shares; a comparison that shows a common fault restores the share; judges may accuse with doubt, two of which lower the share as the controller would, until a later step in the log; a move is watched from its deadline if it was early.

--- a/buckthorn/src/rollout/controller.rs
+++ b/buckthorn/src/rollout/controller.rs
@@ -36,6 +36,9 @@
 /// Calls on the new version that are wanted at one share however thin the traffic is.
 pub const FEWEST_CALLS: f64 = 10.0;
 
+/// Calls on the new version that are wanted at one share once there was a suspicion.
+pub const COMPARED_CALLS: f64 = 40.0;
+
 /// Part of the expected calls that is wanted.
 pub const EXPECTED_PART: f64 = 0.5;
 
@@ -71,6 +74,8 @@
     pub new_slots: u32,
     /// Whether nodes have quarantined the new version.
     pub is_quarantined: bool,
+    /// Whether nodes have lowered the share for a comparison.
+    pub is_lowered: bool,
 }
 
 /// What to do with a move.
@@ -141,9 +146,13 @@
         }
     }
 
-    /// Whether the last moment overrides it.
-    const fn yields(self) -> bool {
-        matches!(self, Self::Thin | Self::Deadline)
+    /// Whether the last moment overrides it. A comparison is not cut short.
+    fn yields(self, trial: &Trial) -> bool {
+        match self {
+            Self::Thin => !trial.is_compared(),
+            Self::Deadline | Self::Common => true,
+            _ => false,
+        }
     }
 }
 
@@ -202,9 +211,11 @@
     if let Some(reason) = fault {
         return take_back(entry, fleet, reason, now);
     }
-    if needs_comparison(entry, trial, &verdict) && fleet.old > 0 {
+    let is_wanted = fleet.is_lowered || needs_comparison(entry, trial, &verdict);
+    if is_wanted && entry.share > COMPARISON_SHARE && fleet.old > 0 {
         let what = match verdict {
             Verdict::Suspect(what) | Verdict::Doubt(what) => what,
+            _ if fleet.is_lowered => "lowered by the nodes before".into(),
             _ => format!("{:.0}% shed", trial.shed() * 100.0),
         };
         let reason = format!(
@@ -219,7 +230,7 @@
     }
 }
 
-/// Time for which a move is watched at full share.
+/// Time for which a move is watched at full share, after its deadline if it was early.
 pub fn watch_period(entry: &Move) -> Duration {
     (entry.deadline.since(entry.start) / WATCH_DIVISOR).clamp(MIN_WATCH, MAX_WATCH)
 }
@@ -285,8 +296,9 @@
 
 /// Decides about a move at full share.
 fn watch(entry: &Move, trial: &Trial, verdict: &Verdict, now: Time) -> Decision {
-    let is_over = now.since(trial.since()) >= watch_period(entry);
-    if !is_over || *verdict != Verdict::Clean || trial.heard(now) == 0 {
+    let is_over = now >= trial.since().max(entry.deadline) + watch_period(entry);
+    let is_clean = *verdict == Verdict::Clean && !trial.is_excused();
+    if !is_over || !is_clean || trial.heard(now) == 0 {
         return Decision::Wait;
     }
     step(Phase::Done, FULL_SHARE, "watched without a fault")
@@ -302,11 +314,15 @@
         entry.deadline,
     );
     let is_last_moment = now >= plan.last_moment;
+    if matches!(verdict, Verdict::Common(_)) && trial.is_excused() && trial.was_full() {
+        let reason = "common fault: both versions do alike, share restored";
+        return step(Phase::Watching, FULL_SHARE, reason);
+    }
     if now < plan.due && !(is_last_moment && now.since(trial.since()) >= schedule::MIN_DWELL) {
         return Decision::Wait;
     }
     match obstacle(entry, trial, fleet, verdict, plan, now) {
-        Some((obstacle, _)) if is_last_moment && obstacle.yields() => {
+        Some((obstacle, _)) if is_last_moment && obstacle.yields(trial) => {
             raise(plan, format!("last moment: {}", obstacle.word()))
         }
         Some((_, text)) if is_overdue(entry, trial, now) => {
@@ -378,7 +394,12 @@
 fn wanted(entry: &Move, trial: &Trial, plan: Plan) -> f64 {
     let dwell = plan.due.since(trial.since()).as_secs_f64();
     let expected = trial.rate() * dwell * f64::from(entry.share) / f64::from(FULL_SHARE);
-    (expected * EXPECTED_PART).clamp(FEWEST_CALLS, ENOUGH_CALLS)
+    let fewest = if trial.is_compared() {
+        COMPARED_CALLS
+    } else {
+        FEWEST_CALLS
+    };
+    (expected * EXPECTED_PART).clamp(fewest, ENOUGH_CALLS)
 }
 
 /// Raises the share.
--- a/buckthorn/src/rollout/plugin.rs
+++ b/buckthorn/src/rollout/plugin.rs
@@ -12,7 +12,7 @@
 use rand::Rng;
 
 use crate::clock::Time;
-use crate::config::intent::{Intent, Move, Phase};
+use crate::config::intent::{FULL_SHARE, Intent, Move, Phase};
 use crate::counter::Counter;
 use crate::journal::record::{self, Body, Step};
 use crate::kernel::{Action, Context, Event, Plugin, Registry};
@@ -159,7 +159,10 @@
         });
         for entry in intent.moves.iter().filter(|m| is_reported(m, cx.now)) {
             match self.trials.binary_search_by(|t| t.id.cmp(&entry.id)) {
-                Ok(index) => self.trials[index].follow(entry, cx.now),
+                Ok(index) => {
+                    let given = cx.shared.quarantine.limit(&entry.id, entry.share);
+                    self.trials[index].follow(entry, given, cx.now);
+                }
                 Err(index) => {
                     if is_judge(cx, &entry.id) {
                         self.trials.insert(index, Trial::new(entry, cx.now));
@@ -181,18 +184,23 @@
                 continue;
             };
             let fleet = fleet(cx, intent, entry);
-            let Some(reason) = trial.accusation(fleet.new == 1) else {
+            let Some((degree, reason)) = trial.accusation(fleet.new == 1, cx.now) else {
                 continue;
             };
-            let own = &cx.shared.identity.host;
-            let is_known = cx.shared.quarantine.of(&entry.id).any(|a| a.host == *own);
+            let own = cx.shared.identity.host.clone();
+            let is_known = cx
+                .shared
+                .quarantine
+                .of(&entry.id)
+                .any(|a| a.host == own && a.degree >= degree);
             if fleet.old == 0 || is_known {
                 continue;
             }
-            let is_alone = !cx.shared.view.live().any(|m| m.host != *own);
+            let is_alone = !cx.shared.view.live().any(|m| m.host != own);
             let accusation = Accusation {
                 id: entry.id.clone(),
-                host: own.clone(),
+                host: own,
+                degree,
                 reason,
                 at: cx.now,
             };
@@ -335,6 +343,12 @@
         .shared
         .quarantine
         .merge(accusations, &state.intent, is_alone);
+    for id in &merge.lowered {
+        cx.act(Action::Note {
+            text: format!("move {id}: share lowered to compare the versions"),
+        });
+        cx.act(Action::Rebuild);
+    }
     for id in &merge.entered {
         cx.shared.counters.hit(Counter::Quarantines);
         cx.act(Action::Note {
@@ -383,6 +397,7 @@
 fn fleet(cx: &Context<'_>, intent: &Intent, entry: &Move) -> Fleet {
     let mut fleet = Fleet {
         is_quarantined: cx.shared.quarantine.is_quarantined(&entry.id),
+        is_lowered: cx.shared.quarantine.limit(&entry.id, FULL_SHARE) < FULL_SHARE,
         ..Fleet::default()
     };
     let usable = cx
--- a/buckthorn/src/rollout/quarantine.rs
+++ b/buckthorn/src/rollout/quarantine.rs
@@ -3,14 +3,19 @@
 //! A judge (see [`super::judge`]) that finds a move's new version at fault raises an
 //! [`Accusation`]. A version is quarantined once [`QUORUM`] distinct hosts accuse it, or the only
 //! live host when a node is alone, so that one mistaken node cannot take a good version out of the
-//! mesh. Within one move the set of accusations only grows; it ends when the folded move has ended.
+//! mesh. Within one move accusations only grow in number and degree, so the share that nodes give the
+//! new version only falls; the end of the folded move ends them.
+//!
+//! Where the old version has no calls left to compare, judges first accuse with [`Degree::Doubt`]:
+//! two of these lower the share as the controller would, and any later step in the log answers them.
 
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Time;
-use crate::config::intent::Intent;
+use crate::config::intent::{Intent, Move};
+use crate::journal::fold::COMPARISON_SHARE;
 use crate::name::{self, Name};
 
 /// Distinct accusing hosts that quarantine a version.
@@ -28,6 +33,19 @@
 /// Length of a reason in characters.
 pub const MAX_REASON_CHARS: usize = 240;
 
+/// What an accusation asks for, in rising order.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum Degree {
+    /// The share is lowered, so that the versions can be compared.
+    Doubt,
+    /// The new version receives no new calls.
+    #[default]
+    Fault,
+}
+
 /// One node's word that a version is at fault on a move.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Accusation {
@@ -35,6 +53,9 @@
     pub id: Name,
     /// Host that accuses.
     pub host: Name,
+    /// What it asks for.
+    #[serde(default)]
+    pub degree: Degree,
     /// Why, in words for the operator.
     pub reason: String,
     /// When it was raised, by the accuser's clock.
@@ -48,6 +69,8 @@
     accusations: Vec<Accusation>,
     /// Moves whose new version is quarantined, sorted.
     entered: Vec<Name>,
+    /// Moves whose share is lowered for a comparison, sorted.
+    lowered: Vec<Name>,
 }
 
 /// What a merge of accusations did.
@@ -57,6 +80,8 @@
     pub fresh: Vec<Accusation>,
     /// Moves whose new version is now quarantined.
     pub entered: Vec<Name>,
+    /// Moves whose share is now lowered.
+    pub lowered: Vec<Name>,
 }
 
 impl Quarantine {
@@ -72,15 +97,29 @@
             .is_ok()
     }
 
+    /// Share of a move's new version, given the one in the log.
+    pub fn limit(&self, move_id: &str, share: u16) -> u16 {
+        if self.is_quarantined(move_id) {
+            return 0;
+        }
+        let is_lowered = self.lowered.iter().any(|id| **id == *move_id);
+        if is_lowered {
+            share.min(COMPARISON_SHARE)
+        } else {
+            share
+        }
+    }
+
     /// Accusations held, sorted by move and host.
     pub fn entries(&self) -> &[Accusation] {
         &self.accusations
     }
 
-    /// Hash over the accusations held, equal where the same hosts accuse the same moves.
+    /// Hash over the accusations held, equal where the same hosts accuse the same moves alike.
     pub fn digest(&self) -> u64 {
         self.accusations.iter().fold(0, |digest, accusation| {
-            digest ^ name::rendezvous(&accusation.id, &accusation.host)
+            let key = name::rendezvous(&accusation.id, &accusation.host);
+            digest ^ key.rotate_left(accusation.degree as u32)
         })
     }
 
@@ -96,13 +135,17 @@
             }
         }
         let quorum = if is_alone { 1 } else { QUORUM };
-        for accusation in &merge.fresh {
-            if self.accusers(&accusation.id) < quorum {
-                continue;
+        for Accusation { id, .. } in &merge.fresh {
+            let count = |degree| self.of(id).filter(|a| a.degree >= degree).count();
+            let (is_lowered, is_entered) = (
+                count(Degree::Doubt) >= quorum,
+                count(Degree::Fault) >= quorum,
+            );
+            if is_lowered && insert(&mut self.lowered, id) {
+                merge.lowered.push(id.clone());
             }
-            if let Err(index) = self.entered.binary_search(&accusation.id) {
-                self.entered.insert(index, accusation.id.clone());
-                merge.entered.push(accusation.id.clone());
+            if is_entered && insert(&mut self.entered, id) {
+                merge.entered.push(id.clone());
             }
         }
         merge
@@ -110,12 +153,13 @@
 
     /// Adds one accusation; says whether it was new.
     fn insert(&mut self, accusation: &Accusation, intent: &Intent) -> bool {
-        let has_ended = intent
+        let is_over = intent
             .find_move(&accusation.id)
-            .is_some_and(|m| m.phase.is_ended());
-        if has_ended
+            .is_some_and(|m| is_answered(accusation, m));
+        let is_held = self.of(&accusation.id).any(|a| a.host == accusation.host);
+        if is_over
             || self.accusations.len() >= MAX_ACCUSATIONS
-            || self.accusers(&accusation.id) >= MAX_PER_MOVE
+            || (!is_held && self.of(&accusation.id).count() >= MAX_PER_MOVE)
         {
             return false;
         }
@@ -124,38 +168,64 @@
             .accusations
             .binary_search_by(|held| (&held.id, &held.host).cmp(&key))
         {
-            Ok(_) => false,
+            Ok(index) if self.accusations[index].degree >= accusation.degree => false,
+            Ok(index) => {
+                self.accusations[index] = clipped(accusation);
+                true
+            }
             Err(index) => {
-                let mut held = accusation.clone();
-                held.reason = held.reason.chars().take(MAX_REASON_CHARS).collect();
+                let held = clipped(accusation);
                 self.accusations.insert(index, held);
                 true
             }
         }
     }
 
-    /// Distinct hosts that accuse a move's new version.
-    fn accusers(&self, move_id: &str) -> usize {
-        self.of(move_id).count()
-    }
-
     /// Accusations of one move.
     pub fn of<'a>(&'a self, move_id: &'a str) -> impl Iterator<Item = &'a Accusation> {
         self.accusations.iter().filter(move |a| *a.id == *move_id)
     }
 
-    /// Drops what concerns moves that have ended in the log; says whether anything was dropped.
+    /// Drops what a later decision in the log has answered; says whether anything was dropped.
     ///
     /// Accusations of moves that the intent does not hold are dropped after [`UNKNOWN_KEPT`].
     pub fn prune(&mut self, intent: &Intent, now: Time) -> bool {
-        let before = self.accusations.len() + self.entered.len();
+        let before = self.accusations.len();
         self.accusations.retain(|a| match intent.find_move(&a.id) {
-            Some(entry) => !entry.phase.is_ended(),
+            Some(entry) => !is_answered(a, entry),
             None => now.since(a.at) < UNKNOWN_KEPT,
         });
         let accusations = &self.accusations;
-        self.entered
-            .retain(|id| accusations.iter().any(|a| a.id == *id));
-        before != self.accusations.len() + self.entered.len()
+        let is_held = |id: &Name| accusations.iter().any(|a| a.id == *id);
+        self.entered.retain(is_held);
+        self.lowered.retain(is_held);
+        before != self.accusations.len()
+    }
+}
+
+/// Whether a decision in the log has answered an accusation: the end of the move answers each, any
+/// later step answers a doubt.
+fn is_answered(accusation: &Accusation, entry: &Move) -> bool {
+    let is_later = entry.phase.is_active() && entry.changed > accusation.at;
+    entry.phase.is_ended() || (accusation.degree == Degree::Doubt && is_later)
+}
+
+/// Copy whose reason has a bounded length.
+fn clipped(accusation: &Accusation) -> Accusation {
+    let reason = accusation.reason.chars().take(MAX_REASON_CHARS).collect();
+    Accusation {
+        reason,
+        ..accusation.clone()
+    }
+}
+
+/// Inserts into a sorted list; says whether it was new.
+fn insert(list: &mut Vec<Name>, id: &Name) -> bool {
+    match list.binary_search(id) {
+        Ok(_) => false,
+        Err(index) => {
+            list.insert(index, id.clone());
+            true
+        }
     }
 }
--- a/buckthorn/src/rollout/trial.rs
+++ b/buckthorn/src/rollout/trial.rs
@@ -8,11 +8,14 @@
 
 use crate::clock::Time;
 use crate::config::intent::{FULL_SHARE, Move, Phase};
+use crate::journal::fold::COMPARISON_SHARE;
 use crate::name::Name;
 
+use super::controller::COMPARABLE_SHARE;
 use super::evidence::{self, BUCKETS, OTHER_ROUTES, Report, Tally};
 use super::gauge::{Count, FALSE_ALARM, HORIZON, Panel};
 use super::ledger::{Ledger, Side, Window};
+use super::quarantine::Degree;
 
 /// Quantile of the old version's latency from which the limit of slow calls is taken.
 pub const SLOW_QUANTILE: f64 = 0.95;
@@ -50,9 +53,14 @@
 /// Distance below the condemning level from which a move does not go on.
 pub const DOUBT_MARGIN: f64 = 5.0;
 
-/// Part of the new version's recent calls whose failure is acted on without a comparison, when no
-/// comparison comes.
-pub const TOTAL_FAILURE: f64 = 0.5;
+/// Time for which judges leave a suspicion to the controller.
+pub const DOUBT_PATIENCE: Duration = Duration::from_secs(3);
+
+/// Comparisons after which one more suspicion condemns: a fault that shows only at a high share.
+pub const MAX_COMPARISONS: u32 = 2;
+
+/// Bad calls of the old version that establish a common fault at a comparison.
+pub const COMMON_BAD: f64 = 5.0;
 
 /// Kind of bad call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -137,8 +145,14 @@
     all: Route,
     /// Evidence by route, sorted by name.
     routes: Vec<Route>,
-    /// Whether the share was lowered for a comparison.
-    is_compared: bool,
+    /// Times that the share was lowered for a comparison.
+    comparisons: u32,
+    /// Whether a comparison has shown a common fault that still lasts.
+    is_excused: bool,
+    /// When the present suspicion began.
+    suspected: Option<Time>,
+    /// Whether all traffic was on the new version at some time.
+    was_full: bool,
     /// Recent calls a second on both versions.
     rate: f64,
     /// Recent calls running at once on both versions.
@@ -309,10 +323,10 @@
             let is_raised = gauge.is_excess(kind, gauge.usual.rate());
             let verdict = if judged >= threshold && is_excess {
                 Verdict::Guilty(reason())
-            } else if gauge.is_common(kind) && is_raised {
-                Verdict::Common(reason())
             } else if judged >= threshold - DOUBT_MARGIN && is_excess {
                 Verdict::Doubt(reason())
+            } else if gauge.is_common(kind) && is_raised {
+                Verdict::Common(reason())
             } else if gauge.reference.judged(is_sole) >= SUSPICION && is_raised {
                 Verdict::Suspect(reason())
             } else {
@@ -352,8 +366,8 @@
         match self {
             Self::Clean => 0,
             Self::Suspect(_) => 1,
-            Self::Doubt(_) => 2,
-            Self::Common(_) => 3,
+            Self::Common(_) => 2,
+            Self::Doubt(_) => 3,
             Self::Guilty(_) => 4,
         }
     }
@@ -381,34 +395,38 @@
             ledger: Ledger::new(now),
             all: Route::new("".into()),
             routes: Vec::new(),
-            is_compared: false,
+            comparisons: 0,
+            is_excused: false,
+            suspected: None,
+            was_full: entry.share == FULL_SHARE,
             rate: 0.0,
             busy: 0.0,
             shed: Count::default(),
         }
     }
 
-    /// Follows the move's phase and share.
-    pub fn follow(&mut self, entry: &Move, now: Time) {
+    /// Follows the move's phase and share; `given` is the share that nodes give the new version.
+    pub fn follow(&mut self, entry: &Move, given: u16, now: Time) {
         let share = self.stage.1;
         self.stage.0 = entry.phase;
-        if share == entry.share {
+        if share == given {
             return;
         }
-        self.stage.1 = entry.share;
+        self.stage.1 = given;
         self.since = now;
+        self.was_full |= given == FULL_SHARE;
         for route in self.routes.iter_mut().chain([&mut self.all]) {
             route.stage_new = 0;
             route.stage_old = 0;
-            if entry.share < share {
+            if given < share {
                 route.failed.concurrent = Panel::default();
                 route.slow.concurrent = Panel::default();
                 route.failed.reference = Panel::default();
                 route.slow.reference = Panel::default();
             }
         }
-        if entry.share < share {
-            self.is_compared = true;
+        if given < share {
+            self.comparisons += 1;
         }
     }
 
@@ -440,6 +458,13 @@
             return false;
         };
         self.evaluate(&window);
+        self.excuse();
+        match self.verdict(false) {
+            Verdict::Suspect(_) => {
+                self.suspected.get_or_insert(now);
+            }
+            _ => self.suspected = None,
+        }
         true
     }
 
@@ -472,6 +497,21 @@
         self.measure(&new, &old, length);
     }
 
+    /// Notes whether a comparison shows a common fault, and when it is over.
+    fn excuse(&mut self) {
+        let gauges = [
+            (Kind::Failed, &self.all.failed),
+            (Kind::Slow, &self.all.slow),
+        ];
+        let is_shown = gauges
+            .iter()
+            .any(|(kind, gauge)| gauge.is_common(*kind) && gauge.old.bad >= COMMON_BAD);
+        let is_over = gauges
+            .iter()
+            .all(|(kind, gauge)| gauge.new.rate() <= gauge.usual_rate(*kind));
+        self.is_excused = !is_over && (self.is_excused || (self.comparisons > 0 && is_shown));
+    }
+
     /// Measures the load on both versions.
     fn measure(&mut self, new: &[(Name, Tally)], old: &Tally, length: Duration) {
         let weight = decay(length, RECENT_HALF_LIFE);
@@ -492,16 +532,44 @@
 
     /// What the evidence says; `is_sole` for a new version with a single server.
     pub fn verdict(&self, is_sole: bool) -> Verdict {
-        let base = if self.is_compared {
+        let base = if self.comparisons > 0 {
             COMPARED
         } else {
             (HORIZON * 4.0 / FALSE_ALARM).ln()
         };
         let by_route = base + (self.routes.len().max(1) as f64).ln();
-        self.routes
+        let verdict = self
+            .routes
             .iter()
             .map(|route| route.verdict(by_route, is_sole))
-            .fold(self.all.verdict(base, is_sole), Verdict::or)
+            .fold(self.all.verdict(base, is_sole), Verdict::or);
+        match verdict {
+            Verdict::Suspect(_) if self.is_excused => Verdict::Clean,
+            Verdict::Suspect(reason) if self.is_load_fault() => {
+                Verdict::Guilty(format!("only at a high share, {reason}"))
+            }
+            verdict => verdict,
+        }
+    }
+
+    /// Whether a suspicion now would come after comparisons that found nothing.
+    fn is_load_fault(&self) -> bool {
+        self.comparisons >= MAX_COMPARISONS && self.stage.1 > COMPARISON_SHARE
+    }
+
+    /// Whether the share was lowered for a comparison at some time.
+    pub fn is_compared(&self) -> bool {
+        self.comparisons > 0
+    }
+
+    /// Whether a comparison has shown a common fault that still lasts.
+    pub fn is_excused(&self) -> bool {
+        self.is_excused
+    }
+
+    /// Whether all traffic was on the new version at some time.
+    pub fn was_full(&self) -> bool {
+        self.was_full
     }
 
     /// Recent calls a second on both versions.
@@ -529,22 +597,21 @@
         self.ledger.heard(now)
     }
 
-    /// Fault for which a judge accuses the new version without the controller.
+    /// What a judge accuses the new version of without the controller.
     ///
-    /// Beside a verdict of guilty that is the failure of most calls at full share, where the old
-    /// version has no calls to compare: the controller, if there is one, lowers the share at the
-    /// suspicion, long before the recent calls have failed for the most part.
-    pub fn accusation(&self, is_sole: bool) -> Option<String> {
+    /// A suspicion is left to the controller at first, which lowers the share if it can.
+    pub fn accusation(&self, is_sole: bool, now: Time) -> Option<(Degree, String)> {
         match self.verdict(is_sole) {
-            Verdict::Guilty(reason) => Some(reason),
-            Verdict::Suspect(reason) if self.is_failing_alone() => Some(reason),
+            Verdict::Guilty(reason) => Some((Degree::Fault, reason)),
+            Verdict::Suspect(reason) if self.is_left_alone(now) => Some((Degree::Doubt, reason)),
             _ => None,
         }
     }
 
-    /// Whether most recent calls fail at full share, where the old version has none to compare.
-    fn is_failing_alone(&self) -> bool {
-        self.stage.1 == FULL_SHARE && self.all.failed.new.rate() >= TOTAL_FAILURE
+    /// Whether a suspicion at a high share has not led to a comparison for too long.
+    fn is_left_alone(&self, now: Time) -> bool {
+        let is_old = |since| now.since(since) >= DOUBT_PATIENCE;
+        self.stage.1 > COMPARABLE_SHARE && self.suspected.is_some_and(is_old)
     }
 }
 
--- a/buckthorn/src/routing/table.rs
+++ b/buckthorn/src/routing/table.rs
@@ -189,16 +189,17 @@
         return vec![old(FULL_SHARE, old_endpoints)];
     };
     let new_endpoints = endpoints(&entry.to);
-    if new_endpoints.is_empty() || quarantine.is_quarantined(&entry.id) {
+    let share = quarantine.limit(&entry.id, entry.share);
+    if new_endpoints.is_empty() || share == 0 {
         return vec![old(FULL_SHARE, old_endpoints)];
     }
     let new = Share {
         version: entry.to.clone(),
-        permille: entry.share,
+        permille: share,
         move_id: Some(entry.id.clone()),
         endpoints: new_endpoints,
     };
-    vec![old(FULL_SHARE - entry.share, old_endpoints), new]
+    vec![old(FULL_SHARE - share, old_endpoints), new]
 }
 
 /// Backend servers of a version that take new work.
--- a/buckthorn_lab/src/experiment/moves/policy.rs
+++ b/buckthorn_lab/src/experiment/moves/policy.rs
@@ -127,8 +127,6 @@
     reports: Vec<(Time, usize, Report)>,
     /// Accusations under way.
     accusations: Vec<(Time, Accusation)>,
-    /// Judges that have accused.
-    accusers: Vec<usize>,
     /// Append under way, and until when the move is not decided anew.
     append: Option<(Time, Step)>,
     /// Time before which the move is not decided.
@@ -137,8 +135,6 @@
     shares: Vec<(Time, u16)>,
     /// Share at the ingresses.
     share: u16,
-    /// Whether the quarantine is in force at the ingresses, and from when.
-    contained: Option<Time>,
     /// When the fault showed.
     shown: Option<Time>,
     /// Whether the share was full at the deadline.
@@ -203,12 +199,10 @@
             quarantine: Quarantine::new(),
             reports: Vec::new(),
             accusations: Vec::new(),
-            accusers: Vec::new(),
             append: None,
             pause: PUBLISHED,
             shares: Vec::new(),
             share: 0,
-            contained: None,
             shown: None,
             is_on_time: false,
             bytes: 0,
@@ -275,8 +269,7 @@
             }
             at > now
         });
-        let is_contained = self.contained.is_some_and(|at| at <= now);
-        let share = if is_contained { 0 } else { self.share };
+        let share = self.quarantine.limit(&self.id, self.share);
         let at = seconds(now);
         let served = self.model.tick(at, TICK_INTERVAL.as_secs_f64(), share);
         assert!(
@@ -351,13 +344,10 @@
             *at > now
         });
         let (intent, quarantine) = (&self.state.intent, &mut self.quarantine);
-        let contained = &mut self.contained;
+        quarantine.prune(intent, now);
         self.accusations.retain(|(at, accusation)| {
             if *at <= now {
-                let merge = quarantine.merge(std::slice::from_ref(accusation), intent, false);
-                if !merge.entered.is_empty() && contained.is_none() {
-                    *contained = Some(now);
-                }
+                quarantine.merge(std::slice::from_ref(accusation), intent, false);
             }
             *at > now
         });
@@ -368,23 +358,31 @@
         let entry = self.entry().clone();
         let fleet = self.fleet();
         let is_sole = fleet.new == 1;
+        let given = self.quarantine.limit(&self.id, entry.share);
         for judge in 0..JUDGES {
-            self.trials[judge].follow(&entry, self.now);
-            if !self.trials[judge].close(self.now) || self.accusers.contains(&judge) {
+            self.trials[judge].follow(&entry, given, self.now);
+            if !self.trials[judge].close(self.now) {
                 continue;
             }
-            if let Some(reason) = self.trials[judge].accusation(is_sole) {
-                self.accusers.push(judge);
-                let accusation = Accusation {
-                    id: self.id.clone(),
-                    host: format!("judge-{judge}").into(),
-                    reason,
-                    at: self.now,
-                };
-                self.accusations.push((self.now + SPREAD_TIME, accusation));
+            let Some((degree, reason)) = self.trials[judge].accusation(is_sole, self.now) else {
+                continue;
+            };
+            let host: Name = format!("judge-{judge}").into();
+            let is_same = |a: &Accusation| a.host == host && a.degree >= degree;
+            let is_held = self.quarantine.of(&self.id).any(is_same);
+            if is_held || self.accusations.iter().any(|(_, a)| is_same(a)) {
+                continue;
             }
+            let accusation = Accusation {
+                id: self.id.clone(),
+                host,
+                degree,
+                reason,
+                at: self.now,
+            };
+            self.accusations.push((self.now + SPREAD_TIME, accusation));
         }
-        self.ideal.follow(&entry, self.now);
+        self.ideal.follow(&entry, given, self.now);
         self.ideal.close(self.now);
         let is_guilty = matches!(self.ideal.verdict(is_sole), Verdict::Guilty(_));
         if is_guilty && self.shown.is_none() {
@@ -453,6 +451,7 @@
             new: count(true),
             new_slots: count(true) as u32 * self.case.service.slots,
             is_quarantined: self.quarantine.is_quarantined(&self.id),
+            is_lowered: self.quarantine.limit(&self.id, FULL_SHARE) < FULL_SHARE,
         }
     }
 }
