--- a/buckthorn/src/config/sheet.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! The planners' CSV sheet.
--- a/buckthorn/src/membership/plugin.rs
+++ b/buckthorn/src/membership/plugin.rs
@@ -8,14 +8,17 @@
 
 use crate::clock::Time;
 use crate::counter::Counter;
+use crate::journal::record::JOIN_STREAM;
 use crate::kernel::{Action, Context, Event, Plugin, Registry};
 use crate::name::Name;
+use crate::platform::Append;
 use crate::rpc::message::{Digest, Message, Verdict};
 
 use super::gossip::{Kind, Queue};
-use super::join::{self, Joiner};
+use super::join::{self, Address, Directory, Joiner};
 use super::member::{BackendServer, Member, Status};
 use super::prober::{Next, Prober};
+use super::report::Reporter;
 use super::sync::{self, Syncer};
 use super::view::{Merge, View};
 
@@ -58,12 +61,16 @@
 /// Shortest time between requests for records that a peer has and this node lacks.
 const PULL_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Shortest time between accusations sent to peers that hold others.
+const ACCUSE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Interval between checks for expired entries.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Adds the plug-in.
 pub fn register(registry: &mut Registry) {
     registry.add(Membership::default());
+    registry.add(Reporter::default());
 }
 
 /// Membership of one node.
@@ -71,6 +78,8 @@
 pub struct Membership {
     /// Attempts to join.
     joiner: Joiner,
+    /// Addresses in the log.
+    directory: Directory,
     /// Probes.
     prober: Prober,
     /// Deltas to be told.
@@ -79,6 +88,8 @@
     syncer: Syncer,
     /// Highest claim about this node that has to be refuted.
     claim: Option<(u64, u64)>,
+    /// Whether a peer holds an older word of this node than its last.
+    is_outdated: bool,
     /// When this node last refuted.
     refuted: Time,
     /// When the view last changed.
@@ -95,6 +106,8 @@
     pulled: Time,
     /// When expiry was last checked.
     expired: Time,
+    /// When accusations were last sent to a peer that holds others.
+    accused: Time,
 }
 
 impl Plugin for Membership {
@@ -110,6 +123,15 @@
             Event::Unreachable { host, .. } => self.prober.failed(host, cx.now),
             Event::Announced(backend_server) => self.announce(cx, backend_server.clone()),
             Event::Shutdown => self.leave(cx),
+            Event::LogRead { stream, batch } if *stream == JOIN_STREAM => {
+                self.directory.read(batch, cx.now, cx.rng);
+            }
+            Event::Appended { id, result } if !matches!(result, Append::Done { .. }) => {
+                self.directory.not_appended(id, cx.now, cx.rng);
+            }
+            Event::LogFailed { stream } if *stream == JOIN_STREAM => {
+                self.directory.failed(cx.now, cx.rng);
+            }
             _ => {}
         }
         if std::mem::take(&mut self.is_routing_stale) {
@@ -129,6 +151,7 @@
         if cx.shared.member.status == Status::Left {
             return;
         }
+        self.consult_log(cx);
         self.join(cx);
         self.refute(cx);
         let polled = self
@@ -143,12 +166,56 @@
         self.push(cx);
     }
 
-    /// Joins through a seed while no peer is live.
+    /// Reads addresses from the log when they may be needed, and appends the own one.
+    fn consult_log(&mut self, cx: &mut Context<'_>) {
+        let identity = &cx.shared.identity;
+        let is_reader =
+            || super::readers(&cx.shared.view, &identity.failure_domain).contains(&identity.host);
+        if (!self.joiner.is_joined() || is_reader())
+            && let Some(from) = self.directory.poll_read(cx.now)
+        {
+            cx.act(Action::Read {
+                stream: JOIN_STREAM,
+                from,
+                wait: Duration::ZERO,
+            });
+        }
+        let identity = &cx.shared.identity;
+        if let Some(id) = self.directory.poll_append(&identity.host, cx.now, cx.rng) {
+            let address = Address {
+                host: identity.host.clone(),
+                rpc: identity.rpc,
+                failure_domain: identity.failure_domain.clone(),
+            };
+            let payload = serde_json::to_string(&address).expect("addresses encode as JSON");
+            cx.act(Action::Append {
+                stream: JOIN_STREAM,
+                id,
+                payload,
+            });
+        }
+    }
+
+    /// Joins through a seed: at the start, when no peer is live, and now and then through one that
+    /// is not known, so that groups that were started apart find each other.
     fn join(&mut self, cx: &mut Context<'_>) {
-        if cx.shared.view.live().nth(1).is_none() {
+        let shared = &*cx.shared;
+        if shared.view.live().nth(1).is_none() {
             self.joiner.lost();
         }
-        let Some(address) = self.joiner.poll(cx.now, &cx.shared.identity.seeds, cx.rng) else {
+        if !self.joiner.is_due(cx.now) {
+            return;
+        }
+        let is_live = |address: &SocketAddr| shared.view.live().any(|m| m.rpc == *address);
+        let seeds: Vec<SocketAddr> = shared
+            .identity
+            .seeds
+            .iter()
+            .chain(self.directory.addresses())
+            .copied()
+            .filter(|address| !is_live(address))
+            .collect();
+        let Some(address) = self.joiner.draw(cx.now, &seeds, cx.rng) else {
             return;
         };
         let messages = vec![Message::Join(cx.shared.member.clone())];
@@ -188,7 +255,7 @@
     fn ping(&mut self, cx: &mut Context<'_>, host: &Name) {
         let mut messages = vec![Message::Ping(digest(cx))];
         messages.extend(charge(&cx.shared.view, host));
-        messages.extend(self.queue.take(&cx.shared.view));
+        messages.extend(self.queue.piggyback(&cx.shared.view));
         send(cx, host, messages);
     }
 
@@ -201,7 +268,7 @@
                 Message::Ping(theirs) => {
                     reply.push(Message::Ack(digest(cx)));
                     reply.extend(charge(&cx.shared.view, from));
-                    reply.extend(self.queue.take(&cx.shared.view));
+                    reply.extend(self.queue.piggyback(&cx.shared.view));
                     self.catch_up(cx, from, theirs);
                 }
                 Message::PingRequest { host } => {
@@ -220,6 +287,9 @@
                 _ => self.take(cx, message),
             }
         }
+        if std::mem::take(&mut self.is_outdated) {
+            reply.push(Message::Members(vec![cx.shared.member.clone()]));
+        }
         if !reply.is_empty() {
             cx.act(Action::Reply(reply));
         }
@@ -240,7 +310,7 @@
                 }
                 Message::Members(members) => {
                     self.syncer.note(members.len());
-                    if is_first {
+                    if is_first && *from != cx.shared.member.host {
                         self.joiner.joined();
                     }
                     self.take(cx, message);
@@ -248,6 +318,10 @@
                 _ => self.take(cx, message),
             }
         }
+        if std::mem::take(&mut self.is_outdated) {
+            let word = Message::Members(vec![cx.shared.member.clone()]);
+            send(cx, from, vec![word]);
+        }
         if is_first && self.joiner.is_joined() {
             let buckets = self.syncer.begin(&cx.shared.view, cx.now);
             send(cx, from, vec![buckets]);
@@ -292,10 +366,20 @@
             let from_offset = cx.shared.tail.state().next;
             send(cx, from, vec![Message::Pull { from: from_offset }]);
         }
-        if theirs.view != cx.shared.view.digest() && self.syncer.is_due(cx.now, self.changed) {
+        if theirs.view == cx.shared.view.digest() {
+            self.queue.credit(&cx.shared.view);
+        } else if self.syncer.is_due(cx.now, self.changed) {
             let buckets = self.syncer.begin(&cx.shared.view, cx.now);
             send(cx, from, vec![buckets]);
         }
+        let is_accusing = theirs.quarantine != cx.shared.quarantine.digest()
+            && !cx.shared.quarantine.entries().is_empty()
+            && cx.now.since(self.accused) >= ACCUSE_INTERVAL;
+        if is_accusing {
+            self.accused = cx.now;
+            let entries = cx.shared.quarantine.entries().to_vec();
+            send(cx, from, vec![Message::Accusations(entries)]);
+        }
     }
 
     /// Merges what a peer says of a member.
@@ -347,10 +431,11 @@
         let Some(held) = cx.shared.view.get(&verdict.host) else {
             return;
         };
-        if held.incarnation != verdict.incarnation || held.facts() != verdict.facts {
+        if held.facts() != verdict.facts {
             return;
         }
         let mut member = held.clone();
+        member.incarnation = verdict.incarnation;
         member.sequence = verdict.sequence;
         member.status = verdict.status;
         self.absorb(cx, &member);
@@ -359,7 +444,11 @@
     /// Notes a claim about this node that is not its own.
     fn defend(&mut self, cx: &Context<'_>, claim: (u64, u64, Status)) {
         let member = &cx.shared.member;
-        if claim <= member.rank() || member.status == Status::Left {
+        if claim < member.rank() {
+            self.is_outdated = true;
+            return;
+        }
+        if claim == member.rank() || member.status == Status::Left {
             return;
         }
         if claim.0 > (cx.now + MAX_SKEW).0 {
@@ -542,6 +631,7 @@
         next: cx.shared.tail.state().next,
         view: cx.shared.view.digest(),
         quarantine: cx.shared.quarantine.digest(),
+        is_synced: cx.shared.is_synced,
     }
 }
 
