Try members more often where many messages are lost

Change: a node keeps a moving average of its failed direct attempts and tries a member so often that the chance of losing them all stays near 1 in 10000, three times at least and eight at most.

--- a/buckthorn/src/membership/prober.rs
+++ b/buckthorn/src/membership/prober.rs
@@ -28,8 +28,17 @@
 /// Time for a direct answer.
 const DIRECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Direct attempts.
-const DIRECT_ATTEMPTS: u32 = 3;
+/// Fewest direct attempts.
+const MIN_ATTEMPTS: u32 = 3;
+
+/// Most direct attempts.
+const MAX_ATTEMPTS: u32 = 8;
+
+/// Chance that every direct attempt at a live member is lost, which the number of attempts aims at.
+const MAX_FALSE_ALARM: f64 = 1e-4;
+
+/// Weight of one attempt in the moving average of failures.
+const FAILURE_WEIGHT: f64 = 1.0 / 16.0;
 
 /// Time for an answer through helpers.
 const INDIRECT_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -108,6 +117,8 @@
     turn: u64,
     /// When the next probe begins.
     next: Time,
+    /// Moving average of the share of direct attempts that fail.
+    failing: f64,
 }
 
 impl Prober {
@@ -147,6 +158,9 @@
             if *probe.host != *host {
                 return true;
             }
+            if matches!(probe.stage, Stage::Direct(_)) {
+                self.failing -= self.failing * FAILURE_WEIGHT;
+            }
             if let Some(to) = &probe.requester {
                 reports.push(Next::Report {
                     to: to.clone(),
@@ -195,14 +209,18 @@
         rng: &mut impl Rng,
         next: &mut Vec<Next>,
     ) {
+        let attempts = attempts(self.failing);
         let mut kept = Vec::with_capacity(self.pending.len());
         for mut probe in std::mem::take(&mut self.pending) {
             if now < probe.deadline {
                 kept.push(probe);
                 continue;
             }
+            if matches!(probe.stage, Stage::Direct(_)) {
+                self.failing += (1.0 - self.failing) * FAILURE_WEIGHT;
+            }
             match (probe.stage, &probe.requester) {
-                (Stage::Direct(sent), _) if sent < DIRECT_ATTEMPTS => {
+                (Stage::Direct(sent), _) if sent < attempts => {
                     next.push(Next::Ping(probe.host.clone()));
                     probe.stage = Stage::Direct(sent + 1);
                     probe.deadline = now + DIRECT_TIMEOUT;
@@ -262,6 +280,18 @@
     }
 }
 
+/// Direct attempts at a member when a share of all attempts fails.
+///
+/// A node that loses many messages tries more often before it suspects others, as in Lifeguard
+/// (Dadgar, Phillips, Currey 2017).
+fn attempts(failing: f64) -> u32 {
+    if failing <= 0.0 {
+        return MIN_ATTEMPTS;
+    }
+    let wanted = MAX_FALSE_ALARM.ln() / failing.min(0.99).ln();
+    (wanted.ceil() as u32).clamp(MIN_ATTEMPTS, MAX_ATTEMPTS)
+}
+
 /// Next member of one of the two rounds, begun anew when it is over.
 fn draw_from(
     near: &mut Vec<Name>,
