Take services as host names and routes as paths

Cause: the ingress compares hosts in lower case and without their port, so a service named Card-Desk or a:80 could be published and announced but never get a call; the same holds for a route with a query. Found by reading the two sides against each other.

Change: the sheet and announcements put services in lower case; they and the fold refuse what is no host name or no path. The test of announcements keeps its case for an empty service; the text it expects says now what a service is.

--- a/buckthorn/src/admin/announcement.rs
+++ b/buckthorn/src/admin/announcement.rs
@@ -8,6 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::journal::amend;
 use crate::journal::fold::MAX_NAME_BYTES;
 use crate::membership::member::BackendServer;
 use crate::name::Name;
@@ -81,9 +82,17 @@
             let what = format!("nested deeper than {MAX_DEPTH} levels");
             return Err(Error::Malformed(what));
         }
-        let announcement: Self =
+        let mut announcement: Self =
             serde_json::from_slice(body).map_err(|error| Error::Malformed(error.to_string()))?;
-        check_name("service", &announcement.service)?;
+        announcement.service = announcement.service.to_ascii_lowercase().into();
+        if amend::check_service(&announcement.service).is_err() {
+            return Err(Error::Field {
+                name: "service",
+                expected: format!(
+                    "a host name of 1 to {MAX_NAME_BYTES} letters, digits, -, . and _"
+                ),
+            });
+        }
         check_name("version", &announcement.version)?;
         if let Some(instance) = &announcement.instance {
             check_name("instance", instance)?;
--- a/buckthorn/src/config/sheet/row.rs
+++ b/buckthorn/src/config/sheet/row.rs
@@ -34,8 +34,8 @@
             "serve" => {
                 self.expect_empty(&[From, Start, Deadline, FailureDomain], &mut faults);
                 Entry::Serve(Serve {
-                    service: self.name(Service, &mut faults),
-                    route: self.route(Route, &mut faults),
+                    service: self.service(&mut faults),
+                    route: self.route(&mut faults),
                     version: self.name(To, &mut faults),
                 })
             }
@@ -72,8 +72,8 @@
     /// Move of the row.
     fn shift(&self, faults: &mut Vec<Fault>) -> Move {
         let entry = Move {
-            service: self.name(Column::Service, faults),
-            route: self.route(Column::Route, faults),
+            service: self.service(faults),
+            route: self.route(faults),
             from: self.name(Column::From, faults),
             to: self.name(Column::To, faults),
             start: self.time(Column::Start, faults),
@@ -88,22 +88,39 @@
         entry
     }
 
+    /// Service, in lower case as hosts are compared.
+    fn service(&self, faults: &mut Vec<Fault>) -> Name {
+        let text = self.text(Column::Service).to_ascii_lowercase();
+        self.filled(Column::Service, &text, amend::check_service, faults)
+    }
+
     /// Name in a column that must be filled.
     fn name(&self, column: Column, faults: &mut Vec<Fault>) -> Name {
-        let text = self.text(column);
+        let check = |text: &str| amend::check_name(column.name(), text, false);
+        self.filled(column, self.text(column), check, faults)
+    }
+
+    /// Checked text of a column that must be filled.
+    fn filled(
+        &self,
+        column: Column,
+        text: &str,
+        check: impl Fn(&str) -> Result<(), String>,
+        faults: &mut Vec<Fault>,
+    ) -> Name {
         if text.is_empty() {
             faults.push(self.fault(column, "missing"));
-        } else if let Err(what) = amend::check_name(column.name(), text, false) {
+        } else if let Err(what) = check(text) {
             faults.push(self.fault(column, what));
         }
         text.into()
     }
 
     /// Path prefix, which may be empty.
-    fn route(&self, column: Column, faults: &mut Vec<Fault>) -> Name {
-        let text = self.text(column);
-        if let Err(what) = amend::check_name(column.name(), text, true) {
-            faults.push(self.fault(column, what));
+    fn route(&self, faults: &mut Vec<Fault>) -> Name {
+        let text = self.text(Column::Route);
+        if let Err(what) = amend::check_route(text) {
+            faults.push(self.fault(Column::Route, what));
         }
         text.into()
     }
--- a/buckthorn/src/journal/amend.rs
+++ b/buckthorn/src/journal/amend.rs
@@ -66,8 +66,8 @@
 
 /// Declares the version of a route.
 fn serve(intent: &mut Intent, service: &Name, route: &Name, version: &Name) -> Result<(), String> {
-    check_name("service", service, false)?;
-    check_name("route", route, true)?;
+    check_service(service)?;
+    check_route(route)?;
     check_name("version", version, false)?;
     let index = match intent.services.binary_search_by(|s| s.name.cmp(service)) {
         Ok(index) => index,
@@ -225,8 +225,38 @@
             "{field} {name:?} holds white space or control characters"
         ));
     }
-    if field == "route" && !name.is_empty() && !name.starts_with('/') {
-        return Err(format!("route {name:?} does not start with a slash"));
+    Ok(())
+}
+
+/// Checks the name of a service, which callers give as the host of their call.
+///
+/// # Errors
+///
+/// Says what is wrong with the name.
+pub fn check_service(name: &str) -> Result<(), String> {
+    check_name("service", name, false)?;
+    let is_host =
+        |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || matches!(c, '-' | '.' | '_');
+    if !name.chars().all(is_host) {
+        return Err(format!(
+            "service {name:?} is not a host name in lower case: letters, digits, -, . and _"
+        ));
+    }
+    Ok(())
+}
+
+/// Checks a path prefix, empty for the whole service.
+///
+/// # Errors
+///
+/// Says what is wrong with the prefix.
+pub fn check_route(prefix: &str) -> Result<(), String> {
+    check_name("route", prefix, true)?;
+    if !prefix.is_empty() && !prefix.starts_with('/') {
+        return Err(format!("route {prefix:?} does not start with a slash"));
+    }
+    if prefix.contains(['?', '#']) {
+        return Err(format!("route {prefix:?} holds more than a path"));
     }
     Ok(())
 }
--- a/buckthorn/tests/admin_registration.rs
+++ b/buckthorn/tests/admin_registration.rs
@@ -118,6 +118,19 @@
     }
 }
 
+#[test]
+fn the_service_is_a_host_name_in_lower_case() {
+    let read = |service: &str| {
+        let mut value = serde_json::to_value(announcement("v1")).unwrap();
+        value["service"] = service.into();
+        Announcement::parse(value.to_string().as_bytes())
+    };
+    assert_eq!(&*read("Card-Desk").unwrap().service, "card-desk");
+    for bad in ["", "a b", "a:80", "caf\u{e9}", "a/b"] {
+        assert!(read(bad).is_err(), "{bad}");
+    }
+}
+
 proptest! {
     #![proptest_config(fixed_seed())]
 
--- a/buckthorn/tests/admin_server.rs
+++ b/buckthorn/tests/admin_server.rs
@@ -201,7 +201,9 @@
     );
     check(
         &GOOD.replace("card-desk", ""),
-        expect![[r#"400 {"error":"service: expected 1 to 128 visible characters"}"#]],
+        expect![[
+            r#"400 {"error":"service: expected a host name of 1 to 128 letters, digits, -, . and _"}"#
+        ]],
     );
     check(
         &GOOD.replace("v1", "v 1"),
--- a/buckthorn/tests/journal_fold.rs
+++ b/buckthorn/tests/journal_fold.rs
@@ -340,6 +340,18 @@
     assert_eq!(apply(&mut state, change(0, operations)), Outcome::Applied);
 }
 
+#[test]
+fn a_service_that_no_call_could_name_is_refused() {
+    for service in ["Rungs", "rungs:80", "rungs/x", ""] {
+        let mut state = State::new();
+        let outcome = apply(&mut state, change(0, vec![serve(service, "v1")]));
+        assert!(
+            matches!(outcome, Outcome::Refused(Refusal::Invalid(_))),
+            "{service}"
+        );
+    }
+}
+
 #[test]
 fn a_deeply_nested_payload_is_refused() {
     let mut state = State::new();
--- a/buckthorn/tests/sheet_parse.rs
+++ b/buckthorn/tests/sheet_parse.rs
@@ -174,6 +174,22 @@
     assert_eq!((line, first.start), (4, Time::from_secs(1_777_874_400)));
 }
 
+#[test]
+fn services_are_host_names_and_routes_are_paths() {
+    let text = format!("{HEADER}serve,Card-Desk.BC_1,/Prints,,V1,,,\n");
+    let sheet = sheet::parse(text.as_bytes()).unwrap();
+    expect![[r#"2: Serve(Serve { service: "card-desk.bc_1", route: "/Prints", version: "V1" })"#]]
+        .assert_eq(&listing(&sheet));
+    let rows = "serve,caf\u{e9},,,v1,,,\nserve,a:80,,,v1,,,\nserve,a,/b?c,,v1,,,\n";
+    check_faults(
+        format!("{HEADER}{rows}").as_bytes(),
+        expect![[r#"
+        line 2, column service: service "café" is not a host name in lower case: letters, digits, -, . and _
+        line 3, column service: service "a:80" is not a host name in lower case: letters, digits, -, . and _
+        line 4, column route: route "/b?c" holds more than a path"#]],
+    );
+}
+
 /// Cases drawn from a fixed seed.
 fn fixed_seed() -> ProptestConfig {
     ProptestConfig {
