Read a sheet from standard input by its path

Cause: the help promised that - reads standard input, but xflags takes it for a flag; found by running the program by hand.

--- a/buckthornctl/src/command.rs
+++ b/buckthornctl/src/command.rs
@@ -67,13 +67,6 @@
 fn read_sheet(path: &Path) -> anyhow::Result<Vec<u8>> {
     let limit = sheet::MAX_BYTES as u64 + 1;
     let mut bytes = Vec::new();
-    if path == Path::new("-") {
-        std::io::stdin()
-            .take(limit)
-            .read_to_end(&mut bytes)
-            .context("cannot read the sheet from standard input")?;
-        return Ok(bytes);
-    }
     std::fs::File::open(path)
         .and_then(|file| file.take(limit).read_to_end(&mut bytes))
         .with_context(|| format!("cannot read the sheet {}", path.display()))?;
--- a/buckthornctl/src/flags.rs
+++ b/buckthornctl/src/flags.rs
@@ -26,12 +26,12 @@
 
         /// Shows the difference between a sheet and what is in force; publishes nothing.
         cmd plan {
-            /// The sheet, a CSV file; - reads it from standard input.
+            /// The sheet, a CSV file; /dev/stdin reads it from standard input.
             required sheet: PathBuf
         }
         /// Publishes what plan shows. Applying a sheet twice is one change.
         cmd apply {
-            /// The sheet, a CSV file; - reads it from standard input.
+            /// The sheet, a CSV file; /dev/stdin reads it from standard input.
             required sheet: PathBuf
         }
         /// Takes a failure domain out of service.
