Compare views by verdicts and suspect silent failure domains as one

Cause: after a failure domain of 30 in 270 nodes was cut off, 32 s passed until both sides had let go of each other, at up to 29 KB a node and second: each lost member was found by itself, and views that differed were sent as whole members. A report named a node as lagging for minutes because its only word came before the reader knew that it was one.

Change: comparison sends verdicts, and asks for whole members only where the facts are not held. Three members of another failure domain that stay silent in a row bring all of it under suspicion. Nodes tell a reader twice. The plug-in's file is split by job.

--- a/buckthorn/src/membership/gossip.rs
+++ b/buckthorn/src/membership/gossip.rs
@@ -96,6 +96,14 @@
         self.deltas.is_empty()
     }
 
+    /// Adds a suspicion that only probes carry.
+    pub fn push_quietly(&mut self, host: &Name) {
+        self.push(host, Kind::Suspicion);
+        if let Ok(index) = self.deltas.binary_search_by(|d| d.host.cmp(host)) {
+            self.deltas[index].sent = SUSPICION_PUSHES;
+        }
+    }
+
     /// Adds a delta; one of the same host is replaced.
     pub fn push(&mut self, host: &Name, kind: Kind) {
         match self.deltas.binary_search_by(|d| d.host.cmp(host)) {
--- a/buckthorn/src/membership/mod.rs
+++ b/buckthorn/src/membership/mod.rs
@@ -14,6 +14,9 @@
 pub mod sync;
 pub mod view;
 
+mod exchange;
+mod word;
+
 pub use plugin::register;
 
 use crate::name::{self, Name};
--- a/buckthorn/src/membership/prober.rs
+++ b/buckthorn/src/membership/prober.rs
@@ -52,6 +52,9 @@
 /// Members to probe out of turn.
 const MAX_URGENT: usize = 8;
 
+/// Members of a failure domain that stay silent in a row before all of it is suspected.
+const SILENT_MEMBERS: u32 = 3;
+
 /// Further members of a failure domain to probe when one of them does not answer.
 const FOLLOW_UPS: usize = 3;
 
@@ -75,6 +78,8 @@
     deadline: Time,
     /// Host on whose behalf it is probed, if not for this node itself.
     requester: Option<Name>,
+    /// Direct attempts before helpers are asked.
+    attempts: u32,
 }
 
 /// What to do next.
@@ -91,6 +96,8 @@
     },
     /// Suspect a member.
     Suspect(Name),
+    /// Suspect every member of a failure domain.
+    SuspectDomain(Name),
     /// Tell a requester what its probe found.
     Report {
         /// Requester.
@@ -117,6 +124,8 @@
     turn: u64,
     /// When the next probe begins.
     next: Time,
+    /// Members of each failure domain that did not answer since one was last heard of, sorted.
+    silent: Vec<(Name, u32)>,
     /// Moving average of the share of direct attempts that fail.
     failing: f64,
 }
@@ -132,13 +141,13 @@
             return next;
         }
         while let Some(host) = self.urgent.pop_front() {
-            self.begin(host, None, now, &mut next);
+            self.begin(host, None, MIN_ATTEMPTS, now, &mut next);
         }
         if now >= self.next {
             self.next = now + PROBE_INTERVAL;
             self.turn += 1;
             if let Some(host) = self.draw(view, own, rng) {
-                self.begin(host, None, now, &mut next);
+                self.begin(host, None, attempts(self.failing), now, &mut next);
             }
         }
         next
@@ -147,12 +156,22 @@
     /// Probes a member on another's behalf.
     pub fn request(&mut self, host: &Name, requester: &Name, now: Time) -> Option<Next> {
         let mut next = Vec::new();
-        self.begin(host.clone(), Some(requester.clone()), now, &mut next);
+        self.begin(
+            host.clone(),
+            Some(requester.clone()),
+            MIN_ATTEMPTS,
+            now,
+            &mut next,
+        );
         next.pop()
     }
 
     /// A member gave a sign of life, directly or through a helper.
-    pub fn heard(&mut self, host: &str) -> Vec<Next> {
+    pub fn heard(&mut self, view: &View, host: &str) -> Vec<Next> {
+        if let Some(member) = view.get(host) {
+            self.silent
+                .retain(|(name, _)| *name != member.failure_domain);
+        }
         let mut reports = Vec::new();
         self.pending.retain(|probe| {
             if *probe.host != *host {
@@ -183,7 +202,14 @@
     }
 
     /// Begins a probe unless one for the same purpose is in progress.
-    fn begin(&mut self, host: Name, requester: Option<Name>, now: Time, next: &mut Vec<Next>) {
+    fn begin(
+        &mut self,
+        host: Name,
+        requester: Option<Name>,
+        attempts: u32,
+        now: Time,
+        next: &mut Vec<Next>,
+    ) {
         let is_known = self
             .pending
             .iter()
@@ -197,6 +223,7 @@
             stage: Stage::Direct(1),
             deadline: now + DIRECT_TIMEOUT,
             requester,
+            attempts,
         });
     }
 
@@ -209,7 +236,6 @@
         rng: &mut impl Rng,
         next: &mut Vec<Next>,
     ) {
-        let attempts = attempts(self.failing);
         let mut kept = Vec::with_capacity(self.pending.len());
         for mut probe in std::mem::take(&mut self.pending) {
             if now < probe.deadline {
@@ -220,7 +246,7 @@
                 self.failing += (1.0 - self.failing) * FAILURE_WEIGHT;
             }
             match (probe.stage, &probe.requester) {
-                (Stage::Direct(sent), _) if sent < attempts => {
+                (Stage::Direct(sent), _) if sent < probe.attempts => {
                     next.push(Next::Ping(probe.host.clone()));
                     probe.stage = Stage::Direct(sent + 1);
                     probe.deadline = now + DIRECT_TIMEOUT;
@@ -240,27 +266,45 @@
                     is_alive: false,
                 }),
                 (Stage::Indirect, None) => {
-                    self.follow_up(view, own, &probe.host, rng);
-                    next.push(Next::Suspect(probe.host));
+                    next.push(Next::Suspect(probe.host.clone()));
+                    next.extend(self.follow_up(view, own, &probe.host, rng));
                 }
             }
         }
         self.pending = kept;
     }
 
-    /// Probes more members of another failure domain after one did not answer.
-    fn follow_up(&mut self, view: &View, own: &Member, host: &str, rng: &mut impl Rng) {
-        let Some(member) = view.get(host) else {
-            return;
+    /// Probes more members of another failure domain after one did not answer; suspects them all
+    /// once several in a row did not and none was heard of in between.
+    fn follow_up(
+        &mut self,
+        view: &View,
+        own: &Member,
+        host: &str,
+        rng: &mut impl Rng,
+    ) -> Option<Next> {
+        let member = view.get(host)?;
+        let domain = &member.failure_domain;
+        if *domain == own.failure_domain {
+            return None;
+        }
+        let index = match self.silent.binary_search_by(|(name, _)| name.cmp(domain)) {
+            Ok(index) => index,
+            Err(index) => {
+                self.silent.insert(index, (domain.clone(), 0));
+                index
+            }
         };
-        if member.failure_domain == own.failure_domain {
-            return;
+        self.silent[index].1 += 1;
+        if self.silent[index].1 >= SILENT_MEMBERS {
+            self.silent.remove(index);
+            return Some(Next::SuspectDomain(domain.clone()));
         }
         let others: Vec<&Name> = view
             .members()
             .filter(|other| {
                 other.status == Status::Alive
-                    && other.failure_domain == member.failure_domain
+                    && other.failure_domain == *domain
                     && other.host != member.host
             })
             .map(|other| &other.host)
@@ -270,6 +314,7 @@
                 self.urgent.push_back(other.clone());
             }
         }
+        None
     }
 
     /// Next member in turn.
--- a/buckthorn/src/membership/report.rs
+++ b/buckthorn/src/membership/report.rs
@@ -16,6 +16,7 @@
 use crate::rpc::message::Message;
 
 use super::member::{Member, Status};
+use super::plugin::MAX_MEMBERS;
 use super::readers;
 use super::view::View;
 
@@ -34,6 +35,9 @@
 /// Longest delay before a node tells a new reader.
 const NEW_READER_DELAY: Duration = Duration::from_secs(3);
 
+/// Mean interval between the first word to a reader and the second.
+const CONFIRM_INTERVAL: Duration = Duration::from_secs(4);
+
 /// Mean interval between repeats to the reader.
 const REPEAT_INTERVAL: Duration = Duration::from_secs(120);
 
@@ -92,6 +96,8 @@
     version: u64,
     /// Reader last told or scheduled.
     reader: Option<Name>,
+    /// Whether the reader was told a second time, or need not be told soon.
+    is_confirmed: bool,
     /// When to tell the reader next.
     tell_at: Time,
     /// Last report and when it was appended.
@@ -113,6 +119,9 @@
                     }
                 }
             }
+            Event::Unreachable { host, .. } if self.reader.as_ref() == Some(host) => {
+                self.is_confirmed = false;
+            }
             _ => {}
         }
     }
@@ -135,7 +144,6 @@
             self.report(cx);
         } else {
             self.reported = None;
-            self.applied.clear();
         }
         self.tell(cx, reader);
     }
@@ -146,16 +154,25 @@
         let mut spread = |bound: Duration| bound.mul_f64(cx.rng.random_range(0.0..1.0));
         if self.reader.as_ref() != Some(&reader) {
             self.reader = Some(reader.clone());
+            self.is_confirmed = false;
             self.tell_at = cx.now + spread(NEW_READER_DELAY);
         }
         if self.version != version {
             self.version = version;
+            self.is_confirmed = false;
             self.tell_at = self.tell_at.min(cx.now + spread(TELL_DELAY));
         }
         if cx.now < self.tell_at || version == 0 {
             return;
         }
-        self.tell_at = cx.now + REPEAT_INTERVAL / 2 + spread(REPEAT_INTERVAL);
+        // The first word may come before the reader knows that it is one.
+        let interval = if self.is_confirmed {
+            REPEAT_INTERVAL
+        } else {
+            CONFIRM_INTERVAL
+        };
+        self.is_confirmed = true;
+        self.tell_at = cx.now + interval / 2 + spread(interval);
         if reader == cx.shared.identity.host {
             return;
         }
@@ -173,6 +190,7 @@
         }
         match self.applied.binary_search_by(|(host, _)| host.cmp(from)) {
             Ok(index) => self.applied[index].1 = version,
+            Err(_) if self.applied.len() >= MAX_MEMBERS => {}
             Err(index) => self.applied.insert(index, (from.clone(), version)),
         }
     }
--- a/buckthorn/src/membership/sync.rs
+++ b/buckthorn/src/membership/sync.rs
@@ -1,18 +1,20 @@
 //! Repair of differing views by their hashes.
 //!
 //! A node whose view hashes differently from a peer's sends its hashes by bucket; the peer answers
-//! with its entries of the buckets that differ and asks for the same in return. Messages are
-//! bounded, so a large difference takes several rounds.
+//! with verdicts on its members of the buckets that differ and asks for the same in return. Only
+//! the members whose facts are not held are then asked for whole. Messages are bounded, so a large
+//! difference takes several rounds.
 
 use std::time::Duration;
 
 use crate::clock::Time;
-use crate::rpc::message::Message;
+use crate::name::Name;
+use crate::rpc::message::{Message, Verdict};
 
 use super::member::Member;
 use super::view::View;
 
-/// Members in one message.
+/// Members or verdicts in one message.
 pub const MAX_MEMBERS: usize = 100;
 
 /// Shortest time between rounds while the view changes anyway.
@@ -56,13 +58,13 @@
         Message::Buckets(view.buckets())
     }
 
-    /// Notes how many members an answer brought.
-    pub fn note(&mut self, members: usize) {
-        self.is_behind = members >= MAX_MEMBERS / 2;
+    /// Notes how many verdicts an answer brought.
+    pub fn note(&mut self, verdicts: usize) {
+        self.is_behind = verdicts >= MAX_MEMBERS / 2;
     }
 }
 
-/// Answer to a peer's hashes.
+/// Answer to a peer's hashes: verdicts on the members that differ, and a wish for the peer's.
 pub fn compare(view: &View, theirs: &[u64]) -> Vec<Message> {
     let mut differing = view.differing(theirs);
     if differing.is_empty() {
@@ -71,35 +73,42 @@
     // A bucket that stays different must not keep the others from their turn.
     let start = view.digest() % differing.len() as u64;
     differing.rotate_left(start as usize);
-    let members = collect(view, &mut differing);
-    vec![Message::Members(members), Message::WantBuckets(differing)]
+    let verdicts = collect(view, &mut differing);
+    vec![Message::Verdicts(verdicts), Message::WantBuckets(differing)]
 }
 
-/// Answer to a peer that asks for buckets.
-pub fn send(view: &View, wanted: &[u16]) -> Vec<Message> {
+/// Verdicts for a peer that asks for buckets.
+pub fn verdicts(view: &View, wanted: &[u16]) -> Option<Message> {
     let mut buckets = wanted.to_vec();
     buckets.truncate(super::view::BUCKETS);
-    let members = collect(view, &mut buckets);
-    if members.is_empty() {
-        return Vec::new();
-    }
-    vec![Message::Members(members)]
+    let verdicts = collect(view, &mut buckets);
+    (!verdicts.is_empty()).then_some(Message::Verdicts(verdicts))
+}
+
+/// Whole members for a peer that lacks their facts.
+pub fn members(view: &View, wanted: &[Name]) -> Option<Message> {
+    let members: Vec<Member> = wanted
+        .iter()
+        .take(MAX_MEMBERS)
+        .filter_map(|host| view.get(host).cloned())
+        .collect();
+    (!members.is_empty()).then_some(Message::Members(members))
 }
 
-/// Members of the first buckets that fit one message; `buckets` is cut to those.
-fn collect(view: &View, buckets: &mut Vec<u16>) -> Vec<Member> {
-    let mut members: Vec<Member> = Vec::new();
+/// Verdicts on the first buckets that fit one message; `buckets` is cut to those.
+fn collect(view: &View, buckets: &mut Vec<u16>) -> Vec<Verdict> {
+    let mut verdicts: Vec<Verdict> = Vec::new();
     let mut taken = 0;
     for &bucket in buckets.iter() {
-        let before = members.len();
-        members.extend(view.in_bucket(bucket).cloned());
-        if members.len() > MAX_MEMBERS && before > 0 {
-            members.truncate(before);
+        let before = verdicts.len();
+        verdicts.extend(view.in_bucket(bucket).map(Member::verdict));
+        if verdicts.len() > MAX_MEMBERS && before > 0 {
+            verdicts.truncate(before);
             break;
         }
         taken += 1;
     }
-    members.truncate(MAX_MEMBERS);
+    verdicts.truncate(MAX_MEMBERS);
     buckets.truncate(taken);
-    members
+    verdicts
 }
--- /dev/null
+++ b/buckthorn/src/membership/word.rs
@@ -0,0 +1,172 @@
+//! What is taken over from others about members, and this node's own word of itself.
+//!
+//! Only a host raises its own sequence. A claim of a higher rank by others is refuted by a higher
+//! one still, and an older claim is answered with the present word.
+
+use crate::clock::Time;
+use crate::counter::Counter;
+use crate::kernel::Context;
+use crate::rpc::message::Verdict;
+
+use super::gossip::Kind;
+use super::member::{BackendServer, Member, Status};
+use super::plugin::{MAX_MEMBERS, MAX_SEQUENCE, MAX_SKEW, Membership, REFUTE_INTERVAL};
+use super::sync;
+use super::view::Merge;
+
+impl Membership {
+    /// Merges what a peer says of a member.
+    pub(super) fn absorb(&mut self, cx: &mut Context<'_>, member: &Member) {
+        if member.host == cx.shared.member.host {
+            self.defend(cx, member.rank());
+            return;
+        }
+        if !is_plausible(member, cx.now) {
+            cx.shared.counters.hit(Counter::MessagesRefused);
+            return;
+        }
+        let mut member = member.clone();
+        let held = cx.shared.view.get(&member.host);
+        let kind = match held {
+            None if !member.is_usable() => return,
+            None if cx.shared.view.len() >= MAX_MEMBERS => {
+                cx.shared.counters.hit(Counter::MessagesRefused);
+                return;
+            }
+            None => Kind::Member,
+            Some(held) if member.rank() <= held.rank() => return,
+            Some(held) => {
+                if held.is_usable() && member.status == Status::Dead {
+                    member.status = Status::Suspect;
+                }
+                if held.facts() == member.facts() {
+                    Kind::Verdict
+                } else {
+                    Kind::Member
+                }
+            }
+        };
+        self.is_routing_stale |=
+            kind == Kind::Member || held.is_some_and(|held| held.is_usable() != member.is_usable());
+        if cx.shared.view.merge(&member, cx.now) == Merge::Changed {
+            self.changed = cx.now;
+            let is_suspicion = kind == Kind::Verdict && member.status == Status::Suspect;
+            let kind = if is_suspicion { Kind::Suspicion } else { kind };
+            self.queue.push(&member.host, kind);
+        }
+    }
+
+    /// Merges a verdict; the member is asked for whole when its facts are not held.
+    pub(super) fn judge(&mut self, cx: &mut Context<'_>, verdict: &Verdict) {
+        let rank = (verdict.incarnation, verdict.sequence, verdict.status);
+        if verdict.host == cx.shared.member.host {
+            self.defend(cx, rank);
+            return;
+        }
+        let held = cx.shared.view.get(&verdict.host);
+        if held.is_some_and(|held| rank <= held.rank()) {
+            return;
+        }
+        let Some(held) = held.filter(|held| held.facts() == verdict.facts) else {
+            let is_usable = matches!(verdict.status, Status::Alive | Status::Suspect);
+            if (is_usable || held.is_some()) && self.lacking.len() < sync::MAX_MEMBERS {
+                self.lacking.push(verdict.host.clone());
+            }
+            return;
+        };
+        let mut member = held.clone();
+        member.incarnation = verdict.incarnation;
+        member.sequence = verdict.sequence;
+        member.status = verdict.status;
+        self.absorb(cx, &member);
+    }
+
+    /// Notes a claim about this node that is not its own.
+    pub(super) fn defend(&mut self, cx: &Context<'_>, claim: (u64, u64, Status)) {
+        let member = &cx.shared.member;
+        if claim < member.rank() {
+            self.is_outdated = true;
+            return;
+        }
+        if claim == member.rank() || member.status == Status::Left {
+            return;
+        }
+        if claim.0 > (cx.now + MAX_SKEW).0 {
+            cx.shared.counters.hit(Counter::MessagesRefused);
+            return;
+        }
+        self.claim = self.claim.max(Some((claim.0, claim.1)));
+    }
+
+    /// Refutes claims by a higher rank, at a bounded rate.
+    pub(super) fn refute(&mut self, cx: &mut Context<'_>) {
+        if cx.now.since(self.refuted) < REFUTE_INTERVAL {
+            return;
+        }
+        let Some((incarnation, sequence)) = self.claim.take() else {
+            return;
+        };
+        self.refuted = cx.now;
+        let member = &mut cx.shared.member;
+        if incarnation > member.incarnation || sequence >= MAX_SEQUENCE {
+            // The host ran before under a clock that was ahead, or another process claims it.
+            member.incarnation = incarnation.max(member.incarnation) + 1;
+            member.sequence = 0;
+        } else {
+            member.sequence = member.sequence.max(sequence);
+        }
+        cx.shared.counters.hit(Counter::Refutations);
+        self.restate(cx, Kind::Verdict);
+    }
+
+    /// Takes over what the own backend server announced.
+    pub(super) fn announce(&mut self, cx: &mut Context<'_>, backend_server: Option<BackendServer>) {
+        if cx.shared.member.backend_server == backend_server {
+            return;
+        }
+        cx.shared.member.backend_server = backend_server;
+        self.restate(cx, Kind::Member);
+        self.push_at = cx.now;
+        self.push(cx);
+    }
+
+    /// Leaves by own word and tells peers at once.
+    pub(super) fn leave(&mut self, cx: &mut Context<'_>) {
+        if cx.shared.member.status == Status::Left {
+            return;
+        }
+        cx.shared.is_stopping = true;
+        cx.shared.member.status = Status::Left;
+        self.restate(cx, Kind::Verdict);
+        for _ in 0..3 {
+            self.push_at = cx.now;
+            self.push(cx);
+        }
+    }
+
+    /// Raises the own sequence and spreads the own entry.
+    pub(super) fn restate(&mut self, cx: &mut Context<'_>, kind: Kind) {
+        cx.shared.member.sequence += 1;
+        let merged = cx.shared.view.merge(&cx.shared.member, cx.now);
+        assert!(
+            merged == Merge::Changed,
+            "invariant: a node's own word outranks what is held of it"
+        );
+        self.changed = cx.now;
+        self.is_routing_stale |= kind == Kind::Member;
+        self.queue.push(&cx.shared.member.host, kind);
+    }
+}
+
+/// Whether an entry may be true.
+fn is_plausible(member: &Member, now: Time) -> bool {
+    const MAX_NAME_BYTES: usize = crate::journal::fold::MAX_NAME_BYTES;
+    let names = [&member.host, &member.region, &member.failure_domain];
+    member.incarnation <= (now + MAX_SKEW).0
+        && names
+            .iter()
+            .all(|name| !name.is_empty() && name.len() <= MAX_NAME_BYTES)
+        && member.backend_server.as_ref().is_none_or(|server| {
+            server.service.len() <= MAX_NAME_BYTES && server.version.len() <= MAX_NAME_BYTES
+        })
+}
--- a/buckthorn/src/rpc/message.rs
+++ b/buckthorn/src/rpc/message.rs
@@ -46,7 +46,9 @@
     Verdicts(Vec<Verdict>),
     /// Hashes of the sender's view by bucket, for finding what differs.
     Buckets(Vec<u64>),
-    /// Asks for the entries of these buckets.
+    /// Asks for these members whole.
+    WantMembers(Vec<Name>),
+    /// Asks for verdicts on the members of these buckets.
     WantBuckets(Vec<u16>),
     /// Asks for everything: a node that has just started.
     Join(Member),
