--- a/buckthorn/src/node/status.rs
+++ b/buckthorn/src/node/status.rs
@@ -34,7 +34,7 @@
     pub members: Members,
     /// Routes in force.
     pub routes: Vec<Route>,
-    /// Moves that have not ended.
+    /// Moves, the last that have ended included.
     pub moves: Vec<Move>,
     /// Failure domains out of service.
     pub out: Vec<Name>,
@@ -90,13 +90,7 @@
         controller: state.lease.holder.clone(),
         members: count(shared),
         routes: routes(table),
-        moves: state
-            .intent
-            .moves
-            .iter()
-            .filter(|m| !m.phase.is_ended())
-            .cloned()
-            .collect(),
+        moves: state.intent.moves.clone(),
         out: table.out.clone(),
     }
 }
--- a/buckthorn_lab/src/backend/server.rs
+++ b/buckthorn_lab/src/backend/server.rs
@@ -87,6 +87,8 @@
     running: AtomicU32,
     /// Most requests that ran or waited at once.
     peak: AtomicU32,
+    /// Requests taken, refused ones included.
+    requests: AtomicU64,
     /// Requests refused as over the slots or because it is cold.
     refused: AtomicU64,
     /// End of the cold time, in microseconds since `origin`.
@@ -110,6 +112,7 @@
             ledger,
             running: AtomicU32::new(0),
             peak: AtomicU32::new(0),
+            requests: AtomicU64::new(0),
             refused: AtomicU64::new(0),
             warm_at: AtomicU64::new(0),
             origin: Instant::now(),
@@ -159,6 +162,11 @@
         self.shared.peak.load(Ordering::Relaxed)
     }
 
+    /// Requests taken, refused ones included.
+    pub fn requests(&self) -> u64 {
+        self.shared.requests.load(Ordering::Relaxed)
+    }
+
     /// Requests refused as over the slots or because it was cold.
     pub fn refused(&self) -> u64 {
         self.shared.refused.load(Ordering::Relaxed)
@@ -220,6 +228,7 @@
 impl<'a> Running<'a> {
     /// Counts a request that starts; returns how many there are with it.
     fn start(shared: &'a Shared) -> (Self, u32) {
+        shared.requests.fetch_add(1, Ordering::Relaxed);
         let running = shared.running.fetch_add(1, Ordering::Relaxed) + 1;
         shared.peak.fetch_max(running, Ordering::Relaxed);
         (Self(shared), running)
--- a/buckthorn_lab/src/lib.rs
+++ b/buckthorn_lab/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod backend;
 pub mod demo;
+pub mod deployment;
 pub mod experiment;
 pub mod flags;
 pub mod harness;
--- a/buckthorn_lab/src/scale/mod.rs
+++ b/buckthorn_lab/src/scale/mod.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{Context as _, ensure};
-use crossbeam::channel::{self, Receiver};
+use crossbeam::channel::{self, Receiver, Sender};
 use serde::{Deserialize, Serialize};
 
 use buckthorn::clock::Clock;
@@ -103,6 +103,14 @@
     pub converge_p50_s: f64,
     /// Longest such time.
     pub converge_worst_s: f64,
+    /// Nodes of the failure domain that restarts at once.
+    pub herd_nodes: usize,
+    /// Time until they and all others know each other again, in seconds.
+    pub herd_s: f64,
+    /// Appends on the log within that time.
+    pub herd_appends: f64,
+    /// Control bytes in and out of a node outside of it within that time, beyond the quiet rate.
+    pub herd_bytes: f64,
 }
 
 /// Result of a run.
@@ -191,7 +199,8 @@
     format!(
         "{:>4} nodes: join {:.1} s, {:.1} MB (worst {:.1}), cpu {:.2}% (worst {:.2}), {:.0} B/s \
          (worst {:.0}), {:.2} messages/s, {:.2} appends/s, change {:.0} B {:.2} ms, replacement \
-         {:.0} B, converged in {:.2} s (worst {:.2})",
+         {:.0} B, converged in {:.2} s (worst {:.2}), herd of {} back in {:.1} s with {:.0} appends \
+         and {:.0} B at each other node",
         point.nodes,
         point.join_s,
         point.memory_mb,
@@ -207,6 +216,10 @@
         point.bytes_per_replacement,
         point.converge_p50_s,
         point.converge_worst_s,
+        point.herd_nodes,
+        point.herd_s,
+        point.herd_appends,
+        point.herd_bytes,
     )
 }
 
@@ -229,6 +242,9 @@
     ("bytes_per_replacement", |p| p.bytes_per_replacement),
     ("converge_p50_s", |p| p.converge_p50_s),
     ("converge_worst_s", |p| p.converge_worst_s),
+    ("herd_s", |p| p.herd_s),
+    ("herd_appends", |p| p.herd_appends),
+    ("herd_bytes", |p| p.herd_bytes),
 ];
 
 /// Lines through every figure.
@@ -266,8 +282,12 @@
     announced: Instant,
     /// Clock of the changes.
     clock: Clock,
-    /// When the first node was started.
+    /// When the nodes that are waited for were started.
     started: Instant,
+    /// Path of the daemon.
+    program: PathBuf,
+    /// Where nodes report configurations in force.
+    sender: Sender<InForce>,
 }
 
 impl Fleet {
@@ -303,6 +323,8 @@
             announced,
             clock,
             started,
+            program: program.to_owned(),
+            sender,
         };
         fleet.announce_all()?;
         Ok(fleet)
@@ -321,6 +343,7 @@
         let quiet = self.measure_quiet(&mut point)?;
         self.measure_changes(&mut point, &quiet)?;
         self.measure_replacements(&mut point, &quiet)?;
+        self.measure_herd(&mut point, &quiet)?;
         self.nodes.drain(..).for_each(Process::kill);
         self.log.stop();
         Ok(point)
@@ -449,6 +472,71 @@
         Ok(())
     }
 
+    /// Measures the restart of a whole failure domain at once.
+    fn measure_herd(&mut self, point: &mut Point, quiet: &Rate) -> anyhow::Result<()> {
+        let count = self.nodes.len();
+        let herd: Vec<usize> = (0..count).step_by(FAILURE_DOMAINS.len()).collect();
+        let appends = self.log.appends();
+        let others = |index: &usize| index % FAILURE_DOMAINS.len() != 0;
+        let seeds: Vec<_> = (0..count)
+            .filter(others)
+            .take(3)
+            .map(|index| self.nodes[index].rpc)
+            .collect();
+        let before = self.costs()?;
+        let start = Instant::now();
+        for &index in &herd {
+            self.nodes[index].crash();
+        }
+        let (failure_domain, region) = FAILURE_DOMAINS[0];
+        let platform = self.log.url();
+        let specs: Vec<Spec<'_>> = herd
+            .iter()
+            .map(|&index| Spec {
+                program: &self.program,
+                host: format!("h{index:03}"),
+                region,
+                failure_domain,
+                platform: &platform,
+                seeds: &seeds,
+            })
+            .collect();
+        let sender = &self.sender;
+        let started: Vec<anyhow::Result<Process>> = thread::scope(|scope| {
+            let handles: Vec<_> = specs
+                .iter()
+                .map(|spec| scope.spawn(move || Process::start(spec, sender)))
+                .collect();
+            handles
+                .into_iter()
+                .map(|handle| {
+                    handle
+                        .join()
+                        .unwrap_or_else(|_| anyhow::bail!("a start panicked"))
+                })
+                .collect()
+        });
+        drop(specs);
+        for (&index, node) in herd.iter().zip(started) {
+            self.nodes[index] = node?;
+        }
+        self.announce_all()?;
+        self.started = start;
+        point.herd_nodes = herd.len();
+        point.herd_s = self.wait_joined()?;
+        point.herd_appends = (self.log.appends() - appends) as f64;
+        let (after, elapsed) = (self.costs()?, start.elapsed().as_secs_f64());
+        let keep = |costs: &[Cost]| -> Vec<Cost> {
+            (0..count)
+                .filter(others)
+                .map(|index| costs[index])
+                .collect()
+        };
+        let extra = Rate::extra(&keep(&before), &keep(&after), elapsed, quiet);
+        point.herd_bytes = extra.bytes;
+        Ok(())
+    }
+
     /// Publishes a change and waits until it is in force on every node.
     fn publish(&mut self, operations: Vec<Operation>) -> anyhow::Result<Duration> {
         let state = self.fold()?;
--- a/buckthorn_lab/src/scale/process.rs
+++ b/buckthorn_lab/src/scale/process.rs
@@ -191,8 +191,13 @@
         })
     }
 
-    /// Kills the process as a crash would.
+    /// Kills the process as a crash would and lets go of it.
     pub fn kill(mut self) {
+        self.crash();
+    }
+
+    /// Kills the process as a crash would.
+    pub fn crash(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
