--- a/buckthorn_lab/src/experiment/long/check.rs
+++ b/buckthorn_lab/src/experiment/long/check.rs
@@ -132,6 +132,9 @@
     }
 }
 
+/// Incarnation and sequence of a member.
+type Rank = (u64, u64);
+
 /// Hash of a state.
 fn hash(state: &State) -> u64 {
     let text = serde_json::to_string(state).expect("states encode as JSON");
@@ -149,6 +152,8 @@
     next: u64,
     /// Moves shown as quarantined.
     quarantined: Vec<Name>,
+    /// Rank of each member shown, sorted by host.
+    ranks: Vec<(Name, Rank)>,
     /// Loads of its tables.
     loads: Registry,
     /// Quarantines seen.
@@ -175,12 +180,33 @@
         assert!(state.next >= self.next, "a fold never goes back");
         (self.version, self.next) = (state.version, state.next);
         reference.check_state(state);
+        self.check_ranks(kernel);
         self.check_quarantine(kernel);
         if shared.is_synced {
             self.check_table(kernel);
         }
     }
 
+    /// Checks that no entry of the view goes back while it is held.
+    fn check_ranks(&mut self, kernel: &Kernel) {
+        let shown: Vec<(Name, Rank)> = kernel
+            .shared()
+            .view
+            .members()
+            .map(|member| (member.host.clone(), (member.incarnation, member.sequence)))
+            .collect();
+        for (host, rank) in &shown {
+            let before = self.ranks.binary_search_by(|(h, _)| h.cmp(host));
+            if let Ok(index) = before {
+                assert!(
+                    *rank >= self.ranks[index].1,
+                    "an entry of the view never goes back"
+                );
+            }
+        }
+        self.ranks = shown;
+    }
+
     /// Checks that a quarantine only tightens until the fold knows the move's end.
     fn check_quarantine(&mut self, kernel: &Kernel) {
         let shared = kernel.shared();
