Begin a following move only when the one before is done

Cause: the fold let a move begin at any time, so a move from v2 to v3 that follows one from v1 to v2 would shift traffic from v1 to v3 after the first was taken back, and two moves could be under way on one route. Found by reading the fold against the sheet's rule that a move starts from the version that serves.

Change: a step that begins a move is refused unless its old version serves and no other move of its route is under way; the controller does not ask for it. Moves that nothing brings their old version to any more are withdrawn with that reason; the plan says so instead of keeping them. The random records of the fold's properties make chains of moves now, and the property that at most one move is under way on a route, from the version that serves, was added.

Conclusion: two tests and the property, each red without its check; all pass.

--- a/buckthorn/src/config/intent.rs
+++ b/buckthorn/src/config/intent.rs
@@ -159,6 +159,17 @@
             .is_some_and(|d| d.is_out)
     }
 
+    /// Whether a move may begin: its old version serves, and no other move of its route is under way.
+    pub fn is_startable(&self, entry: &Move) -> bool {
+        let serving = self
+            .service(&entry.service)
+            .and_then(|service| service.route(&entry.route));
+        serving.is_some_and(|route| route.version == entry.from)
+            && self
+                .active_move(&entry.service, &entry.route)
+                .is_none_or(|other| other.id == entry.id)
+    }
+
     /// The move in progress on a service and route, if any.
     pub fn active_move(&self, service: &str, route: &str) -> Option<&Move> {
         self.moves
--- a/buckthorn/src/config/plan/planner.rs
+++ b/buckthorn/src/config/plan/planner.rs
@@ -159,30 +159,36 @@
                     let text = format!("is over, {} serves", entry.to);
                     self.line(Effect::Keep, Some(line), subject, text);
                 }
-                Standing::Revived | Standing::New => self.add_move(line, subject, entry),
+                Standing::Revived => self.revive(line, subject, entry),
+                Standing::New => self.add_move(line, subject, entry),
             }
         }
     }
 
     /// Keeps a known move that has not begun, unless this very plan withdraws the one it follows.
     fn keep_waiting(&mut self, line: u64, subject: String, entry: &sheet::Move) {
-        let Err((column, fault_text)) = self.check_from(entry) else {
-            let text = format!("is known ({} at {})", Phase::Waiting, percent(0));
-            self.line(Effect::Keep, Some(line), subject, text);
-            return;
-        };
-        let follows_withdrawn = self
-            .intent
-            .moves
-            .iter()
-            .any(|other| self.is_withdrawn(&other.id) && self.follows(entry, other));
-        if follows_withdrawn {
-            let text = format!("{fault_text}, and the move that brings it is not named");
+        if let Err((column, text)) = self.check_from(entry) {
+            let text = format!("{text}, and the move that brings it is not named");
             self.faults.push(fault(line, Some(column), text));
             return;
         }
-        let text = format!("waits for {} to serve, which no move brings", entry.from);
-        self.line(Effect::Warn, Some(line), subject, text);
+        let text = format!("is known ({} at {})", Phase::Waiting, percent(0));
+        self.line(Effect::Keep, Some(line), subject, text);
+    }
+
+    /// Plans a withdrawn move anew, unless the move that it follows has ended without success.
+    fn revive(&mut self, line: u64, subject: String, entry: &sheet::Move) {
+        let is_brought = self
+            .sheet
+            .moves()
+            .any(|(_, other)| other.is_on(&entry.service, &entry.route) && other.to == entry.from);
+        match self.check_from(entry) {
+            Err((_, text)) if is_brought => {
+                let text = format!("stays withdrawn: {text}");
+                self.line(Effect::Warn, Some(line), subject, text);
+            }
+            _ => self.add_move(line, subject, entry),
+        }
     }
 
     /// Adds a move, or the faults that speak against it.
--- a/buckthorn/src/journal/amend.rs
+++ b/buckthorn/src/journal/amend.rs
@@ -22,6 +22,7 @@
     for operation in &change.operations {
         amend_one(&mut next, operation, change.at)?;
     }
+    withdraw_unreachable(&mut next, change.at);
     prune_ended(&mut next);
     Ok(next)
 }
@@ -267,6 +268,13 @@
         .moves
         .binary_search_by(|m| m.id.cmp(&step.id))
         .map_err(|_| format!("no move {}", step.id))?;
+    let begins = intent.moves[index].phase == Phase::Waiting && step.phase.is_active();
+    if begins && !intent.is_startable(&intent.moves[index]) {
+        return Err(format!(
+            "move {}: {} does not serve alone yet",
+            step.id, intent.moves[index].from
+        ));
+    }
     let entry = &mut intent.moves[index];
     if !is_legal(entry, step) {
         return Err(format!(
@@ -282,6 +290,7 @@
         let (service, route, to) = (entry.service.clone(), entry.route.clone(), entry.to.clone());
         set_version(intent, &service, &route, to);
     }
+    withdraw_unreachable(intent, step.at);
     prune_ended(intent);
     Ok(())
 }
@@ -307,6 +316,38 @@
     }
 }
 
+/// Withdraws moves not begun whose old version neither serves nor is brought by an open move.
+fn withdraw_unreachable(intent: &mut Intent, at: Time) {
+    let find = |intent: &Intent| {
+        intent
+            .moves
+            .iter()
+            .position(|m| m.phase == Phase::Waiting && !is_reachable(intent, m))
+    };
+    // Each round may leave another move without the one that it follows.
+    while let Some(index) = find(intent) {
+        let entry = &mut intent.moves[index];
+        entry.phase = Phase::Cancelled;
+        entry.reason = format!("no move brings {} any more", entry.from);
+        entry.changed = at;
+    }
+}
+
+/// Whether the old version of a move serves or is brought by an open move before its start.
+fn is_reachable(intent: &Intent, entry: &Move) -> bool {
+    let serving = intent
+        .service(&entry.service)
+        .and_then(|service| service.route(&entry.route));
+    serving.is_some_and(|route| route.version == entry.from)
+        || intent.moves.iter().any(|other| {
+            !other.phase.is_ended()
+                && other.service == entry.service
+                && other.route == entry.route
+                && other.to == entry.from
+                && other.deadline <= entry.start
+        })
+}
+
 /// Sets the serving version of a route.
 fn set_version(intent: &mut Intent, service: &str, route: &str, version: Name) {
     let Ok(index) = intent.services.binary_search_by(|s| (*s.name).cmp(service)) else {
--- a/buckthorn/src/rollout/plugin.rs
+++ b/buckthorn/src/rollout/plugin.rs
@@ -136,6 +136,9 @@
                 share,
                 reason,
             } = decision
+                && (!phase.is_active()
+                    || entry.phase.is_active()
+                    || state.intent.is_startable(entry))
             {
                 let step = Step {
                     term: state.lease.term,
--- a/buckthorn/tests/journal_fold.rs
+++ b/buckthorn/tests/journal_fold.rs
@@ -1,11 +1,14 @@
 //! Properties of the fold of the configuration stream.
 
+use std::time::Duration;
+
 use buckthorn::clock::Time;
 use buckthorn::config::change::{Change, Operation};
 use buckthorn::config::intent::{FULL_SHARE, Phase};
 use buckthorn::journal::checkpoint;
 use buckthorn::journal::fold::{self, MAX_NAME_BYTES, MAX_TEXT_CHARS, Outcome, Refusal, State};
 use buckthorn::journal::record::{self, Body, Claim, Domain, Record, Step};
+use buckthorn::name::Name;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -58,7 +61,9 @@
 
 /// Random record.
 fn any_draft() -> impl Strategy<Value = Draft> {
-    let operations = prop::collection::vec((0_u8..5, 0_u8..2, 1_u8..4, 1_u8..4), 1..4);
+    let kind = prop_oneof![2 => Just(0_u8), 5 => Just(1), 1 => Just(3), 1 => Just(4)];
+    let service = prop_oneof![4 => Just(0_u8), 1 => Just(1)];
+    let operations = prop::collection::vec((kind, service, 1_u8..4, 1_u8..4), 1..3);
     prop_oneof![
         4 => (prop::bool::weighted(0.9), operations).prop_map(|(b, o)| Draft::Change(b, o)),
         4 => (0_u8..4, 0_u8..7, prop_oneof![Just(0), Just(FULL_SHARE), 0_u16..1_200], prop::bool::weighted(0.9))
@@ -115,16 +120,18 @@
 
 /// Random operation.
 fn operation(state: &State, (kind, service, from, to): (u8, u8, u8, u8)) -> Operation {
+    // Moves of one route follow one another in time.
+    let start = Time::from_secs(10 * u64::from(from));
     let (from, to) = (format!("v{from}"), format!("v{to}"));
     match kind {
         0 => serve(&format!("s{service}"), &to),
-        1 | 2 => Operation::Move {
+        1 => Operation::Move {
             service: format!("s{service}").into(),
             route: "".into(),
             from: from.into(),
             to: to.into(),
-            start: Time::from_secs(10),
-            deadline: Time::from_secs(20),
+            start,
+            deadline: start + Duration::from_secs(10),
         },
         3 => Operation::Cancel {
             id: state
@@ -207,6 +214,12 @@
                 prop_assert_eq!(state.version, before.version);
                 prop_assert_eq!(state.intent_version, before.intent_version);
             }
+            for entry in state.intent.moves.iter().filter(|m| m.phase.is_active()) {
+                let on_route = state.intent.active_move(&entry.service, &entry.route);
+                prop_assert_eq!(on_route, Some(entry), "two moves under way on one route");
+                let serving = &state.intent.service(&entry.service).unwrap().routes[0].version;
+                prop_assert_eq!(serving, &entry.from);
+            }
             prop_assert_eq!(state.apply(&record), Outcome::Duplicate);
             let gap = at(record.offset + 2, "gap", &record.payload);
             prop_assert_eq!(state.apply(&gap), Outcome::Gap);
@@ -352,6 +365,90 @@
     }
 }
 
+/// State in which three moves follow one another, with a lease; gives their identifiers in order.
+fn chain() -> (State, Vec<Name>) {
+    let mut state = State::new();
+    let claim = Claim {
+        host: "host-1".into(),
+        replaces: 0,
+        at: Time(0),
+    };
+    apply(&mut state, Body::Claim(claim));
+    let mut operations = vec![serve("s", "v1")];
+    operations.extend((1..4_u64).map(|index| Operation::Move {
+        service: "s".into(),
+        route: "".into(),
+        from: format!("v{index}").into(),
+        to: format!("v{}", index + 1).into(),
+        start: Time::from_secs(20 * index),
+        deadline: Time::from_secs(20 * index + 10),
+    }));
+    assert_eq!(apply(&mut state, change(0, operations)), Outcome::Applied);
+    let mut moves: Vec<_> = state.intent.moves.iter().collect();
+    moves.sort_by_key(|entry| entry.start);
+    let ids = moves.iter().map(|entry| entry.id.clone()).collect();
+    (state, ids)
+}
+
+/// Applies a controller's decision.
+fn step(state: &mut State, id: &Name, phase: Phase, share: u16) -> Outcome {
+    let step = Step {
+        term: state.lease.term,
+        id: id.clone(),
+        phase,
+        share,
+        reason: "as planned".into(),
+        at: Time::from_secs(100),
+    };
+    apply(state, Body::Step(step))
+}
+
+#[test]
+fn a_move_begins_only_when_the_one_before_is_done() {
+    let (mut state, ids) = chain();
+    for phase in [Phase::Shifting, Phase::Holding, Phase::Watching] {
+        let early = step(&mut state, &ids[1], phase, FULL_SHARE);
+        assert!(
+            matches!(early, Outcome::Refused(Refusal::Invalid(_))),
+            "{phase}"
+        );
+    }
+    for (phase, share) in [(Phase::Shifting, 10), (Phase::Watching, FULL_SHARE)] {
+        assert_eq!(step(&mut state, &ids[0], phase, share), Outcome::Applied);
+        let early = step(&mut state, &ids[1], Phase::Shifting, 10);
+        assert!(
+            matches!(early, Outcome::Refused(Refusal::Invalid(_))),
+            "{phase}"
+        );
+    }
+    step(&mut state, &ids[0], Phase::Done, FULL_SHARE);
+    assert_eq!(
+        step(&mut state, &ids[1], Phase::Shifting, 10),
+        Outcome::Applied
+    );
+}
+
+#[test]
+fn moves_that_follow_one_taken_back_are_withdrawn() {
+    let (state, ids) = chain();
+    let cancelled =
+        |state: &State, id: &Name| state.intent.find_move(id).unwrap().phase == Phase::Cancelled;
+    let mut taken_back = state.clone();
+    step(&mut taken_back, &ids[0], Phase::Shifting, 10);
+    step(&mut taken_back, &ids[0], Phase::TakenBack, 0);
+    let mut withdrawn = state.clone();
+    let cancel = Operation::Cancel { id: ids[0].clone() };
+    apply(&mut withdrawn, change(state.intent_version, vec![cancel]));
+    for state in [taken_back, withdrawn] {
+        assert!(cancelled(&state, &ids[1]) && cancelled(&state, &ids[2]));
+    }
+    // The last one alone leaves the others as they are.
+    let mut last = state.clone();
+    let cancel = Operation::Cancel { id: ids[2].clone() };
+    apply(&mut last, change(state.intent_version, vec![cancel]));
+    assert!(!cancelled(&last, &ids[1]) && cancelled(&last, &ids[2]));
+}
+
 #[test]
 fn a_deeply_nested_payload_is_refused() {
     let mut state = State::new();
--- a/buckthorn/tests/sheet_plan.rs
+++ b/buckthorn/tests/sheet_plan.rs
@@ -275,8 +275,15 @@
     check(
         &both.state,
         second,
+        expect!["line 2, column from: v2 is not serving card-desk, v1 is"],
+    );
+    check(
+        &both.state,
+        &format!("{MOVING}{second}"),
         expect![[r#"
-        ! move card-desk-v3-22abd0: waits for v2 to serve, which no move brings
+        = card-desk: stays on v1
+        ! move card-desk-v2-400a00: was taken back (as planned); give it another start or deadline to try again
+        ! move card-desk-v3-22abd0: stays withdrawn: v2 is not serving card-desk, v1 is
         = failure domain east: not named, stays in service
         = failure domain west: not named, stays in service
         0 operations"#]],
--- a/buckthorn/tests/sheet_state/mod.rs
+++ b/buckthorn/tests/sheet_state/mod.rs
@@ -76,6 +76,9 @@
             if entry.phase == Phase::Watching && phase != Phase::Done {
                 continue;
             }
+            if entry.phase == Phase::Waiting && !self.state.intent.is_startable(entry) {
+                return;
+            }
             self.step(&id, phase, share.max(entry.share));
         }
     }
