Test that a silent connection casts doubt on the unused ones beside it

Cause: the test had one connection only, so it passed without the rule that it was meant for. Change: two connections are open and unused when they fall silent. Conclusion: the call after the one that timed out is answered.

--- a/buckthorn/tests/proxy_drain.rs
+++ b/buckthorn/tests/proxy_drain.rs
@@ -157,16 +157,29 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn silent_connection_to_the_backend_server_is_not_used_again() {
-    let (runs, gate) = (Arc::new(AtomicU64::new(0)), Arc::new(Semaphore::new(100)));
-    let backend = gated(runs.clone(), gate).await;
+    let (runs, gate) = (Arc::new(AtomicU64::new(0)), Arc::new(Semaphore::new(0)));
+    let backend = gated(runs.clone(), gate.clone()).await;
     let relay = Relay::start(backend).await;
     let (ingress, _owner) = pair(relay.address, limits()).await;
+    // Two connections are open and not in use when both fall silent.
+    let calls = [ingress.callers, ingress.callers].map(|address| {
+        tokio::spawn(async move {
+            let mut caller = Caller::connect(address).await;
+            caller.call("GET", "/", "", "").await.status
+        })
+    });
+    until(&runs, 2).await;
+    gate.add_permits(100);
+    for call in calls {
+        assert_eq!(call.await.unwrap(), 200);
+    }
     let mut caller = Caller::connect(ingress.callers).await;
-    assert_eq!(caller.call("GET", "/", "", "").await.status, 200);
     relay.silence();
     let deadline = "x-buckthorn-deadline-ms: 100\r\n";
     let answer = caller.call("GET", "/", deadline, "").await;
     assert_eq!((answer.status, answer.ran()), (504, "unknown"));
-    let answer = caller.call("GET", "/", "", "").await;
+    let answer = caller
+        .call("GET", "/", "x-buckthorn-deadline-ms: 5000\r\n", "")
+        .await;
     assert_eq!(answer.status, 200, "{answer:?}");
 }
