Test that a draining owner refuses what was on its way

Cause: with the owner's own check of the drain removed every test stayed green, because GOAWAY and the ingress's check came first. Change: the test hands a call to the owner directly during the drain. Conclusion: with the check removed the test is red.

--- a/buckthorn/tests/proxy_drain.rs
+++ b/buckthorn/tests/proxy_drain.rs
@@ -7,8 +7,10 @@
 use std::time::Duration;
 
 use buckthorn::counter::Counter;
-use buckthorn::proxy::Drained;
-use proxy_kit::{Caller, GUARD, Relay, endpoint, limits, node, pair, scripted};
+use buckthorn::proxy::header::Call;
+use buckthorn::proxy::{Drained, body, owner};
+use http::Request;
+use proxy_kit::{Caller, GUARD, Relay, SERVICE, endpoint, limits, node, pair, scripted};
 use tokio::sync::Semaphore;
 
 /// Backend server that counts its runs and answers each when a permit is free.
@@ -63,6 +65,13 @@
     let mut caller = Caller::connect(ingress.callers).await;
     let answer = caller.call("POST", "/", "", "").await;
     assert_eq!(answer.ran(), "not-run", "{answer:?}");
+    // A call that was on its way when the drain began reaches the owner all the same.
+    let request = Request::post(format!("http://{SERVICE}/"));
+    let (parts, body) = request.body(body::empty()).unwrap().into_parts();
+    let call = Call::parse(&parts, plane.clock.now(), GUARD).unwrap();
+    let answer = owner::run(&plane, &call, Request::from_parts(parts, body)).await;
+    assert_eq!(answer.headers()["x-buckthorn-reason"], "draining");
+    assert_eq!(answer.headers()["x-buckthorn-ran"], "not-run");
     assert_eq!(runs.load(Ordering::SeqCst), 10);
     gate.add_permits(10);
     for call in calls {
