--- a/buckthorn_lab/src/flags.rs
+++ b/buckthorn_lab/src/flags.rs
@@ -105,6 +105,10 @@
         cmd moves {
             /// Seed.
             optional --seed seed: u64
+            /// Moves of each kind.
+            optional --moves moves: usize
+            /// Prints each case that missed a target.
+            optional --verbose
             /// File for the JSON.
             optional --json json: PathBuf
         }
@@ -124,6 +128,10 @@
         }
         /// Measures convergence under message loss, deaths and log outages.
         cmd convergence {
+            /// Node counts, separated by commas.
+            optional --nodes nodes: String
+            /// Changes measured in each case.
+            optional --changes changes: u32
             /// Seed.
             optional --seed seed: u64
             /// File for the JSON.
