Name the bound of reads in the documentation

Cause: the documentation of report::newest linked to a private item, which the documentation build refuses.

Change: the bound is public.

--- a/buckthornctl/src/report.rs
+++ b/buckthornctl/src/report.rs
@@ -9,7 +9,7 @@
 use buckthorn::platform::client::MAX_RECORDS;
 
 /// Reads of the stream, from its end backwards, of [`MAX_RECORDS`] each.
-const MAX_READS: usize = 16;
+pub const MAX_READS: usize = 16;
 
 /// Newest reports, sorted by failure domain.
 ///
