Count stalled and malformed requests to the operators' page

Cause: of the page's limits, the time of the headers and malformed requests ended a connection without a counter.

Change: both are counted; a connection that idles after an answer is not.

Conclusion: one test; passes.

--- a/buckthorn/src/admin/server.rs
+++ b/buckthorn/src/admin/server.rs
@@ -6,6 +6,7 @@
 use std::convert::Infallible;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,6 +18,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde_json::{Value, json};
+use tokio::net::TcpStream;
 use tokio::sync::{Semaphore, oneshot};
 
 use super::{Announcement, Handler, Refusal, announcement};
@@ -112,25 +114,43 @@
         };
         let (access, handler) = (access.clone(), handler.clone());
         tokio::spawn(async move {
-            let service = service_fn(|request| {
-                let (access, handler) = (access.clone(), handler.clone());
-                async move { Ok::<_, Infallible>(answer(request, &access, handler).await) }
-            });
-            let served = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(REQUEST_TIMEOUT)
-                .max_buf_size(MAX_HEADER_BYTES)
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-            // Any other break harms the connection's own client only.
-            if served.is_err_and(|error| error.is_parse_too_large()) {
-                handler.counters().hit(Counter::RefusedHeaderSize);
-            }
+            serve_connection(stream, &access, &handler).await;
             drop(place);
         });
     }
 }
 
+/// Serves one connection and counts why it was refused, if it was.
+async fn serve_connection(stream: TcpStream, access: &Access, handler: &Arc<impl Handler>) {
+    let has_asked = AtomicBool::new(false);
+    let service = service_fn(|request| {
+        has_asked.store(true, Ordering::Relaxed);
+        let (access, handler) = (access.clone(), handler.clone());
+        async move { Ok::<_, Infallible>(answer(request, &access, handler).await) }
+    });
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(REQUEST_TIMEOUT)
+        .max_buf_size(MAX_HEADER_BYTES)
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    let Err(error) = served else {
+        return;
+    };
+    let counter = if error.is_parse_too_large() {
+        Counter::RefusedHeaderSize
+    } else if error.is_parse() {
+        Counter::RefusedBadRequest
+    } else if error.is_timeout() && !has_asked.load(Ordering::Relaxed) {
+        // A connection that idles after a request ends by the same timeout and is no fault.
+        Counter::RefusedHeaderTimeout
+    } else {
+        // Any other break harms the connection's own client only.
+        return;
+    };
+    handler.counters().hit(counter);
+}
+
 /// Answers one request.
 async fn answer(request: Request<Incoming>, access: &Access, handler: Arc<impl Handler>) -> Reply {
     if !is_allowed(&request, access) {
--- a/buckthorn/tests/admin_server.rs
+++ b/buckthorn/tests/admin_server.rs
@@ -302,6 +302,22 @@
     eventually(|| page.node.counters.get(Counter::RefusedHeaderSize) == 1);
 }
 
+#[test]
+fn headers_that_stall_or_make_no_sense_are_refused_and_counted() {
+    let page = start(Access::Loopback);
+    let counters = &page.node.counters;
+    send(page.address, "GET /v1/live HTTP/1.1\r\nhost: n");
+    eventually(|| counters.get(Counter::RefusedHeaderTimeout) == 1);
+    assert_eq!(send(page.address, "\u{1}\u{2} nonsense\r\n\r\n").0, 400);
+    eventually(|| counters.get(Counter::RefusedBadRequest) == 1);
+    // A connection that idles after its answer is let go without a count.
+    assert_eq!(
+        send(page.address, "GET /v1/live HTTP/1.1\r\nhost: n\r\n\r\n").0,
+        200
+    );
+    assert_eq!(counters.get(Counter::RefusedHeaderTimeout), 1);
+}
+
 #[test]
 fn a_dropped_handle_frees_the_port() {
     let mut page = start(Access::Loopback);
