--- a/buckthorn/tests/proxy_drain.rs
+++ b/buckthorn/tests/proxy_drain.rs
@@ -7,8 +7,10 @@
 use std::time::Duration;
 
 use buckthorn::counter::Counter;
-use buckthorn::proxy::Drained;
-use proxy_kit::{Caller, GUARD, Relay, endpoint, limits, node, pair, scripted};
+use buckthorn::proxy::header::Call;
+use buckthorn::proxy::{Drained, body, owner};
+use http::Request;
+use proxy_kit::{Caller, GUARD, Relay, SERVICE, endpoint, limits, node, pair, scripted};
 use tokio::sync::Semaphore;
 
 /// Backend server that counts its runs and answers each when a permit is free.
@@ -63,6 +65,13 @@
     let mut caller = Caller::connect(ingress.callers).await;
     let answer = caller.call("POST", "/", "", "").await;
     assert_eq!(answer.ran(), "not-run", "{answer:?}");
+    // A call that was on its way when the drain began reaches the owner all the same.
+    let request = Request::post(format!("http://{SERVICE}/"));
+    let (parts, body) = request.body(body::empty()).unwrap().into_parts();
+    let call = Call::parse(&parts, plane.clock.now(), GUARD).unwrap();
+    let answer = owner::run(&plane, &call, Request::from_parts(parts, body)).await;
+    assert_eq!(answer.headers()["x-buckthorn-reason"], "draining");
+    assert_eq!(answer.headers()["x-buckthorn-ran"], "not-run");
     assert_eq!(runs.load(Ordering::SeqCst), 10);
     gate.add_permits(10);
     for call in calls {
@@ -157,16 +166,29 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn silent_connection_to_the_backend_server_is_not_used_again() {
-    let (runs, gate) = (Arc::new(AtomicU64::new(0)), Arc::new(Semaphore::new(100)));
-    let backend = gated(runs.clone(), gate).await;
+    let (runs, gate) = (Arc::new(AtomicU64::new(0)), Arc::new(Semaphore::new(0)));
+    let backend = gated(runs.clone(), gate.clone()).await;
     let relay = Relay::start(backend).await;
     let (ingress, _owner) = pair(relay.address, limits()).await;
+    // Two connections are open and not in use when both fall silent.
+    let calls = [ingress.callers, ingress.callers].map(|address| {
+        tokio::spawn(async move {
+            let mut caller = Caller::connect(address).await;
+            caller.call("GET", "/", "", "").await.status
+        })
+    });
+    until(&runs, 2).await;
+    gate.add_permits(100);
+    for call in calls {
+        assert_eq!(call.await.unwrap(), 200);
+    }
     let mut caller = Caller::connect(ingress.callers).await;
-    assert_eq!(caller.call("GET", "/", "", "").await.status, 200);
     relay.silence();
     let deadline = "x-buckthorn-deadline-ms: 100\r\n";
     let answer = caller.call("GET", "/", deadline, "").await;
     assert_eq!((answer.status, answer.ran()), (504, "unknown"));
-    let answer = caller.call("GET", "/", "", "").await;
+    let answer = caller
+        .call("GET", "/", "x-buckthorn-deadline-ms: 5000\r\n", "")
+        .await;
     assert_eq!(answer.status, 200, "{answer:?}");
 }
