Resume broken downloads at another backend server

Cause: a download whose backend server or node fails ended as a broken answer, although the same bytes were to be had next door. Change: the answer to a GET with a strong entity tag and a declared length goes on by Range and If-Range within the call's attempts and the service's budget; tag, start and whole length have to agree. Conclusion: a download broken at byte 123,456 of 300,000 arrives whole; with another tag, another start, a whole answer or a weak tag it stays an error. Red with the tag or the span not compared.

--- a/buckthorn/src/counter.rs
+++ b/buckthorn/src/counter.rs
@@ -35,6 +35,7 @@
     Calls "call.total" "Calls taken from callers.",
     CallsOk "call.ok" "Calls answered in full by a backend server.",
     CallsUnknown "call.unknown" "Calls answered as unknown outcome.",
+    DownloadsResumed "call.resumed" "Downloads that went on at another backend server.",
     CallerGone "call.caller_gone" "Callers that left before their answer.",
     RefusedNoRoute "refused.no_route" "Calls for a service or path that no route names.",
     RefusedNoBackendServer "refused.no_backend_server" "Calls whose route has no usable backend server.",
--- a/buckthorn/src/proxy/dispatch.rs
+++ b/buckthorn/src/proxy/dispatch.rs
@@ -16,7 +16,7 @@
 use super::header::{self, ATTEMPTS, Call, LOAD, Part};
 use super::hop::{Failure, Outgoing};
 use super::payload::Payload;
-use super::{Plane, owner};
+use super::{Plane, owner, resume};
 use crate::admission::gate::Refusal;
 use crate::counter::Counter;
 use crate::name::Name;
@@ -26,7 +26,7 @@
 use crate::routing::table::Endpoint;
 
 /// What came of one attempt.
-enum Attempt {
+pub(super) enum Attempt {
     /// An answer of a backend server.
     Answered(Response<Body>),
     /// A refusal or a failure.
@@ -34,7 +34,7 @@
 }
 
 /// An attempt without a good answer.
-struct Failed {
+pub(super) struct Failed {
     /// What the caller is told if it was the last.
     response: Response<Body>,
     /// Whether it ran.
@@ -74,7 +74,9 @@
         let request = Request::from_parts(parts.clone(), body);
         attempts_left -= 1;
         let failed = match attempt(plane, call, &endpoint, request).await {
-            Attempt::Answered(response) => return response,
+            Attempt::Answered(response) => {
+                return resume::protect(plane, call, &parts, endpoint.host, response);
+            }
             Attempt::Failed(failed) => failed,
         };
         let next = budget::decide(
@@ -99,14 +101,14 @@
 }
 
 /// Retry budget of a call's service.
-fn service_budget(plane: &Plane, call: &Call) -> Option<Arc<Budget>> {
+pub(super) fn service_budget(plane: &Plane, call: &Call) -> Option<Arc<Budget>> {
     let table = plane.table.load();
     let service = table.service(&call.service)?;
     Some(service.budget.clone())
 }
 
 /// Place of this node in the chain of calls.
-const fn layer(call: &Call) -> Layer {
+pub(super) const fn layer(call: &Call) -> Layer {
     match call.attempts {
         Some(0 | 1) => Layer::Inner,
         Some(_) | None => Layer::Outermost,
@@ -138,7 +140,7 @@
 }
 
 /// Chooses a backend server.
-fn pick(plane: &Plane, call: &Call, tried: &[Name]) -> Result<Endpoint, Reason> {
+pub(super) fn pick(plane: &Plane, call: &Call, tried: &[Name]) -> Result<Endpoint, Reason> {
     let table = plane.table.load();
     let Some(route) = table.resolve(&call.service, &call.path) else {
         return Err(Reason::NoRoute);
@@ -168,7 +170,7 @@
 }
 
 /// Makes one attempt.
-async fn attempt(
+pub(super) async fn attempt(
     plane: &Arc<Plane>,
     call: &Call,
     endpoint: &Endpoint,
--- a/buckthorn/src/proxy/mod.rs
+++ b/buckthorn/src/proxy/mod.rs
@@ -27,6 +27,7 @@
 pub mod owner;
 pub mod payload;
 pub mod pool;
+pub mod resume;
 pub mod secret;
 pub mod socket;
 
--- /dev/null
+++ b/buckthorn/src/proxy/resume.rs
@@ -0,0 +1,212 @@
+//! Downloads that go on at another backend server when theirs breaks off.
+//!
+//! The answer to a GET with a strong entity tag and a declared length is resumed by `Range` and
+//! `If-Range` (RFC 9110, sections 13.1.5 and 14.2). What follows is taken only when its tag, its
+//! start and the whole length agree with the first answer; otherwise the caller sees the break.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header as names};
+use http_body::{Frame, SizeHint};
+use http_body_util::BodyExt;
+
+use super::Plane;
+use super::body::{self, Body, Fault};
+use super::dispatch::{Attempt, attempt, layer, pick, service_budget};
+use super::header::{self, Call};
+use crate::counter::Counter;
+use crate::name::Name;
+use crate::routing::budget::{self, MAX_ATTEMPTS, Next};
+
+/// What is needed to ask for the rest of a download.
+struct Download {
+    /// Plane.
+    plane: Arc<Plane>,
+    /// Call.
+    call: Call,
+    /// Head of the request.
+    parts: Parts,
+    /// Entity tag.
+    tag: HeaderValue,
+    /// Bytes of the whole body.
+    length: u64,
+    /// Hosts that broke off or refused.
+    tried: Vec<Name>,
+    /// Attempts left.
+    attempts_left: u32,
+}
+
+/// Ends with the rest of the body and what is needed if it breaks off, too.
+type Pending = Pin<Box<dyn Future<Output = Option<(Body, Download)>> + Send>>;
+
+/// Body of a download.
+struct Resumed {
+    /// Body as it comes now.
+    inner: Body,
+    /// Bytes passed on.
+    at: u64,
+    /// Bytes of the whole body.
+    length: u64,
+    /// What is needed to go on, `None` when that was tried for the last time.
+    download: Option<Download>,
+    /// Request for the rest under way, with the fault that made it necessary.
+    pending: Option<(Pending, Fault)>,
+}
+
+/// Lets the body of an answer be resumed if its kind allows that.
+pub(super) fn protect(
+    plane: &Arc<Plane>,
+    call: &Call,
+    parts: &Parts,
+    host: Name,
+    response: Response<Body>,
+) -> Response<Body> {
+    let Some((tag, length)) = resumable(parts, &response) else {
+        return response;
+    };
+    let download = Download {
+        plane: plane.clone(),
+        call: call.clone(),
+        parts: parts.clone(),
+        tag,
+        length,
+        tried: vec![host],
+        attempts_left: MAX_ATTEMPTS - 1,
+    };
+    response.map(|inner| {
+        Resumed {
+            inner,
+            at: 0,
+            length,
+            download: Some(download),
+            pending: None,
+        }
+        .boxed_unsync()
+    })
+}
+
+/// Entity tag and length of an answer that can be resumed.
+fn resumable(parts: &Parts, response: &Response<Body>) -> Option<(HeaderValue, u64)> {
+    let is_plain_get = parts.method == Method::GET && !parts.headers.contains_key(names::RANGE);
+    if !is_plain_get || response.status() != StatusCode::OK {
+        return None;
+    }
+    let length = header::declared_length(response.headers()).ok()??;
+    Some((strong_tag(response.headers())?.clone(), length))
+}
+
+/// Strong entity tag, `None` for a weak one.
+fn strong_tag(headers: &HeaderMap) -> Option<&HeaderValue> {
+    headers
+        .get(names::ETAG)
+        .filter(|tag| tag.as_bytes().starts_with(b"\""))
+}
+
+impl Download {
+    /// Asks other backend servers for what follows a position.
+    async fn resume(mut self, at: u64) -> Option<(Body, Self)> {
+        let budget = service_budget(&self.plane, &self.call)?;
+        self.parts.headers.insert(
+            names::RANGE,
+            HeaderValue::from_str(&format!("bytes={at}-")).ok()?,
+        );
+        self.parts.headers.insert(names::IF_RANGE, self.tag.clone());
+        loop {
+            let next = budget::decide(
+                &budget,
+                &budget::Attempt {
+                    is_idempotent: true,
+                    ran: budget::Ran::Unknown,
+                    failure: budget::Failure::Reset,
+                    time_left: None,
+                    attempts_left: self.attempts_left,
+                    layer: layer(&self.call),
+                    is_body_kept: true,
+                },
+            );
+            self.plane.counters.hit(next.counter());
+            if matches!(next, Next::GiveUp(_)) {
+                return None;
+            }
+            self.attempts_left -= 1;
+            let endpoint = pick(&self.plane, &self.call, &self.tried).ok()?;
+            // The deadline was for the head of the first answer.
+            self.call.deadline = self.plane.clock.now() + self.plane.limits.call_timeout;
+            let request = Request::from_parts(self.parts.clone(), body::empty());
+            let result = attempt(&self.plane, &self.call, &endpoint, request).await;
+            self.tried.push(endpoint.host);
+            if let Attempt::Answered(response) = result
+                && self.follows(at, &response)
+            {
+                self.plane.counters.hit(Counter::DownloadsResumed);
+                return Some((response.into_body(), self));
+            }
+        }
+    }
+
+    /// Whether an answer is exactly what follows a position.
+    fn follows(&self, at: u64, response: &Response<Body>) -> bool {
+        let span = format!("bytes {at}-{}/{}", self.length - 1, self.length);
+        let headers = response.headers();
+        let is_span = headers
+            .get(names::CONTENT_RANGE)
+            .is_some_and(|value| value.as_bytes() == span.as_bytes());
+        response.status() == StatusCode::PARTIAL_CONTENT
+            && is_span
+            && strong_tag(headers) == Some(&self.tag)
+    }
+}
+
+impl http_body::Body for Resumed {
+    type Data = Bytes;
+    type Error = Fault;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Fault>>> {
+        let this = &mut *self;
+        loop {
+            if let Some((pending, fault)) = &mut this.pending {
+                let fault = *fault;
+                let rest = ready!(pending.as_mut().poll(cx));
+                this.pending = None;
+                let Some((rest, download)) = rest else {
+                    return Poll::Ready(Some(Err(fault)));
+                };
+                this.inner = rest;
+                this.download = Some(download);
+            }
+            let fault = match ready!(Pin::new(&mut this.inner).poll_frame(cx)) {
+                Some(Ok(frame)) => {
+                    this.at += frame.data_ref().map_or(0, Bytes::len) as u64;
+                    return Poll::Ready(Some(Ok(frame)));
+                }
+                Some(Err(fault)) => fault,
+                None if this.at < this.length => Fault::Short,
+                None => return Poll::Ready(None),
+            };
+            let is_broken_off = matches!(fault, Fault::Short | Fault::Lost | Fault::Idle);
+            let download = this
+                .download
+                .take()
+                .filter(|_| is_broken_off && this.at < this.length);
+            match download {
+                Some(download) => this.pending = Some((Box::pin(download.resume(this.at)), fault)),
+                None => return Poll::Ready(Some(Err(fault))),
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.at == self.length && self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.length - self.at.min(self.length))
+    }
+}
