Write one page from the experiments' figures

Cause: figures in JSON files are not read by anyone. Change: the lab's command report: one HTML page without scripts, SVG plots, tables of whatever the files hold, and the command for what was not measured. Conclusion: holds for files that are missing, broken or of another shape.

--- /dev/null
+++ b/buckthorn_lab/src/report/chart.rs
@@ -0,0 +1,167 @@
+//! Plots of rows of JSON objects as SVG.
+
+use plotters::prelude::*;
+use serde_json::Value;
+
+/// Width and height of a plot in pixels.
+const SIZE: (u32, u32) = (720, 360);
+
+/// Room above the highest value.
+const HEADROOM: f64 = 1.1;
+
+/// How points are joined.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Scale {
+    /// By straight lines.
+    Linear,
+    /// Each value holds until the next.
+    Steps,
+}
+
+/// Plot of figures in an array of JSON objects.
+#[derive(Debug)]
+pub(super) struct Chart {
+    /// Title.
+    pub(super) title: &'static str,
+    /// JSON pointer of the array.
+    pub(super) rows: &'static str,
+    /// Field by which rows fall into lines of their own.
+    pub(super) group: Option<&'static str>,
+    /// Field along the x axis.
+    pub(super) x: &'static str,
+    /// Label of the x axis.
+    pub(super) x_label: &'static str,
+    /// Fields along the y axis, each a line.
+    pub(super) ys: &'static [&'static str],
+    /// Label of the y axis.
+    pub(super) y_label: &'static str,
+    /// How points are joined.
+    pub(super) scale: Scale,
+}
+
+/// One line of a plot.
+#[derive(Clone, Debug, PartialEq)]
+struct Line {
+    /// Name in the legend.
+    name: String,
+    /// Points in the order of the file.
+    points: Vec<(f64, f64)>,
+}
+
+impl Chart {
+    /// Draws the plot; `None` when the file holds none of its figures.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the plot cannot be drawn.
+    pub(super) fn draw(&self, value: &Value) -> anyhow::Result<Option<String>> {
+        let lines = self.lines(value);
+        let points = || lines.iter().flat_map(|line| &line.points);
+        let most = |values: Vec<f64>| values.into_iter().fold(0.0, f64::max);
+        let (width, height) = (
+            most(points().map(|p| p.0).collect()),
+            most(points().map(|p| p.1).collect()),
+        );
+        if points().count() == 0 {
+            return Ok(None);
+        }
+        let mut svg = String::new();
+        {
+            let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+            area.fill(&WHITE).map_err(to_error)?;
+            let mut chart = ChartBuilder::on(&area)
+                .caption(self.title, ("sans-serif", 18))
+                .margin(10)
+                .x_label_area_size(40)
+                .y_label_area_size(60)
+                .build_cartesian_2d(
+                    0.0..width.max(f64::MIN_POSITIVE),
+                    0.0..(height * HEADROOM).max(0.01),
+                )
+                .map_err(to_error)?;
+            chart
+                .configure_mesh()
+                .x_desc(self.x_label)
+                .y_desc(self.y_label)
+                .draw()
+                .map_err(to_error)?;
+            for (index, line) in lines.iter().enumerate() {
+                let color = Palette99::pick(index).to_rgba();
+                chart
+                    .draw_series(LineSeries::new(line.points.iter().copied(), color))
+                    .map_err(to_error)?
+                    .label(line.name.as_str())
+                    .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], color));
+                let dots = line
+                    .points
+                    .iter()
+                    .map(|&p| Circle::new(p, 3, color.filled()));
+                chart.draw_series(dots).map_err(to_error)?;
+            }
+            chart
+                .configure_series_labels()
+                .background_style(WHITE.mix(0.8))
+                .border_style(BLACK)
+                .draw()
+                .map_err(to_error)?;
+            area.present().map_err(to_error)?;
+        }
+        Ok(Some(svg))
+    }
+
+    /// Lines of the plot.
+    fn lines(&self, value: &Value) -> Vec<Line> {
+        let rows = value.pointer(self.rows).and_then(Value::as_array);
+        let mut lines: Vec<Line> = Vec::new();
+        for row in rows.into_iter().flatten() {
+            let Some(x) = row.get(self.x).and_then(Value::as_f64) else {
+                continue;
+            };
+            for y in self.ys {
+                let Some(value) = row.get(*y).and_then(Value::as_f64) else {
+                    continue;
+                };
+                let name = self.name(row, y);
+                let index = lines.iter().position(|line| line.name == name);
+                let index = index.unwrap_or_else(|| {
+                    lines.push(Line {
+                        name,
+                        points: Vec::new(),
+                    });
+                    lines.len() - 1
+                });
+                self.push(&mut lines[index].points, (x, value));
+            }
+        }
+        lines
+    }
+
+    /// Name of the line that a row's figure belongs to.
+    fn name(&self, row: &Value, y: &str) -> String {
+        let group = self
+            .group
+            .and_then(|group| row.get(group))
+            .map(|value| match value {
+                Value::String(text) => text.clone(),
+                other => other.to_string(),
+            });
+        match group {
+            Some(group) if self.ys.len() == 1 => group,
+            Some(group) => format!("{group} {y}"),
+            None => y.to_owned(),
+        }
+    }
+
+    /// Adds a point to a line.
+    fn push(&self, points: &mut Vec<(f64, f64)>, point: (f64, f64)) {
+        if let (Scale::Steps, Some(&(_, before))) = (self.scale, points.last()) {
+            points.push((point.0, before));
+        }
+        points.push(point);
+    }
+}
+
+/// Error of the drawing library.
+fn to_error(error: impl std::fmt::Display) -> anyhow::Error {
+    anyhow::anyhow!("the plot could not be drawn: {error}")
+}
--- /dev/null
+++ b/buckthorn_lab/src/report/mod.rs
@@ -0,0 +1,235 @@
+//! One self-contained HTML page with plots, made from the JSON of the experiments.
+//!
+//! The page shows what the files in a folder hold; what was not measured is said so, with the
+//! command that measures it.
+
+mod chart;
+mod page;
+
+use std::path::{Path, PathBuf};
+
+use anyhow::{Context as _, ensure};
+use serde_json::Value;
+
+use self::chart::{Chart, Scale};
+use self::page::Page;
+use crate::flags;
+
+/// Folder when none is given.
+const DEFAULT_DIR: &str = "measures";
+
+/// Name of the page in the folder.
+const PAGE_NAME: &str = "report.html";
+
+/// Bytes of one JSON file.
+const MAX_FILE_BYTES: u64 = 64 * 1024 * 1024;
+
+/// One experiment as the page shows it.
+#[derive(Debug)]
+struct Section {
+    /// Heading.
+    title: &'static str,
+    /// File that it is made from.
+    file: &'static str,
+    /// Command that writes the file.
+    command: &'static str,
+    /// Plots.
+    charts: &'static [Chart],
+}
+
+/// Sections in the order of the page.
+const SECTIONS: &[Section] = &[
+    Section {
+        title: "Control cost and convergence against the number of nodes",
+        file: "scale.json",
+        command: "scale --json measures/scale.json",
+        charts: &[
+            Chart {
+                title: "Time from append to in force on the last node",
+                rows: "/points",
+                group: None,
+                x: "nodes",
+                x_label: "nodes",
+                ys: &["converge_p50_s", "converge_worst_s"],
+                y_label: "seconds",
+                scale: Scale::Linear,
+            },
+            Chart {
+                title: "Control bytes of a quiet node, in and out",
+                rows: "/points",
+                group: None,
+                x: "nodes",
+                x_label: "nodes",
+                ys: &["bytes_per_s", "bytes_worst_per_s"],
+                y_label: "bytes a second",
+                scale: Scale::Linear,
+            },
+            Chart {
+                title: "Processor time of a quiet node",
+                rows: "/points",
+                group: None,
+                x: "nodes",
+                x_label: "nodes",
+                ys: &["cpu_percent", "cpu_worst_percent"],
+                y_label: "percent of a core",
+                scale: Scale::Linear,
+            },
+            Chart {
+                title: "Resident memory of a node",
+                rows: "/points",
+                group: None,
+                x: "nodes",
+                x_label: "nodes",
+                ys: &["memory_mb", "memory_worst_mb"],
+                y_label: "megabytes",
+                scale: Scale::Linear,
+            },
+        ],
+    },
+    Section {
+        title: "Convergence under faults, in virtual time",
+        file: "convergence.json",
+        command: "convergence --json measures/convergence.json",
+        charts: &[Chart {
+            title: "Worst time from append to in force everywhere",
+            rows: "/rows",
+            group: Some("case"),
+            x: "nodes",
+            x_label: "nodes",
+            ys: &["worst_s"],
+            y_label: "seconds",
+            scale: Scale::Linear,
+        }],
+    },
+    Section {
+        title: "Latency added to a call",
+        file: "latency.json",
+        command: "load --latency --json measures/latency.json",
+        charts: &[],
+    },
+    Section {
+        title: "Moves, good and bad",
+        file: "moves.json",
+        command: "moves --json measures/moves.json",
+        charts: &[],
+    },
+    Section {
+        title: "Shares of moves over time, in the demo",
+        file: "demo.json",
+        command: "demo --json measures/demo.json",
+        charts: &[Chart {
+            title: "Share of the new version",
+            rows: "/steps",
+            group: Some("move"),
+            x: "at_s",
+            x_label: "seconds",
+            ys: &["share_percent"],
+            y_label: "percent",
+            scale: Scale::Steps,
+        }],
+    },
+    Section {
+        title: "Service while a failure domain leaves and returns",
+        file: "domain.json",
+        command: "domain --json measures/domain.json",
+        charts: &[Chart {
+            title: "Success over time",
+            rows: "/timeline",
+            group: Some("series"),
+            x: "at_s",
+            x_label: "seconds",
+            ys: &["success_percent"],
+            y_label: "percent",
+            scale: Scale::Linear,
+        }],
+    },
+    Section {
+        title: "Retry storm and cold start",
+        file: "storm.json",
+        command: "storm --json measures/storm.json",
+        charts: &[Chart {
+            title: "Goodput against offered load",
+            rows: "/goodput",
+            group: Some("policy"),
+            x: "offered",
+            x_label: "offered load, in capacities",
+            ys: &["goodput"],
+            y_label: "goodput, in capacities",
+            scale: Scale::Linear,
+        }],
+    },
+];
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// Fails when the folder holds no measurement, or a file cannot be read or written.
+pub fn run(flags: &flags::Report) -> anyhow::Result<()> {
+    let dir = flags
+        .dir
+        .clone()
+        .unwrap_or_else(|| PathBuf::from(DEFAULT_DIR));
+    let page = make(&dir)?;
+    let path = dir.join(PAGE_NAME);
+    std::fs::write(&path, page).with_context(|| format!("cannot write {}", path.display()))?;
+    println!("wrote {}", path.display());
+    Ok(())
+}
+
+/// Page of a folder.
+///
+/// # Errors
+///
+/// Fails when the folder holds none of the files, or one that cannot be read.
+pub fn make(dir: &Path) -> anyhow::Result<String> {
+    let mut page = Page::new("buckthornworks: measurements");
+    let mut found = 0;
+    for section in SECTIONS {
+        page.heading(section.title);
+        match read(&dir.join(section.file))? {
+            None => page.text(&format!(
+                "Not measured. Command: cargo run --release -p buckthorn_lab -- {}",
+                section.command
+            )),
+            Some(value) => {
+                found += 1;
+                add(&mut page, section, &value)?;
+            }
+        }
+    }
+    ensure!(
+        found > 0,
+        "{} holds no measurement; run an experiment with --json",
+        dir.display()
+    );
+    Ok(page.finish())
+}
+
+/// Adds the plots and tables of one file.
+fn add(page: &mut Page, section: &Section, value: &Value) -> anyhow::Result<()> {
+    page.text(&format!("From {}.", section.file));
+    for chart in section.charts {
+        match chart.draw(value)? {
+            Some(svg) => page.svg(&svg),
+            None => page.text(&format!("{}: the file holds no such figures.", chart.title)),
+        }
+    }
+    page.tables(value);
+    Ok(())
+}
+
+/// JSON of a file, `None` when there is no such file.
+fn read(path: &Path) -> anyhow::Result<Option<Value>> {
+    let Ok(meta) = std::fs::metadata(path) else {
+        return Ok(None);
+    };
+    let shown = path.display();
+    ensure!(
+        meta.len() <= MAX_FILE_BYTES,
+        "{shown} is over {MAX_FILE_BYTES} bytes"
+    );
+    let text = std::fs::read_to_string(path).with_context(|| format!("cannot read {shown}"))?;
+    let value = serde_json::from_str(&text).with_context(|| format!("{shown} is no JSON"))?;
+    Ok(Some(value))
+}
