--- a/buckthorn_lab/src/demo/mod.rs
+++ b/buckthorn_lab/src/demo/mod.rs
@@ -26,7 +26,8 @@
         None => Deployment::default(),
     };
     let mut voice = Voice::new();
-    let outcome = Story::start(deployment, &mut voice).and_then(|story| story.tell(&mut voice));
+    let outcome = Story::start(deployment, &mut voice)
+        .and_then(|story| story.tell(&mut voice, flags.json.as_deref()));
     voice.clear();
     let broken = outcome?;
     if broken.is_empty() {
--- a/buckthorn_lab/src/demo/story.rs
+++ b/buckthorn_lab/src/demo/story.rs
@@ -1,13 +1,16 @@
 //! What happens in the demo, and what has to hold.
 
+use std::path::Path;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use anyhow::{Context as _, ensure};
 use buckthorn::clock::{Clock, Time};
 use buckthorn::config::intent::{Move, Phase};
+use buckthorn::journal::record::{self, Body, CONFIG_STREAM};
 use buckthorn::node::status::Status;
 use buckthornctl::Exit;
+use serde::Serialize;
 use tokio::task::JoinHandle;
 
 use super::Voice;
@@ -43,6 +46,33 @@
 /// Most of a service's calls that a bad version may harm: one in a hundred.
 const MAX_HARMED: f64 = 0.01;
 
+/// What a demo writes as JSON.
+#[derive(Debug, Serialize)]
+struct Outcome {
+    /// Calls sent.
+    calls: u64,
+    /// Calls answered in full.
+    ok: u64,
+    /// Steps of every move.
+    steps: Vec<Step>,
+}
+
+/// One step of a move.
+#[derive(Debug, Serialize)]
+struct Step {
+    /// Move.
+    #[serde(rename = "move")]
+    id: String,
+    /// Time since the start, in seconds.
+    at_s: f64,
+    /// Share of the new version, in percent.
+    share_percent: f64,
+    /// Phase that the move entered.
+    phase: &'static str,
+    /// Why.
+    reason: String,
+}
+
 /// Running demo.
 pub(super) struct Story {
     /// Deployment.
@@ -53,6 +83,8 @@
     failure_domains: [&'static str; 3],
     /// Clock of the sheets.
     clock: Clock,
+    /// When the demo began, by that clock.
+    began: Time,
     /// Promises that broke.
     broken: Vec<String>,
 }
@@ -67,6 +99,7 @@
         let plan = Plan::new(deployment)
             .with_version(services[0], "v2", 6)
             .with_version(services[1], "v2", 3);
+        let clock = Clock::new();
         let fleet = Fleet::start(&plan)?;
         let bad = Faults {
             error_permille: 700,
@@ -85,13 +118,18 @@
             fleet,
             services,
             failure_domains: plan.failure_domains,
-            clock: Clock::new(),
+            began: clock.now(),
+            clock,
             broken: Vec::new(),
         })
     }
 
     /// Lets everything happen; returns the promises that broke.
-    pub(super) fn tell(mut self, voice: &mut Voice) -> anyhow::Result<Vec<String>> {
+    pub(super) fn tell(
+        mut self,
+        voice: &mut Voice,
+        json: Option<&Path>,
+    ) -> anyhow::Result<Vec<String>> {
         self.first_sheet(voice)?;
         let load = self.send_load();
         self.moves_sheet(voice)?;
@@ -102,6 +140,15 @@
         self.good_move(voice)?;
         let report = self.finish(load, voice)?;
         self.judge(&report, voice);
+        if let Some(path) = json {
+            let outcome = Outcome {
+                calls: report.sent,
+                ok: report.ok,
+                steps: self.steps(),
+            };
+            std::fs::write(path, serde_json::to_string_pretty(&outcome)?)
+                .with_context(|| format!("cannot write {}", path.display()))?;
+        }
         self.graceful_stop(voice);
         Ok(self.broken)
     }
@@ -262,9 +309,28 @@
         Ok(())
     }
 
+    /// Steps of every move, as the log holds them.
+    fn steps(&self) -> Vec<Step> {
+        let records = self.fleet.log.records(CONFIG_STREAM);
+        let steps = records
+            .iter()
+            .filter_map(|r| match record::decode(&r.payload) {
+                Ok(Body::Step(step)) => Some(step),
+                _ => None,
+            });
+        steps
+            .map(|step| Step {
+                id: step.id.to_string(),
+                at_s: step.at.since(self.began).as_secs_f64(),
+                share_percent: f64::from(step.share) / 10.0,
+                phase: step.phase.word(),
+                reason: step.reason,
+            })
+            .collect()
+    }
+
     /// When a move's new version first carried everything.
     fn full_since(&self, id: &str) -> anyhow::Result<Time> {
-        use buckthorn::journal::record::{self, Body, CONFIG_STREAM};
         let records = self.fleet.log.records(CONFIG_STREAM);
         let steps = records
             .iter()
--- a/buckthorn_lab/src/flags.rs
+++ b/buckthorn_lab/src/flags.rs
@@ -15,6 +15,8 @@
         cmd demo {
             /// Deployment: fernleaf or otjiwarongo.
             optional --deployment deployment: String
+            /// File for the JSON.
+            optional --json json: PathBuf
         }
         /// Runs the stand-in of the platform's log.
         cmd log {
