--- a/buckthorn_lab/tests/long_seeds.rs
+++ b/buckthorn_lab/tests/long_seeds.rs
@@ -6,7 +6,7 @@
 const FIRST_SEED: u64 = 1;
 
 /// Seeds.
-const SEEDS: u64 = 24;
+const SEEDS: u64 = 48;
 
 /// Steps of each seed.
 const STEPS: u64 = 200;
