--- a/buckthorn_lab/src/experiment/long/world.rs
+++ b/buckthorn_lab/src/experiment/long/world.rs
@@ -32,6 +32,9 @@
 /// Longest time that passes within one step.
 const MAX_STEP_MILLIS: u64 = 3_000;
 
+/// Chance that a message is lost while a change spreads at a time of rest.
+const REST_LOSS: f64 = 0.2;
+
 /// Time of rest before agreement is asked for: members that were cut off rejoin first.
 const MEND: Duration = Duration::from_secs(90);
 
@@ -177,8 +180,9 @@
         }
     }
 
-    /// Checks that an accepted change is in force everywhere in time.
+    /// Checks that an accepted change is in force everywhere in time, also when messages are lost.
     fn check_change(&mut self) {
+        self.mesh.links.loss = if self.draw(2) == 0 { 0.0 } else { REST_LOSS };
         let service: Name = format!("extra-{}", self.changes % 8).into();
         let operation = Operation::Serve {
             service,
@@ -194,6 +198,7 @@
             took.is_some(),
             "a change is in force everywhere within {IN_FORCE_AFTER:?}"
         );
+        self.mesh.links.loss = 0.0;
         self.reference.follow(&self.mesh);
         self.check();
     }
