--- a/buckthorn/src/membership/prober.rs
+++ b/buckthorn/src/membership/prober.rs
@@ -1,7 +1,7 @@
 //! Probing of members.
 //!
 //! One probe begins every [`PROBE_INTERVAL`], in a shuffled round over the own failure domain, and
-//! every [`CROSS_EVERY`]th goes to another failure domain. A member that does not answer is tried
+//! every `CROSS_EVERY`-th goes to another failure domain. A member that does not answer is tried
 //! again, then through helpers inside and outside its failure domain, and only then suspected: two
 //! failure domains that lose each other stay members as long as a third reaches both. A failed
 //! probe across failure domains begins more in the same one, so that the loss of a whole failure
