--- a/buckthorn_lab/tests/membership_virtual.rs
+++ b/buckthorn_lab/tests/membership_virtual.rs
@@ -375,3 +375,20 @@
         .rfind(|report| *report.failure_domain == *failure_domain)
         .unwrap()
 }
+
+#[test]
+fn a_healed_cut_is_found_without_seeds_and_without_the_log() {
+    for seed in 1..=3 {
+        let mut plan = Plan::new(9, seed, register);
+        plan.seeds = 1;
+        let mut mesh = Mesh::new(&plan);
+        assert!(mesh.run_until(secs(60), agrees).is_some(), "seed {seed}");
+        mesh.kill(0);
+        mesh.log.is_away = true;
+        let others = ["domain-0".into(), "domain-2".into()];
+        mesh.links.cut("domain-1", others);
+        mesh.run(secs(60));
+        mesh.links.heal();
+        assert!(mesh.run_until(secs(60), agrees).is_some(), "seed {seed}");
+    }
+}
