Admit calls by an adaptive limit, a bounded queue and deadlines

Cause: the door let in as many calls as there are slots, whatever the backend server could bear, and knew neither priority nor deadline.

Change: limit.rs holds a limit in [1, slots] that starts at 1, rises by a slot a second while windows of answers are good, and is cut to 0.7 on shed, reset, timeout, errors or a window whose latency (geometric mean) doubles against the server's own baseline; it halves for each 5 s of idleness. queue.rs orders waiting calls by urgency, deadline and arrival; priority traffic leaves an eighth of the places and every eighth turn to the rest. gate.rs decides with both, without clock or I/O. door.rs shares the gate: one compare-and-swap while nobody waits, the locked gate otherwise.

Guards removed on a scratch copy, each red: limit at entry and when the queue moves (assertion "enters only below the limit"), queue bound, fair turn, reserved places, latency rise, one cut for calls that ran together, decay when idle, interval of raises, deadline against expected wait, short timeouts ignored, displaced call told, a call settled twice, a caller that left the queue or left after its turn, both flags of the word that the door shares. The first form of the concurrency test stayed green without the entry flag, since its limit never passed 1; it now starts from a warm gate.

--- a/buckthorn/src/admission/gate.rs
+++ b/buckthorn/src/admission/gate.rs
@@ -1,7 +1,26 @@
 //! Pure decision of who runs, waits or is refused.
+//!
+//! The gate reads no clock and performs no I/O. Whoever holds it offers calls, reports their ends,
+//! and after each of both asks [`Gate::next`] until it has nothing more to say.
+//!
+//! What it guarantees: never more calls run than the limit allowed when the last of them entered;
+//! the queue is bounded; each call that waits is settled once, to run or to be refused, so that a
+//! refusal's word "not run" is true.
+
+use std::time::Duration;
 
 use crate::clock::Time;
 use crate::counter::Counter;
+use crate::rollout::evidence::Outcome;
+
+use super::limit::{self, Change, Limit, Signal, Window};
+use super::queue::{Place, Queue, Ticket};
+
+/// Places in the queue for each slot.
+pub const QUEUE_PER_SLOT: usize = 2;
+
+/// Longest wait of a call; later it has better prospects elsewhere.
+pub const MAX_WAIT: Duration = Duration::from_secs(1);
 
 /// Priority by RFC 9218 urgency, 0 (highest) to 7.
 pub type Urgency = u8;
@@ -64,3 +83,227 @@
         }
     }
 }
+
+/// What became of an offered call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Entry {
+    /// It runs now.
+    Run,
+    /// It waits for [`Gate::next`] to settle it, until the given time at most, after which it is
+    /// cancelled and refused with the given reason.
+    Wait(Ticket, Time, Refusal),
+    /// It is not run.
+    Refuse(Refusal),
+}
+
+/// What to do with a waiting call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Run it; it holds a slot from now on.
+    Run(Ticket),
+    /// Refuse it.
+    Refuse(Ticket, Refusal),
+    /// Nothing until the next event.
+    Idle,
+}
+
+/// Admission to one backend server.
+#[derive(Clone, Debug)]
+pub struct Gate {
+    /// Concurrency limit.
+    limit: Limit,
+    /// Calls running.
+    running: u32,
+    /// Calls waiting.
+    queue: Queue,
+    /// Call displaced by the last offer and not yet told so.
+    displaced: Option<Ticket>,
+    /// Answers since the last judgement.
+    window: Window,
+    /// Whether no new call is let in.
+    is_closed: bool,
+}
+
+impl Gate {
+    /// Gate of a newly started backend server.
+    pub fn new(slots: u32, now: Time) -> Self {
+        let limit = Limit::new(slots, now);
+        Self {
+            queue: Queue::new(limit.slots() as usize * QUEUE_PER_SLOT),
+            limit,
+            running: 0,
+            displaced: None,
+            window: Window::default(),
+            is_closed: false,
+        }
+    }
+
+    /// Calls running.
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Calls waiting.
+    pub fn queued(&self) -> u32 {
+        self.queue.len() as u32
+    }
+
+    /// Calls that may run at once.
+    pub fn limit(&self) -> u32 {
+        self.limit.get()
+    }
+
+    /// Whether no new call is let in.
+    pub fn is_closed(&self) -> bool {
+        self.is_closed
+    }
+
+    /// Load in thousandths of the present limit, waiting calls included.
+    pub fn load_permille(&self) -> u32 {
+        (self.running + self.queued()) * 1_000 / self.limit()
+    }
+
+    /// Takes over the number of calls running from a caller that admitted some itself.
+    ///
+    /// Only allowed while none waits, since a free slot belongs to a waiting call first.
+    pub fn resume(&mut self, running: u32) {
+        assert!(
+            self.queue.is_empty() || running == self.running,
+            "invariant: calls enter through the gate while others wait"
+        );
+        self.running = running;
+    }
+
+    /// Notes that the backend server was in use.
+    pub fn touch(&mut self, at: Time) {
+        self.limit.touch(at);
+    }
+
+    /// Decides on a call at the door.
+    pub fn offer(&mut self, now: Time, offer: Offer) -> Entry {
+        if self.is_closed {
+            return Entry::Refuse(Refusal::Draining);
+        }
+        self.limit.decay(now);
+        let (until, expiry) = self.give_up(now, offer.deadline);
+        if until <= now {
+            return Entry::Refuse(expiry);
+        }
+        if self.queue.is_empty() && self.running < self.limit() {
+            self.admit();
+            return Entry::Run;
+        }
+        let ahead = self.queue.ahead(offer.urgency, until) as u32;
+        let wait = self.limit.mean() * (ahead + 1) / self.limit();
+        if now + wait > until {
+            return Entry::Refuse(expiry);
+        }
+        match self.queue.push(offer.urgency, until, expiry) {
+            Place::Held(ticket) => Entry::Wait(ticket, until, expiry),
+            Place::Displaced(ticket, lower) => {
+                assert!(
+                    self.displaced.replace(lower).is_none(),
+                    "invariant: a displaced call is told before the next offer"
+                );
+                Entry::Wait(ticket, until, expiry)
+            }
+            Place::Full => Entry::Refuse(Refusal::QueueFull),
+        }
+    }
+
+    /// Settles one waiting call, if one can be settled now.
+    pub fn next(&mut self, now: Time) -> Next {
+        if let Some(ticket) = self.displaced.take() {
+            return Next::Refuse(ticket, Refusal::Shed);
+        }
+        if self.is_closed {
+            return match self.queue.drain() {
+                Some(ticket) => Next::Refuse(ticket, Refusal::Draining),
+                None => Next::Idle,
+            };
+        }
+        if let Some((ticket, refusal)) = self.queue.expire(now) {
+            return Next::Refuse(ticket, refusal);
+        }
+        if self.running >= self.limit() {
+            return Next::Idle;
+        }
+        let Some(ticket) = self.queue.pop() else {
+            return Next::Idle;
+        };
+        self.admit();
+        Next::Run(ticket)
+    }
+
+    /// Takes back a waiting call whose caller has left; says whether it was still waiting.
+    pub fn cancel(&mut self, ticket: Ticket) -> bool {
+        self.queue.remove(ticket)
+    }
+
+    /// Gives a slot back without a word on how the call ended.
+    pub fn release(&mut self) {
+        assert!(
+            self.running > 0,
+            "invariant: a slot is given back once by a call that ran"
+        );
+        self.running -= 1;
+    }
+
+    /// Gives a slot back and learns from how the call ended.
+    pub fn exit(&mut self, now: Time, outcome: Outcome, latency: Duration) -> Change {
+        self.window.peak = self.window.peak.max(self.running);
+        self.release();
+        match self.limit.signal(outcome, latency) {
+            Signal::None => return Change::Kept,
+            Signal::Overload => return self.limit.overload(now),
+            Signal::Good => self.window.add(latency),
+            Signal::Error => self.window.errors += 1,
+        }
+        if self.window.len() < limit::window_size(self.limit()) {
+            return Change::Kept;
+        }
+        let window = std::mem::take(&mut self.window);
+        self.learn(now, &window)
+    }
+
+    /// Learns from a window of answers counted elsewhere.
+    pub fn learn(&mut self, now: Time, window: &Window) -> Change {
+        self.limit.touch(now);
+        self.limit.learn(now, window)
+    }
+
+    /// Learns that the backend server is overloaded.
+    pub fn overload(&mut self, now: Time) -> Change {
+        self.limit.overload(now)
+    }
+
+    /// What an outcome says of the backend server.
+    pub fn signal(&self, outcome: Outcome, latency: Duration) -> Signal {
+        self.limit.signal(outcome, latency)
+    }
+
+    /// Refuses every new and waiting call from now on; calls that run go on.
+    pub fn close(&mut self) {
+        self.is_closed = true;
+    }
+
+    /// Gives a slot to a call.
+    fn admit(&mut self) {
+        assert!(
+            !self.is_closed && self.running < self.limit() && self.limit() <= self.limit.slots(),
+            "invariant: a call enters only below the limit, and the limit is at most the slots"
+        );
+        self.running += 1;
+    }
+
+    /// Time until which a call may wait, and the reason under which it is refused then.
+    ///
+    /// Half of a typical latency is taken as the least that an answer needs.
+    fn give_up(&self, now: Time, deadline: Option<Time>) -> (Time, Refusal) {
+        let longest = now + MAX_WAIT;
+        match deadline.map(|deadline| deadline - self.limit.typical() / 2) {
+            Some(last) if last <= longest => (last, Refusal::Deadline),
+            Some(_) | None => (longest, Refusal::QueueFull),
+        }
+    }
+}
--- /dev/null
+++ b/buckthorn/tests/admission_door.rs
@@ -0,0 +1,133 @@
+//! The door under many threads and callers that leave.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use buckthorn::admission::door::Door;
+use buckthorn::admission::gate::{Entry, Gate, Offer, Refusal};
+use buckthorn::clock::Clock;
+use buckthorn::counter::Board;
+use buckthorn::rollout::evidence::Outcome;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+
+/// Call without a deadline.
+const CALL: Offer = Offer {
+    urgency: 3,
+    deadline: None,
+};
+
+/// Door with this many slots.
+fn door(slots: u32) -> Arc<Door> {
+    Door::new(Clock::new(), Arc::new(Board::new()), slots)
+}
+
+/// Door of a backend server that has proved its slots.
+fn warm_door(slots: u32) -> Arc<Door> {
+    let clock = Clock::new();
+    let mut now = clock.now();
+    let mut gate = Gate::new(slots, now);
+    let latency = Duration::from_millis(20);
+    while gate.limit() < slots {
+        (0..gate.limit()).for_each(|_| assert_eq!(gate.offer(now, CALL), Entry::Run));
+        now = now + latency;
+        (0..gate.running()).for_each(|_| {
+            gate.exit(now, Outcome::Ok, latency);
+        });
+    }
+    Door::with_gate(clock, Arc::new(Board::new()), gate)
+}
+
+/// Multi-threaded runtime.
+fn runtime() -> tokio::runtime::Runtime {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(4)
+        .enable_time()
+        .build()
+        .unwrap()
+}
+
+#[test]
+fn never_runs_more_than_the_limit_and_gives_every_slot_back() {
+    for seed in 0..4 {
+        let door = warm_door(8);
+        let inside = Arc::new(AtomicU32::new(0));
+        let callers = (0..64).map(|caller| {
+            let (door, inside) = (door.clone(), inside.clone());
+            let mut rng = ChaCha8Rng::seed_from_u64(seed * 1_000 + caller);
+            async move {
+                for _ in 0..200 {
+                    let urgency = rng.random_range(0..8);
+                    let patience = Duration::from_micros(rng.random_range(1..3_000));
+                    let entering = door.enter(Offer { urgency, ..CALL });
+                    let Ok(entered) = tokio::time::timeout(patience, entering).await else {
+                        continue;
+                    };
+                    let Ok(permit) = entered else {
+                        tokio::task::yield_now().await;
+                        continue;
+                    };
+                    let running = inside.fetch_add(1, Ordering::SeqCst) + 1;
+                    assert!(running <= 8, "{running} calls run in 8 slots");
+                    tokio::task::yield_now().await;
+                    inside.fetch_sub(1, Ordering::SeqCst);
+                    match rng.random_range(0..8) {
+                        0 => drop(permit),
+                        1 => permit.finish(Outcome::Error, patience),
+                        2 => permit.finish(Outcome::Timeout, patience),
+                        _ => permit.finish(Outcome::Ok, patience),
+                    }
+                }
+            }
+        });
+        runtime().block_on(async {
+            let tasks: Vec<_> = callers.map(tokio::spawn).collect();
+            for task in tasks {
+                task.await.unwrap();
+            }
+        });
+        assert_eq!((door.running(), door.queued()), (0, 0), "seed {seed}");
+    }
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_the_queue_gives_its_place_back() {
+    let door = door(1);
+    let permit = door.enter(CALL).await.unwrap();
+    let mut waiting = Box::pin(door.enter(CALL));
+    let early = tokio::time::timeout(Duration::from_millis(1), &mut waiting).await;
+    assert!(early.is_err());
+    assert_eq!((door.running(), door.queued()), (1, 1));
+    drop(waiting);
+    assert_eq!((door.running(), door.queued()), (1, 0));
+    drop(permit);
+    assert_eq!(door.running(), 0);
+    drop(door.enter(CALL).await.unwrap());
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_after_its_turn_came_gives_the_slot_back() {
+    let door = door(1);
+    let permit = door.enter(CALL).await.unwrap();
+    let mut waiting = Box::pin(door.enter(CALL));
+    let early = tokio::time::timeout(Duration::from_millis(1), &mut waiting).await;
+    assert!(early.is_err());
+    permit.finish(Outcome::Ok, Duration::from_millis(1));
+    assert_eq!(door.running(), 1, "the slot went to the waiting call");
+    drop(waiting);
+    assert_eq!(door.running(), 0);
+}
+
+#[tokio::test]
+async fn closing_refuses_those_who_wait_and_lets_the_others_finish() {
+    let door = door(1);
+    let permit = door.enter(CALL).await.unwrap();
+    let (waited, ()) = tokio::join!(door.enter(CALL), async { door.close() });
+    assert_eq!(waited.unwrap_err(), Refusal::Draining);
+    assert_eq!(door.enter(CALL).await.unwrap_err(), Refusal::Draining);
+    assert_eq!(door.running(), 1);
+    permit.finish(Outcome::Ok, Duration::from_millis(1));
+    assert_eq!(door.running(), 0);
+}
