--- a/buckthorn/src/routing/load.rs
+++ b/buckthorn/src/routing/load.rs
@@ -4,8 +4,13 @@
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 
 use super::budget::Budget;
+use crate::clock::Time;
 use crate::name::Name;
 
+/// Part of the told load that is forgotten each time the backend server is passed over, so that
+/// one told long ago does not keep it out for ever.
+const FORGET_DIVISOR: u32 = 8;
+
 /// Load of one backend server as seen from here.
 #[derive(Debug, Default)]
 pub struct Load {
@@ -15,33 +20,82 @@
     told: AtomicU32,
     /// Time until which the server is ejected, in microseconds since the Unix epoch.
     pub ejected_until: AtomicU64,
+    /// Failures since the last good answer.
+    pub(super) failures: AtomicU32,
+    /// Good answers still needed before the server counts as recovered; zero when it does.
+    pub(super) probation: AtomicU32,
+    /// Ejections since the server last counted as recovered.
+    pub(super) ejections: AtomicU32,
+    /// Good answers of the present window.
+    pub(super) good: AtomicU32,
+    /// Failures of the present window.
+    pub(super) bad: AtomicU32,
+}
+
+/// Whether a backend server may be chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// As any other.
+    Healthy,
+    /// Returning from an ejection: now and then.
+    Returning,
+    /// Not at all.
+    Ejected,
 }
 
 impl Load {
     /// Counts a call that starts.
+    #[inline]
     pub fn start(&self) {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
     }
 
     /// Counts a call that ended.
+    #[inline]
     pub fn end(&self) {
-        self.in_flight.fetch_sub(1, Ordering::Relaxed);
+        let before = self.in_flight.fetch_sub(1, Ordering::Relaxed);
+        assert!(before > 0, "invariant: a call in flight ends once");
     }
 
     /// Notes the load told in a response.
+    #[inline]
     pub fn tell(&self, permille: u32) {
         self.told.store(permille, Ordering::Relaxed);
     }
 
+    /// Notes that another backend server was preferred.
+    #[inline]
+    pub(super) fn pass_over(&self) {
+        let told = self.told();
+        if told > 0 {
+            self.told
+                .store(told - told.div_ceil(FORGET_DIVISOR), Ordering::Relaxed);
+        }
+    }
+
     /// Calls in flight from here.
+    #[inline]
     pub fn in_flight(&self) -> u32 {
         self.in_flight.load(Ordering::Relaxed)
     }
 
     /// Load last told, in thousandths.
+    #[inline]
     pub fn told(&self) -> u32 {
         self.told.load(Ordering::Relaxed)
     }
+
+    /// Whether the server may be chosen.
+    #[inline]
+    pub fn standing(&self, now: Time) -> Standing {
+        if now.0 < self.ejected_until.load(Ordering::Relaxed) {
+            return Standing::Ejected;
+        }
+        match self.probation.load(Ordering::Relaxed) {
+            0 => Standing::Healthy,
+            _ => Standing::Returning,
+        }
+    }
 }
 
 /// Loads by host and incarnation, and retry budgets by service, kept across table swaps.
--- a/buckthorn/src/routing/table.rs
+++ b/buckthorn/src/routing/table.rs
@@ -1,7 +1,9 @@
 //! Routing table: the intent resolved to backend servers that the node knows.
 //!
-//! A route never points at a backend server that the view lacks: a move's new version holds no
-//! share until a server of it is known. The whole table is replaced by one pointer swap.
+//! A route never points at a backend server that the view lacks: a version holds no share until a
+//! server of it is known. When the old version's last server is gone during a move, the new
+//! version takes the whole route, since the alternative is to refuse every call; a quarantined one
+//! never does. The whole table is replaced by one pointer swap.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -59,8 +61,20 @@
     pub permille: u16,
     /// Move that gave the share, for the new version only.
     pub move_id: Option<Name>,
-    /// Backend servers of the version that take new work, sorted by host.
+    /// Backend servers of the version that take new work, sorted by distance from this node, then
+    /// by host.
     pub endpoints: Vec<Endpoint>,
+    /// Numbers of endpoints in the own failure domain, and in the own region up to there.
+    pub near: [usize; 2],
+}
+
+impl Share {
+    /// Endpoints of the own failure domain, of the region's others, and of other regions.
+    pub fn by_distance(&self) -> [&[Endpoint]; 3] {
+        let (near, far) = self.endpoints.split_at(self.near[1]);
+        let (own, region) = near.split_at(self.near[0]);
+        [own, region, far]
+    }
 }
 
 /// A backend server that takes new work.
@@ -97,24 +111,31 @@
             .filter(|domain| domain.is_out)
             .map(|domain| domain.name.clone())
             .collect();
+        let place = Place {
+            failure_domain,
+            region,
+        };
+        let mut resolver = Resolver {
+            view,
+            registry,
+            out: &out,
+        };
         let services = state
             .intent
             .services
             .iter()
             .map(|service| Service {
                 name: service.name.clone(),
-                budget: registry.budget(&service.name),
+                budget: resolver.registry.budget(&service.name),
                 routes: service
                     .routes
                     .iter()
                     .map(|route| {
                         let entry = state.intent.active_move(&service.name, &route.prefix);
-                        let mut build = |version: &Name| {
-                            endpoints(view, registry, &out, &service.name, version)
-                        };
+                        let mut find = |version: &Name| resolver.endpoints(&service.name, version);
                         Route {
                             prefix: route.prefix.clone(),
-                            shares: shares(&route.version, entry, quarantine, &mut build),
+                            shares: shares(&route.version, entry, quarantine, &mut find, &place),
                         }
                     })
                     .collect(),
@@ -127,6 +148,7 @@
             failure_domain: failure_domain.clone(),
             region: region.clone(),
         };
+        table.check(view);
         registry.sweep();
         table
     }
@@ -145,6 +167,37 @@
         self.service(service)?.route(path)
     }
 
+    /// Asserts that every route points at backend servers that the view holds.
+    fn check(&self, view: &View) {
+        for service in &self.services {
+            for route in &service.routes {
+                let sum: u16 = route.shares.iter().map(|share| share.permille).sum();
+                assert!(
+                    sum == FULL_SHARE || route.shares.is_empty(),
+                    "invariant: the shares of a route make up the whole"
+                );
+                for share in &route.shares {
+                    let holds = |endpoint| self.holds(view, &service.name, share, endpoint);
+                    assert!(
+                        !share.endpoints.is_empty() && share.endpoints.iter().all(holds),
+                        "invariant: no route points at a resource that the node lacks"
+                    );
+                }
+            }
+        }
+    }
+
+    /// Whether the view holds an endpoint as one that takes new work for a version.
+    fn holds(&self, view: &View, service: &Name, share: &Share, endpoint: &Endpoint) -> bool {
+        let Some(member) = view.get(&endpoint.host) else {
+            return false;
+        };
+        let serves = member.backend_server.as_ref().is_some_and(|server| {
+            server.service == *service && server.version == share.version && !server.is_draining
+        });
+        serves && member.is_usable() && !self.is_out(&member.failure_domain)
+    }
+
     /// Whether a failure domain is out of service.
     pub fn is_out(&self, failure_domain: &str) -> bool {
         self.out
@@ -171,59 +224,108 @@
     prefix.is_empty() || prefix.ends_with('/') || rest.is_empty() || rest.starts_with(['/', '?'])
 }
 
+/// Where this node is.
+#[derive(Clone, Copy)]
+struct Place<'a> {
+    /// Failure domain.
+    failure_domain: &'a Name,
+    /// Region.
+    region: &'a Name,
+}
+
+impl Place<'_> {
+    /// Distance of an endpoint: own failure domain, own region, elsewhere.
+    fn distance(&self, endpoint: &Endpoint) -> u8 {
+        if endpoint.failure_domain == *self.failure_domain {
+            return 0;
+        }
+        if endpoint.region == *self.region {
+            1
+        } else {
+            2
+        }
+    }
+}
+
 /// Version shares of a route.
 fn shares(
     serving: &Name,
     entry: Option<&Move>,
     quarantine: &Quarantine,
-    endpoints: &mut impl FnMut(&Name) -> Vec<Endpoint>,
+    find: &mut impl FnMut(&Name) -> Vec<Endpoint>,
+    place: &Place<'_>,
 ) -> Vec<Share> {
-    let old = |permille, endpoints| Share {
-        version: serving.clone(),
-        permille,
-        move_id: None,
-        endpoints,
-    };
-    let old_endpoints = endpoints(serving);
-    let Some(entry) = entry.filter(|m| m.phase != Phase::Waiting && m.share > 0) else {
-        return vec![old(FULL_SHARE, old_endpoints)];
+    let old = find(serving);
+    let entry = entry.filter(|m| m.phase != Phase::Waiting && m.share > 0);
+    let limited = entry.map(|m| (m, quarantine.limit(&m.id, m.share)));
+    let new = limited
+        .filter(|(_, permille)| *permille > 0)
+        .map(|(entry, permille)| (entry, permille, find(&entry.to)))
+        .filter(|(.., endpoints)| !endpoints.is_empty());
+    let permille = match &new {
+        Some((_, permille, _)) if !old.is_empty() => *permille,
+        Some(_) => FULL_SHARE,
+        None => 0,
     };
-    let new_endpoints = endpoints(&entry.to);
-    let share = quarantine.limit(&entry.id, entry.share);
-    if new_endpoints.is_empty() || share == 0 {
-        return vec![old(FULL_SHARE, old_endpoints)];
+    let mut shares = Vec::with_capacity(2);
+    if !old.is_empty() {
+        shares.push(share(serving, FULL_SHARE - permille, None, old, place));
     }
-    let new = Share {
-        version: entry.to.clone(),
-        permille: share,
-        move_id: Some(entry.id.clone()),
-        endpoints: new_endpoints,
-    };
-    vec![old(FULL_SHARE - share, old_endpoints), new]
+    if let Some((entry, _, new)) = new {
+        shares.push(share(&entry.to, permille, Some(&entry.id), new, place));
+    }
+    shares
 }
 
-/// Backend servers of a version that take new work.
-fn endpoints(
-    view: &View,
-    registry: &mut Registry,
-    out: &[Name],
-    service: &Name,
+/// Share of one version.
+fn share(
     version: &Name,
-) -> Vec<Endpoint> {
-    view.live()
-        .filter(|member| out.binary_search(&member.failure_domain).is_err())
-        .filter_map(|member| {
-            let server = member.backend_server.as_ref()?;
-            let serves =
-                server.service == *service && server.version == *version && !server.is_draining;
-            serves.then(|| Endpoint {
-                host: member.host.clone(),
-                hop: member.hop,
-                failure_domain: member.failure_domain.clone(),
-                region: member.region.clone(),
-                slots: server.slots,
-                load: registry.load(&member.host, member.incarnation),
+    permille: u16,
+    move_id: Option<&Name>,
+    mut endpoints: Vec<Endpoint>,
+    place: &Place<'_>,
+) -> Share {
+    // The sort is stable, so endpoints at one distance stay sorted by host.
+    endpoints.sort_by_key(|endpoint| place.distance(endpoint));
+    let count = |far| endpoints.partition_point(|e| place.distance(e) < far);
+    Share {
+        version: version.clone(),
+        permille,
+        move_id: move_id.cloned(),
+        near: [count(1), count(2)],
+        endpoints,
+    }
+}
+
+/// What backend servers are looked up in.
+struct Resolver<'a> {
+    /// Known members.
+    view: &'a View,
+    /// Loads.
+    registry: &'a mut Registry,
+    /// Failure domains out of service, sorted.
+    out: &'a [Name],
+}
+
+impl Resolver<'_> {
+    /// Backend servers of a version that take new work, sorted by host.
+    fn endpoints(&mut self, service: &Name, version: &Name) -> Vec<Endpoint> {
+        self.view
+            .live()
+            .filter(|member| self.out.binary_search(&member.failure_domain).is_err())
+            .filter_map(|member| {
+                let server = member.backend_server.as_ref()?;
+                let serves =
+                    server.service == *service && server.version == *version && !server.is_draining;
+                serves.then(|| Endpoint {
+                    host: member.host.clone(),
+                    hop: member.hop,
+                    failure_domain: member.failure_domain.clone(),
+                    region: member.region.clone(),
+                    slots: server.slots,
+                    load: self.registry.load(&member.host, member.incarnation),
+                })
             })
-        })
-        .collect()
+            .collect()
+    }
 }
--- a/buckthorn/tests/proxy_kit/mod.rs
+++ b/buckthorn/tests/proxy_kit/mod.rs
@@ -142,6 +142,7 @@
         version: "v1".into(),
         permille: 1_000,
         move_id: None,
+        near: [endpoints.len(); 2],
         endpoints,
     };
     let route = Route {
--- a/buckthorn_lab/src/load/latency.rs
+++ b/buckthorn_lab/src/load/latency.rs
@@ -199,6 +199,7 @@
         permille: 1_000,
         move_id: None,
         endpoints: vec![endpoint],
+        near: [1, 1],
     };
     let route = Route {
         prefix: "".into(),
