Start the limit at two slots and let long calls raise it

Cause: a download that nobody reads held the only place of a new backend server, and the next call was refused after a second (download_waits_for_its_reader_and_holds_up_no_other, red with a start of one). Long calls end seldom, so a limit that learns from answers alone would stay low under them.

Change: the limit starts at two, decays no lower, and rises by one a second while calls that do not end hold it in full, up to half of the slots.

Before: that test red, the small call refused. After: green, with a test that twenty seconds of calls without an end raise the limit to half of the slots and no further.

--- a/buckthorn/src/admission/gate.rs
+++ b/buckthorn/src/admission/gate.rs
@@ -189,6 +189,9 @@
         if until <= now {
             return Entry::Refuse(expiry);
         }
+        if self.running >= self.limit() {
+            self.limit.wait_full(now);
+        }
         if self.queue.is_empty() && self.running < self.limit() {
             self.admit();
             return Entry::Run;
--- a/buckthorn/src/admission/limit.rs
+++ b/buckthorn/src/admission/limit.rs
@@ -5,7 +5,8 @@
 //! was in use. It is cut by [`CUT_FACTOR`] when the backend server sheds, resets or times out,
 //! when many answers are errors, or when the latency of a window is more than [`RISE`] above the
 //! server's own baseline. A limit that was not used for a while decays, because an idle server
-//! may turn cold.
+//! may turn cold. Long calls, such as downloads, give no answers to learn from; while they hold
+//! every place and nothing speaks of overload, the limit rises up to half of the slots.
 //!
 //! Latency is compared on a logarithmic scale, so that a few long answers among many short ones
 //! do not look like a slow server. Its unit is 1/[`OCTAVE`] of a doubling.
@@ -16,7 +17,10 @@
 use crate::rollout::evidence::Outcome;
 
 /// Calls that a newly started backend server runs at once.
-pub const START_LIMIT: u32 = 1;
+pub const START_LIMIT: u32 = 2;
+
+/// Part of the slots up to which calls that run long let the limit rise without answers.
+pub const PATIENT_DIVISOR: u32 = 2;
 
 /// Shortest time between two raises of the limit.
 pub const RAISE_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -180,10 +184,11 @@
     pub fn decay(&mut self, now: Time) -> Change {
         let idle = now.since(self.used).as_micros() / IDLE_HALVING.as_micros();
         self.touch(now);
-        if idle == 0 || self.value <= f64::from(START_LIMIT) {
+        let start = f64::from(START_LIMIT.min(self.slots));
+        if idle == 0 || self.value <= start {
             return Change::Kept;
         }
-        self.value = (self.value / 2_f64.powi(idle.min(32) as i32)).max(1.0);
+        self.value = (self.value / 2_f64.powi(idle.min(32) as i32)).max(start);
         self.changed = now;
         Change::Cut
     }
@@ -231,6 +236,14 @@
         Change::Cut
     }
 
+    /// Raises a limit that long calls have held in full since its last change.
+    pub fn wait_full(&mut self, now: Time) -> Change {
+        if now.since(self.used) > RAISE_INTERVAL || self.get() >= self.slots / PATIENT_DIVISOR {
+            return Change::Kept;
+        }
+        self.raise(now, self.get())
+    }
+
     /// Raises the limit by one slot if it was in use and its last change lies back far enough.
     fn raise(&mut self, now: Time, peak: u32) -> Change {
         let is_used = peak * 2 >= self.get();
--- a/buckthorn/tests/admission_gate.rs
+++ b/buckthorn/tests/admission_gate.rs
@@ -196,6 +196,20 @@
     assert_eq!(gate.limit(), SLOTS);
 }
 
+#[test]
+fn long_calls_do_not_hold_the_limit_down() {
+    let mut now = Time::from_secs(1_000);
+    let mut gate = Gate::new(SLOTS, now);
+    for second in 0..20_u32 {
+        // None of these calls ends.
+        while let Entry::Run = gate.offer(now, call(DEFAULT_URGENCY)) {}
+        while gate.next(now) != Next::Idle {}
+        assert!(gate.limit() <= START_LIMIT + second);
+        now = now + Duration::from_secs(1);
+    }
+    assert_eq!(gate.running(), SLOTS / 2);
+}
+
 #[test]
 fn decays_when_idle() {
     let mut now = Time::from_secs(1_000);
