Prove a warm door in tests of the path, and keep the version of a route that nobody serves

Cause: drain_cuts_nothing_in_flight waits until ten calls run at a backend server that has just started, which the owner's warm-up rightly refuses, so it never ended.

Change: Gate::warm() is the gate of a backend server that has proved its slots; the kit of the proxy tests uses it. No assertion of those tests changes: ten calls still run while the node drains. A route that nobody serves keeps its version's share, without endpoints.

After: the workspace's tests pass.

--- a/buckthorn/src/admission/gate.rs
+++ b/buckthorn/src/admission/gate.rs
@@ -127,7 +127,16 @@
 impl Gate {
     /// Gate of a newly started backend server.
     pub fn new(slots: u32, now: Time) -> Self {
-        let limit = Limit::new(slots, now);
+        Self::with_limit(Limit::new(slots, now))
+    }
+
+    /// Gate of a backend server that is known to bear its slots.
+    pub fn warm(slots: u32, now: Time) -> Self {
+        Self::with_limit(Limit::warm(slots, now))
+    }
+
+    /// Gate with a limit.
+    fn with_limit(limit: Limit) -> Self {
         Self {
             queue: Queue::new(limit.slots() as usize * QUEUE_PER_SLOT),
             limit,
--- a/buckthorn/src/admission/limit.rs
+++ b/buckthorn/src/admission/limit.rs
@@ -150,6 +150,15 @@
         }
     }
 
+    /// Limit of a backend server that is known to bear its slots.
+    pub fn warm(slots: u32, now: Time) -> Self {
+        let cold = Self::new(slots, now);
+        Self {
+            value: f64::from(cold.slots),
+            ..cold
+        }
+    }
+
     /// Calls that may run at once.
     pub fn get(&self) -> u32 {
         let limit = self.value as u32;
--- a/buckthorn/src/routing/table.rs
+++ b/buckthorn/src/routing/table.rs
@@ -48,7 +48,8 @@
 pub struct Route {
     /// Path prefix, empty for the whole service.
     pub prefix: Name,
-    /// Version shares; they sum to [`FULL_SHARE`] when any server is known.
+    /// Version shares; they sum to [`FULL_SHARE`]. One without endpoints stands alone, when no server
+    /// of the route is known.
     pub shares: Vec<Share>,
 }
 
@@ -173,13 +174,14 @@
             for route in &service.routes {
                 let sum: u16 = route.shares.iter().map(|share| share.permille).sum();
                 assert!(
-                    sum == FULL_SHARE || route.shares.is_empty(),
+                    sum == FULL_SHARE,
                     "invariant: the shares of a route make up the whole"
                 );
                 for share in &route.shares {
                     let holds = |endpoint| self.holds(view, &service.name, share, endpoint);
                     assert!(
-                        !share.endpoints.is_empty() && share.endpoints.iter().all(holds),
+                        (route.shares.len() == 1 || !share.endpoints.is_empty())
+                            && share.endpoints.iter().all(holds),
                         "invariant: no route points at a resource that the node lacks"
                     );
                 }
@@ -268,7 +270,8 @@
         None => 0,
     };
     let mut shares = Vec::with_capacity(2);
-    if !old.is_empty() {
+    // A route that nobody serves keeps its version, so that the status can name it.
+    if !old.is_empty() || new.is_none() {
         shares.push(share(serving, FULL_SHARE - permille, None, old, place));
     }
     if let Some((entry, _, new)) = new {
