Measure a failure domain's exit and return, overload and cold starts

Cause: the policy of admission, choice and retries had no figures and no baseline beside it.

The tests hold small runs to the targets and hold each bound against a baseline that breaks it.

Weakest: refusals as out of service in the first seconds.

--- a/buckthorn_lab/src/experiment/mod.rs
+++ b/buckthorn_lab/src/experiment/mod.rs
@@ -3,5 +3,6 @@
 pub mod convergence;
 pub mod domain;
 pub mod long;
+pub mod mesh;
 pub mod moves;
 pub mod storm;
--- a/buckthorn_lab/src/experiment/storm.rs
+++ b/buckthorn_lab/src/experiment/storm.rs
@@ -1,12 +1,231 @@
 //! Retry storms and cold starts.
+//!
+//! Three tables: goodput of warm backend servers at 0.5 to 3 times their capacity; load on each
+//! backend server against what it bears when all start cold; and attempts at the innermost of
+//! twelve layers for each call of the outermost.
 
+use std::time::Duration;
+
+use buckthorn::routing::budget::{
+    Attempt, Budget, Failure, Layer, MAX_ATTEMPTS, Next, Ran, decide,
+};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use serde::Serialize;
+
+use super::mesh::{Mesh, Plan, Policy, SITES, Site, goodput};
 use crate::flags;
 
+/// Offered loads as parts of the capacity.
+pub const LOADS: [f64; 6] = [0.5, 0.8, 1.0, 1.5, 2.0, 3.0];
+
+/// Policies compared.
+pub const POLICIES: [Policy; 4] = [
+    Policy::Product,
+    Policy::Fixed,
+    Policy::Unlimited,
+    Policy::Naive,
+];
+
+/// Layers of a chain of calls.
+pub const DEPTH: u32 = 12;
+
+/// Length of a run.
+const LENGTH: Duration = Duration::from_secs(20);
+
+/// Goodput of one run.
+#[derive(Clone, Debug, Serialize)]
+pub struct Goodput {
+    /// Deployment.
+    pub site: &'static str,
+    /// Policy.
+    pub policy: &'static str,
+    /// Offered load as a part of the capacity.
+    pub load: f64,
+    /// Good answers as a part of the capacity.
+    pub goodput: f64,
+}
+
+/// Cold start of one run.
+#[derive(Clone, Debug, Serialize)]
+pub struct Cold {
+    /// Deployment.
+    pub site: &'static str,
+    /// Policy.
+    pub policy: &'static str,
+    /// Greatest load on a server as a part of what it bore then.
+    pub peak: f64,
+    /// Share of calls begun beyond what the server bore.
+    pub overloads: f64,
+    /// Goodput over the run.
+    pub goodput: f64,
+}
+
+/// Amplification along a chain.
+#[derive(Clone, Debug, Serialize)]
+pub struct Chain {
+    /// Whether every layer retries without a budget.
+    pub is_naive: bool,
+    /// Chance of a failure of unknown outcome at each layer.
+    pub failure: f64,
+    /// Attempts at the innermost layer for each call.
+    pub amplification: f64,
+}
+
+/// Plan of a run.
+fn plan(site: Site, policy: Policy, load: f64, is_warm: bool, seed: u64) -> Plan {
+    Plan {
+        site,
+        policy,
+        load,
+        is_warm,
+        out: None,
+        length: LENGTH,
+        seed,
+    }
+}
+
+/// Measures goodput of warm backend servers.
+pub fn overload(site: usize, policy: Policy, load: f64, seed: u64) -> Goodput {
+    let site = SITES[site];
+    let run = Mesh::run(plan(site, policy, load, true, seed));
+    let span = (Duration::from_secs(5), LENGTH - Duration::from_secs(1));
+    Goodput {
+        site: site.name,
+        policy: policy.name(),
+        load,
+        goodput: goodput(&run, &site, span.0, span.1),
+    }
+}
+
+/// Measures a start of all backend servers at once, at 0.7 of the warm capacity.
+pub fn cold(site: usize, policy: Policy, seed: u64) -> Cold {
+    let site = SITES[site];
+    let run = Mesh::run(plan(site, policy, 0.7, false, seed));
+    Cold {
+        site: site.name,
+        policy: policy.name(),
+        peak: run.cold_peak,
+        overloads: run.cold_overloads as f64 / run.cold_starts.max(1) as f64,
+        goodput: goodput(&run, &site, Duration::ZERO, LENGTH - Duration::from_secs(1)),
+    }
+}
+
+/// Measures attempts at the innermost layer for each call of the outermost.
+pub fn chain(is_naive: bool, failure: f64, seed: u64) -> Chain {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let budgets: Vec<Budget> = (0..DEPTH).map(|_| Budget::new()).collect();
+    let calls = 20_000;
+    let mut attempts = 0;
+    for _ in 0..calls {
+        descend(&budgets, 0, is_naive, failure, &mut rng, &mut attempts);
+    }
+    let amplification = attempts as f64 / f64::from(calls);
+    Chain {
+        is_naive,
+        failure,
+        amplification,
+    }
+}
+
+/// Makes the call of one layer, which fails by itself after its inner call has run.
+fn descend(
+    budgets: &[Budget],
+    layer: u32,
+    is_naive: bool,
+    failure: f64,
+    rng: &mut ChaCha8Rng,
+    attempts: &mut u64,
+) -> bool {
+    budgets[layer as usize].earn();
+    let mut attempts_left = MAX_ATTEMPTS;
+    loop {
+        attempts_left -= 1;
+        let is_last = layer + 1 == DEPTH;
+        *attempts += u64::from(is_last);
+        let is_good = is_last || descend(budgets, layer + 1, is_naive, failure, rng, attempts);
+        if is_good && !rng.random_bool(failure) {
+            return true;
+        }
+        let attempt = Attempt {
+            is_idempotent: true,
+            ran: Ran::Unknown,
+            failure: Failure::Status,
+            time_left: None,
+            attempts_left,
+            layer: if layer == 0 {
+                Layer::Outermost
+            } else {
+                Layer::Inner
+            },
+            is_body_kept: true,
+        };
+        let is_retried = match is_naive {
+            true => attempts_left > 0,
+            false => matches!(decide(&budgets[layer as usize], &attempt), Next::Retry(_)),
+        };
+        if !is_retried {
+            return false;
+        }
+    }
+}
+
 /// Runs the command.
 ///
 /// # Errors
 ///
-/// Fails when a promise broke or an input is bad.
-pub fn run(_flags: &flags::Storm) -> anyhow::Result<()> {
-    anyhow::bail!("this command is not built yet")
+/// Fails when the file for the JSON cannot be written.
+pub fn run(flags: &flags::Storm) -> anyhow::Result<()> {
+    let seed = flags.seed.unwrap_or(1);
+    println!("seed {seed}; goodput as a part of the capacity");
+    let (mut overloads, mut colds) = (Vec::new(), Vec::new());
+    for (index, site) in SITES.iter().enumerate() {
+        for policy in POLICIES {
+            let row = LOADS.map(|load| overload(index, policy, load, seed));
+            let cells: Vec<String> = row
+                .iter()
+                .map(|g| format!("{:.1}: {:.3}", g.load, g.goodput))
+                .collect();
+            println!("{:12} {:14} {}", site.name, policy.name(), cells.join("  "));
+            overloads.extend(row);
+        }
+        for policy in POLICIES {
+            let row = cold(index, policy, seed);
+            println!(
+                "{:12} {:14} cold start: peak {:.2}, begun beyond {:.1}%, goodput {:.3}",
+                site.name,
+                policy.name(),
+                row.peak,
+                row.overloads * 100.0,
+                row.goodput
+            );
+            colds.push(row);
+        }
+    }
+    let settings = [
+        (false, 0.01),
+        (false, 0.1),
+        (false, 0.5),
+        (true, 0.01),
+        (true, 0.1),
+    ];
+    let chains = settings.map(|(is_naive, failure)| chain(is_naive, failure, seed));
+    for c in &chains {
+        println!(
+            "depth {DEPTH}, failure {:.2}, {}: amplification {:.3}",
+            c.failure,
+            if c.is_naive {
+                "naive retries"
+            } else {
+                "product"
+            },
+            c.amplification
+        );
+    }
+    if let Some(path) = &flags.json {
+        let json = serde_json::json!({ "overload": overloads, "cold": colds, "chain": chains });
+        std::fs::write(path, serde_json::to_string_pretty(&json)?)?;
+    }
+    Ok(())
 }
--- /dev/null
+++ b/buckthorn_lab/tests/policy_experiments.rs
@@ -0,0 +1,56 @@
+//! Small runs of the experiments on policy under load, held to their targets.
+//!
+//! Each bound is also held against a baseline that breaks it, so that the bound is known to bite.
+
+use std::time::Duration;
+
+use buckthorn_lab::experiment::mesh::{Mesh, Plan, Policy, SITES, quality};
+use buckthorn_lab::experiment::storm::{chain, cold, overload};
+
+/// A failure domain out at 3 s and back at 9 s, at 0.7 of the capacity.
+fn exit_and_return(policy: Policy) -> (f64, f64, u64) {
+    let out = (Duration::from_secs(3), Duration::from_secs(9));
+    let length = Duration::from_secs(20);
+    let plan = Plan {
+        site: SITES[0],
+        policy,
+        load: 0.7,
+        is_warm: true,
+        out: Some(out),
+        length,
+        seed: 1,
+    };
+    let run = Mesh::run(plan);
+    let during = quality(&run, 1, out.0, out.1).0;
+    let after = quality(&run, 1, out.1, length - Duration::from_secs(1)).0;
+    (during, after, run.late_work)
+}
+
+#[test]
+fn priority_calls_pass_while_a_failure_domain_leaves_and_returns() {
+    let (during, after, late_work) = exit_and_return(Policy::Product);
+    assert_eq!(late_work, 0);
+    assert!(during >= 0.95 && after >= 0.99, "{during} and {after}");
+    let (during, ..) = exit_and_return(Policy::Fixed);
+    assert!(during < 0.95, "{during}");
+}
+
+#[test]
+fn goodput_holds_at_twice_the_capacity() {
+    assert!(overload(0, Policy::Product, 2.0, 1).goodput >= 0.95);
+    assert!(overload(0, Policy::Unlimited, 2.0, 1).goodput < 0.95);
+}
+
+#[test]
+fn a_fresh_backend_server_gets_no_more_than_it_bears() {
+    let product = cold(0, Policy::Product, 1);
+    assert!(product.peak <= 1.0, "{}", product.peak);
+    assert!(cold(0, Policy::Fixed, 1).peak > 1.0);
+}
+
+#[test]
+fn failures_are_amplified_little_along_a_chain() {
+    let product = chain(false, 0.1, 1).amplification;
+    assert!(product <= 1.2, "{product}");
+    assert!(chain(true, 0.1, 1).amplification > 1.2);
+}
