Check fencing against the whole log in the long run

Change: the reference fold checks that a decision took effect under the term in force only and that a claim replaces the term it names; steps publish decisions of other terms. Conclusion: fencing is now held against the log itself.

--- a/buckthorn_lab/src/experiment/long/check.rs
+++ b/buckthorn_lab/src/experiment/long/check.rs
@@ -96,6 +96,7 @@
             }
             Outcome::Gap => panic!("the reference saw a gap at {}", record.offset),
         }
+        check_fencing(&before, &self.state, record, &outcome);
         self.check_ended(&before.intent);
         self.hashes.push(hash(&self.state));
         assert_eq!(
@@ -132,6 +133,31 @@
     }
 }
 
+/// Checks that a decision takes effect under the term in force only, and that a claim replaces it.
+fn check_fencing(before: &State, after: &State, record: &Record, outcome: &Outcome) {
+    let took_effect = matches!(outcome, Outcome::Applied | Outcome::Noted);
+    match record::decode(&record.payload) {
+        Ok(Body::Step(step)) if took_effect => {
+            assert_eq!(
+                step.term, before.lease.term,
+                "a decision of another term is dropped"
+            );
+        }
+        Ok(Body::Claim(claim)) if took_effect => {
+            assert_eq!(
+                claim.replaces, before.lease.term,
+                "a claim names the term it replaces"
+            );
+            assert_eq!(
+                after.lease.term,
+                before.lease.term + 1,
+                "terms rise one by one"
+            );
+        }
+        _ => assert_eq!(before.lease, after.lease, "only a claim changes the lease"),
+    }
+}
+
 /// Incarnation and sequence of a member.
 type Rank = (u64, u64);
 
--- a/buckthorn_lab/src/experiment/long/world.rs
+++ b/buckthorn_lab/src/experiment/long/world.rs
@@ -3,8 +3,11 @@
 use std::time::Duration;
 
 use buckthorn::config::change::{Change, Operation};
+use buckthorn::config::intent::Phase;
 use buckthorn::journal::checkpoint;
-use buckthorn::journal::record::{self, Body, CHECKPOINT_STREAM, CONFIG_STREAM, LEASE_STREAM};
+use buckthorn::journal::record::{
+    self, Body, CHECKPOINT_STREAM, CONFIG_STREAM, LEASE_STREAM, Step,
+};
 use buckthorn::kernel::Event;
 use buckthorn::membership::member::BackendServer;
 use buckthorn::name::Name;
@@ -107,7 +110,8 @@
         match self.draw(100) {
             0..16 => self.publish_random(),
             16..19 => self.race(),
-            19..22 => self.publish_nonsense(),
+            19..21 => self.publish_nonsense(),
+            21 => self.publish_stale_step(),
             22..30 => self.mesh.kill(node),
             30..44 => self.start(node),
             44..46 => self.restart_domain(),
@@ -374,6 +378,39 @@
         self.mesh.append(CONFIG_STREAM, &id, payload);
     }
 
+    /// Publishes a decision under a term that is not in force, as a paused holder would.
+    fn publish_stale_step(&mut self) {
+        self.reference.follow(&self.mesh);
+        let state = self.reference.state();
+        let open: Vec<Name> = state
+            .intent
+            .moves
+            .iter()
+            .filter(|m| !m.phase.is_ended())
+            .map(|m| m.id.clone())
+            .collect();
+        let in_force = state.lease.term;
+        let Some(id) = open.choose(self.mesh.rng()).cloned() else {
+            return;
+        };
+        let step = Step {
+            term: if self.draw(2) == 0 {
+                in_force.wrapping_sub(1)
+            } else {
+                in_force + 1
+            },
+            id,
+            phase: Phase::TakenBack,
+            share: 0,
+            reason: "decided by a holder that was paused".into(),
+            at: self.mesh.now(),
+        };
+        self.changes += 1;
+        let id = format!("stale-{}", self.changes);
+        self.mesh
+            .append(CONFIG_STREAM, &id, &record::encode(Body::Step(step)));
+    }
+
     /// Starts a process on a host; its backend server announces itself to it again.
     fn start(&mut self, node: usize) {
         self.mesh.start(node);
