Close windows early, keep common faults out of the reference, and test the parts

Cause: owners that lag delayed every verdict by up to 4 s; the start of a common fault went into the old version's usual rate and hid what followed; moves that cannot make their deadline were told only a minute before their start. Change: a window closes after 1.2 s without those that lag; windows in which the old version does far worse than usual stay out of the reference; a suspicion needs the new version to be worse than the old one now, where that has calls; judges follow moves from ten minutes before their start; owners count calls by the path's first segment, 8 routes at most; tests of evidence, quarantine, schedule, controller and of the plug-in in kernels. The model keeps accusations until a step has reached the ingresses; lagging reports come with a common fault, and a common fault during a log outage is a kind of its own.

--- a/buckthorn/src/proxy/owner.rs
+++ b/buckthorn/src/proxy/owner.rs
@@ -18,7 +18,7 @@
 use crate::admission::gate::Refusal;
 use crate::counter::{Board, Counter};
 use crate::name::Name;
-use crate::rollout::evidence::{Book, Outcome};
+use crate::rollout::evidence::{self, Book, Outcome};
 
 /// Connections tried for one call before it is refused; nothing was sent on any of them.
 const MAX_CONNECTIONS_TRIED: u32 = 3;
@@ -111,7 +111,7 @@
     Ok(Entry { permit, route })
 }
 
-/// Checks a call against the table in force and returns its route.
+/// Checks a call against the table in force and returns the route it is counted under.
 fn check(plane: &Plane, owner: &Owner, call: &Call) -> Result<Name, Reason> {
     if *owner.service != *call.service {
         return Err(Reason::Refused(Refusal::NoBackendServer));
@@ -131,7 +131,7 @@
     if !is_listed {
         return Err(Reason::Refused(Refusal::Quarantined));
     }
-    Ok(route.prefix.clone())
+    Ok(evidence::key(&route.prefix, &call.path).into())
 }
 
 /// What is known of a call that is running.
--- a/buckthorn/src/rollout/evidence.rs
+++ b/buckthorn/src/rollout/evidence.rs
@@ -20,7 +20,7 @@
 use crate::name::{self, Name};
 
 /// Routes counted apart; calls on further routes are counted together.
-pub const MAX_ROUTES: usize = 32;
+pub const MAX_ROUTES: usize = 8;
 
 /// Name under which the routes over the limit are counted together.
 pub const OTHER_ROUTES: &str = "*";
--- a/buckthorn/src/rollout/gauge.rs
+++ b/buckthorn/src/rollout/gauge.rs
@@ -30,8 +30,8 @@
 /// Informative windows in a move for which the chance is stated.
 pub const HORIZON: f64 = 10_000.0;
 
-/// Largest value kept, against overflow.
-const MAX_VALUE: f64 = 1e60;
+/// Largest value kept, so that evidence of a fault that has passed fades.
+const MAX_VALUE: f64 = 1e12;
 
 /// Calls and how many of them were bad.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/buckthorn/src/rollout/judge.rs
+++ b/buckthorn/src/rollout/judge.rs
@@ -10,7 +10,7 @@
 use crate::name::{self, Name};
 
 /// Judges of a move, the lease's holder not counted.
-pub const JUDGES: usize = 3;
+pub const JUDGES: usize = 2;
 
 /// Judges of a move, at most one from each failure domain while there are enough domains.
 pub fn seats<'a>(view: &'a View, move_id: &str) -> Vec<&'a Member> {
--- a/buckthorn/src/rollout/ledger.rs
+++ b/buckthorn/src/rollout/ledger.rs
@@ -1,9 +1,9 @@
 //! Differences of owners' cumulative reports, cut into windows that cover both versions at once.
 //!
-//! A window closes when every owner that reports regularly has reported within it, so that the
-//! counts of the old and the new version cover nearly the same time. An owner silent for longer
-//! than [`PATIENCE`] is no longer waited for; what it counted meanwhile covers another time than
-//! its peers' counts, so its next report is only a baseline. The same holds for the first report of
+//! A window closes when every owner that reports regularly has reported within it, at the latest
+//! after [`MAX_WINDOW`], so that the counts of the old and the new version cover nearly the same
+//! time. What an owner counted while it was silent for longer than [`PATIENCE`] covers another time
+//! than its peers' counts, so its next report is only a baseline. The same holds for the first report of
 //! an owner, of a new incarnation, and of a host whose version changed. A baseline is never taken from
 //! a partial report, which would make the history of the routes it lacks look new.
 //!
@@ -20,7 +20,10 @@
 /// Shortest window.
 pub const MIN_WINDOW: Duration = Duration::from_millis(400);
 
-/// Silence after which an owner is no longer waited for.
+/// Time after which a window closes without the owners that lag.
+pub const MAX_WINDOW: Duration = Duration::from_millis(1_200);
+
+/// Silence after which an owner's next report is only a baseline.
 pub const PATIENCE: Duration = Duration::from_secs(4);
 
 /// Calls after which an owner's backend server counts as warm.
@@ -136,7 +139,8 @@
     pub fn close(&mut self, now: Time) -> Option<Window> {
         let length = now.since(self.opened);
         let is_waited_for = |o: &Owner| o.heard <= self.opened && now.since(o.heard) <= PATIENCE;
-        if length < MIN_WINDOW || self.owners.iter().any(is_waited_for) {
+        let is_incomplete = length < MAX_WINDOW && self.owners.iter().any(is_waited_for);
+        if length < MIN_WINDOW || is_incomplete {
             return None;
         }
         self.opened = now;
--- a/buckthorn/src/rollout/plugin.rs
+++ b/buckthorn/src/rollout/plugin.rs
@@ -157,7 +157,7 @@
                 .find_move(&trial.id)
                 .is_some_and(|m| !m.phase.is_ended())
         });
-        for entry in intent.moves.iter().filter(|m| is_reported(m, cx.now)) {
+        for entry in intent.moves.iter().filter(|m| is_followed(m, cx.now)) {
             match self.trials.binary_search_by(|t| t.id.cmp(&entry.id)) {
                 Ok(index) => {
                     let given = cx.shared.quarantine.limit(&entry.id, entry.share);
@@ -378,6 +378,12 @@
     entry.phase.is_active() || (entry.phase == Phase::Waiting && now + REPORT_LEAD >= entry.start)
 }
 
+/// Whether judges follow a move now.
+fn is_followed(entry: &Move, now: Time) -> bool {
+    is_reported(entry, now)
+        || (entry.phase == Phase::Waiting && now + controller::EARLY >= entry.start)
+}
+
 /// Whether a report is on one of a move's versions.
 fn concerns(entry: &Move, report: &Report) -> bool {
     entry.service == report.service && (entry.from == report.version || entry.to == report.version)
--- a/buckthorn/src/rollout/trial.rs
+++ b/buckthorn/src/rollout/trial.rs
@@ -214,7 +214,8 @@
         let recent = fade(length, RECENT_HALF_LIFE, new.calls, RECENT_CALLS);
         self.new = self.new.scaled(recent).plus(new);
         self.old = self.old.scaled(recent).plus(old);
-        if old.calls > 0.0 && !self.is_common(kind) {
+        let is_outlying = old.bad >= 2.0 && old.rate() > self.common_rate(kind);
+        if old.calls > 0.0 && !is_outlying && !self.is_common(kind) {
             let factor = fade(length, REFERENCE_HALF_LIFE, old.calls, REFERENCE_CALLS);
             self.usual = self.usual.scaled(factor).plus(old);
         }
@@ -245,8 +246,13 @@
 
     /// Whether the old version does far worse than usual at present.
     fn is_common(&self, kind: Kind) -> bool {
-        let limit = (5.0 * self.usual.rate()).max(10.0 * kind.floor());
-        self.usual.calls >= MIN_REFERENCE_CALLS && self.old.bad >= 2.0 && self.old.rate() > limit
+        let is_known = self.usual.calls >= MIN_REFERENCE_CALLS;
+        is_known && self.old.bad >= 2.0 && self.old.rate() > self.common_rate(kind)
+    }
+
+    /// Rate of the old version above which something ails both versions.
+    fn common_rate(&self, kind: Kind) -> f64 {
+        (5.0 * self.usual.rate()).clamp(10.0 * kind.floor(), 0.5)
     }
 
     /// Whether the new version exceeds the tolerated rate by more than the floor.
@@ -320,6 +326,7 @@
             let reason = || self.reason(kind, gauge);
             let judged = gauge.concurrent.judged(is_sole);
             let is_excess = gauge.is_excess(kind, gauge.old.rate());
+            let is_alone = is_excess || gauge.old.calls < RECENT_CALLS;
             let is_raised = gauge.is_excess(kind, gauge.usual.rate());
             let verdict = if judged >= threshold && is_excess {
                 Verdict::Guilty(reason())
@@ -327,7 +334,7 @@
                 Verdict::Doubt(reason())
             } else if gauge.is_common(kind) && is_raised {
                 Verdict::Common(reason())
-            } else if gauge.reference.judged(is_sole) >= SUSPICION && is_raised {
+            } else if gauge.reference.judged(is_sole) >= SUSPICION && is_raised && is_alone {
                 Verdict::Suspect(reason())
             } else {
                 Verdict::Clean
--- /dev/null
+++ b/buckthorn/tests/rollout_controller.rs
@@ -0,0 +1,171 @@
+//! Decisions about one move, given servers and evidence.
+
+use std::time::Duration;
+
+use buckthorn::clock::Time;
+use buckthorn::config::intent::{FULL_SHARE, Move, Phase};
+use buckthorn::rollout::controller::{self, Decision, Fleet, OVERDUE, Obstacle};
+use buckthorn::rollout::evidence::{Book, Outcome};
+use buckthorn::rollout::schedule::MAX_CANARY;
+use buckthorn::rollout::trial::Trial;
+
+/// Start of the move.
+const START: Time = Time::from_secs(1_000);
+
+/// Deadline of the move.
+const DEADLINE: Time = Time::from_secs(1_600);
+
+/// Servers of both versions.
+const FLEET: Fleet = Fleet {
+    old: 3,
+    new: 3,
+    new_slots: 30,
+    is_quarantined: false,
+    is_lowered: false,
+};
+
+/// Move in a phase at a share.
+fn entry(phase: Phase, share: u16) -> Move {
+    Move {
+        id: "m".into(),
+        service: "proof-vault".into(),
+        route: "".into(),
+        from: "v1".into(),
+        to: "v2".into(),
+        start: START,
+        deadline: DEADLINE,
+        phase,
+        share,
+        reason: String::new(),
+        changed: START,
+    }
+}
+
+/// Phase, share and reason of a decision that is a step.
+fn step(decision: Decision) -> (Phase, u16, String) {
+    match decision {
+        Decision::Step {
+            phase,
+            share,
+            reason,
+        } => (phase, share, reason),
+        Decision::Wait => panic!("no step was decided"),
+    }
+}
+
+/// Obstacle that holds a move at 10% without any evidence.
+fn held_by(fleet: Fleet, trial: &Trial, now: Time) -> String {
+    let (phase, share, reason) = step(controller::decide(
+        &entry(Phase::Shifting, 100),
+        trial,
+        fleet,
+        now,
+    ));
+    assert_eq!((phase, share), (Phase::Holding, 100));
+    reason.split(':').next().unwrap_or_default().to_owned()
+}
+
+/// Trial that heard both versions' owners until `now`, with calls that take `latency`.
+fn trial(now: Time, calls: u64, latency: Duration) -> Trial {
+    let mut trial = Trial::new(&entry(Phase::Shifting, 100), START);
+    let books: Vec<Book> = (0..6).map(|_| Book::new()).collect();
+    let mut at = START;
+    while at <= now {
+        for (index, book) in books.iter().enumerate() {
+            for _ in 0..calls {
+                book.record("", Outcome::Ok, latency);
+            }
+            let (host, version) = (format!("h{index}"), ["v1", "v2"][index / 3]);
+            let report = book.report(&host.into(), 1, &"proof-vault".into(), &version.into());
+            trial.take(&report, at);
+        }
+        trial.close(at);
+        at = at + Duration::from_millis(500);
+    }
+    trial
+}
+
+#[test]
+fn nothing_is_given_before_the_start() {
+    let trial = Trial::new(&entry(Phase::Waiting, 0), START);
+    let before = Time::from_secs(999);
+    let waiting = entry(Phase::Waiting, 0);
+    assert_eq!(
+        controller::decide(&waiting, &trial, FLEET, before),
+        Decision::Wait
+    );
+    let (phase, share, _) = step(controller::decide(&waiting, &trial, FLEET, START));
+    assert!(phase == Phase::Shifting && share <= MAX_CANARY);
+}
+
+#[test]
+fn quarantined_version_is_taken_back_without_own_evidence() {
+    let trial = Trial::new(&entry(Phase::Shifting, 100), START);
+    let fleet = Fleet {
+        is_quarantined: true,
+        ..FLEET
+    };
+    let decision = controller::decide(&entry(Phase::Shifting, 100), &trial, fleet, DEADLINE);
+    assert_eq!(step(decision).0, Phase::TakenBack);
+}
+
+#[test]
+fn each_obstacle_holds_and_is_named() {
+    let now = Time::from_secs(1_500);
+    let heard = trial(now, 1, Duration::from_millis(5));
+    let none = Fleet { new: 0, ..FLEET };
+    assert_eq!(held_by(none, &heard, now), Obstacle::NoServer.word());
+    let silent = Trial::new(&entry(Phase::Shifting, 100), START);
+    assert_eq!(held_by(FLEET, &silent, now), Obstacle::Silent.word());
+    let thin = trial(now, 0, Duration::from_millis(5));
+    assert_eq!(held_by(FLEET, &thin, now), Obstacle::Thin.word());
+    let busy = trial(now, 40, Duration::from_secs(1));
+    assert_eq!(held_by(FLEET, &busy, now), Obstacle::Capacity.word());
+}
+
+#[test]
+fn thin_evidence_holds_only_until_the_last_moment() {
+    let now = DEADLINE - Duration::from_secs(1);
+    let thin = trial(now, 0, Duration::from_millis(5));
+    let (phase, share, reason) = step(controller::decide(
+        &entry(Phase::Holding, 100),
+        &thin,
+        FLEET,
+        now,
+    ));
+    assert!(phase == Phase::Shifting && share > 100, "{phase} {share}");
+    assert!(reason.starts_with("last moment"), "{reason}");
+}
+
+#[test]
+fn overdue_move_ends() {
+    let now = DEADLINE + OVERDUE + Duration::from_secs(1);
+    let trial = Trial::new(&entry(Phase::Holding, 100), START);
+    let (phase, _, reason) = step(controller::decide(
+        &entry(Phase::Holding, 100),
+        &trial,
+        FLEET,
+        now,
+    ));
+    assert_eq!(phase, Phase::TakenBack);
+    assert!(reason.starts_with("overdue"), "{reason}");
+    let none = Fleet { new: 0, ..FLEET };
+    let never = controller::decide(&entry(Phase::Holding, 0), &trial, none, now);
+    assert_eq!(step(never).0, Phase::Cancelled);
+}
+
+#[test]
+fn watch_lasts_beyond_the_deadline() {
+    let full = entry(Phase::Watching, FULL_SHARE);
+    let early = trial(DEADLINE, 1, Duration::from_millis(5));
+    assert_eq!(
+        controller::decide(&full, &early, FLEET, DEADLINE),
+        Decision::Wait
+    );
+    let end = DEADLINE + controller::watch_period(&full);
+    let late = trial(end, 1, Duration::from_millis(5));
+    assert_eq!(
+        step(controller::decide(&full, &late, FLEET, end)).0,
+        Phase::Done
+    );
+}
--- /dev/null
+++ b/buckthorn/tests/rollout_evidence.rs
@@ -0,0 +1,205 @@
+//! Owners' counts, their wire form and the windows cut from them.
+
+use std::time::Duration;
+
+use buckthorn::clock::Time;
+use buckthorn::name::Name;
+use buckthorn::rollout::evidence::{
+    self, BUCKETS, Book, MAX_ROUTES, OTHER_ROUTES, Outcome, Report,
+};
+use buckthorn::rollout::ledger::{Ledger, MAX_WINDOW, PATIENCE, Side, WARM_CALLS};
+use expect_test::expect;
+
+/// Latency of most calls.
+const LATENCY: Duration = Duration::from_millis(5);
+
+/// Report of a book.
+fn report(book: &Book, host: &str, incarnation: u64) -> Report {
+    book.report(&host.into(), incarnation, &"card-desk".into(), &"v2".into())
+}
+
+/// Failed calls of the new version in a ledger's next window.
+fn failed(ledger: &mut Ledger, now: Time) -> u64 {
+    let window = ledger.close(now).expect("the window is complete");
+    let tallies = window.new.iter().flat_map(|(_, tallies)| tallies);
+    tallies.map(|tally| tally.failed()).sum()
+}
+
+#[test]
+fn report_is_small_on_the_wire_and_round_trips() {
+    let book = Book::new();
+    for _ in 0..40 {
+        book.record("/lookup", Outcome::Ok, LATENCY);
+    }
+    book.record("/lookup", Outcome::Broken, LATENCY);
+    book.record("/lookup", Outcome::Cancelled, LATENCY);
+    let report = report(&book, "host-01", 7);
+    let text = serde_json::to_string(&report).expect("encodes");
+    expect![[
+        r#"{"h":"host-01","i":7,"s":"card-desk","v":"v2","r":[["/lookup",40,0,1,0,0,0,26,40]]}"#
+    ]]
+    .assert_eq(&text);
+    assert_eq!(
+        serde_json::from_str::<Report>(&text).expect("decodes"),
+        report
+    );
+}
+
+#[test]
+fn malformed_counts_are_refused() {
+    let long = format!("[\"/x\",0,0,0,0,0,0,{},1]", BUCKETS);
+    for text in ["[]", "[\"/x\",1]", "[\"/x\",0,0,0,0,0,0,-1]", &long] {
+        let tally: Result<evidence::Tally, _> = serde_json::from_str(text);
+        assert!(tally.is_err(), "{text} was taken");
+    }
+}
+
+#[test]
+fn routes_over_the_limit_are_counted_together() {
+    let book = Book::new();
+    for index in 0..3 * MAX_ROUTES {
+        book.record(&format!("/{index}"), Outcome::Error, LATENCY);
+    }
+    let report = report(&book, "h", 1);
+    assert_eq!(report.routes.len(), MAX_ROUTES + 1);
+    let other = report.routes.iter().find(|t| &*t.route == OTHER_ROUTES);
+    assert_eq!(other.map(|t| t.failed()), Some(2 * MAX_ROUTES as u64));
+}
+
+#[test]
+fn threads_lose_no_count() {
+    let book = Book::new();
+    std::thread::scope(|scope| {
+        for _ in 0..4 {
+            scope.spawn(|| {
+                for index in 0..10_000 {
+                    book.record(["/a", "/b"][index % 2], Outcome::Ok, LATENCY);
+                }
+            });
+        }
+    });
+    let calls: u64 = report(&book, "h", 1).routes.iter().map(|t| t.calls()).sum();
+    assert_eq!(calls, 40_000);
+}
+
+#[test]
+fn key_is_the_prefix_or_the_first_segment() {
+    assert_eq!(evidence::key("", "/lookup/7?x"), "/lookup");
+    assert_eq!(evidence::key("", "/lookup?x=/y"), "/lookup");
+    assert_eq!(evidence::key("/a/b", "/a/b/c"), "/a/b");
+    assert_eq!(evidence::key("", ""), "");
+}
+
+#[test]
+fn buckets_hold_their_latencies() {
+    for micros in [1, 64, 65, 1_000, 123_456, 60_000_000] {
+        let latency = Duration::from_micros(micros);
+        let bucket = evidence::bucket(latency);
+        let slack = Duration::from_nanos(200);
+        assert!(latency <= evidence::upper_edge(bucket) + slack, "{micros}");
+        assert!(
+            bucket == 0 || latency + slack > evidence::upper_edge(bucket - 1),
+            "{micros}"
+        );
+    }
+}
+
+#[test]
+fn first_report_restart_and_long_silence_are_only_baselines() {
+    let (mut book, mut now) = (Book::new(), Time::from_secs(1_000));
+    let mut ledger = Ledger::new(now);
+    let mut beat = |ledger: &mut Ledger, book: &Book, incarnation: u64, after: Duration| {
+        now = now + after;
+        ledger.take(&report(book, "h", incarnation), Side::New, now);
+        now = now + MAX_WINDOW;
+        failed(ledger, now)
+    };
+    let error = |book: &Book| book.record("/a", Outcome::Error, LATENCY);
+    let short = Duration::from_millis(100);
+    error(&book);
+    assert_eq!(beat(&mut ledger, &book, 1, short), 0, "first report");
+    error(&book);
+    assert_eq!(beat(&mut ledger, &book, 1, short), 1, "counted");
+    assert_eq!(beat(&mut ledger, &book, 1, short), 0, "counted once");
+    error(&book);
+    assert_eq!(
+        beat(&mut ledger, &book, 1, PATIENCE),
+        0,
+        "silent for too long"
+    );
+    book = Book::new();
+    error(&book);
+    assert_eq!(beat(&mut ledger, &book, 2, short), 0, "restarted");
+    error(&book);
+    assert_eq!(beat(&mut ledger, &book, 2, short), 1, "counted again");
+    error(&book);
+    assert_eq!(beat(&mut ledger, &book, 1, short), 0, "old incarnation");
+}
+
+#[test]
+fn partial_report_is_no_baseline() {
+    let book = Book::new();
+    let now = Time::from_secs(1_000);
+    let mut ledger = Ledger::new(now);
+    for _ in 0..100 {
+        book.record("/a", Outcome::Error, LATENCY);
+    }
+    let full = report(&book, "h", 1);
+    let partial = Report {
+        is_partial: true,
+        routes: Vec::new(),
+        ..full.clone()
+    };
+    ledger.take(&partial, Side::New, now);
+    ledger.take(&full, Side::New, now);
+    assert_eq!(failed(&mut ledger, now + MAX_WINDOW), 0);
+}
+
+#[test]
+fn window_waits_for_an_owner_that_lags_but_not_for_long() {
+    let book = Book::new();
+    let mut now = Time::from_secs(1_000);
+    let mut ledger = Ledger::new(now);
+    for host in ["a", "b"] {
+        ledger.take(&report(&book, host, 1), Side::Old, now);
+    }
+    now = now + Duration::from_millis(600);
+    ledger.take(&report(&book, "a", 1), Side::Old, now);
+    assert_eq!(ledger.close(now), None, "b has not reported");
+    assert!(ledger.close(now + MAX_WINDOW).is_some());
+}
+
+#[test]
+fn cold_server_counts_by_failures_but_not_by_latency() {
+    let book = Book::new();
+    let mut now = Time::from_secs(1_000);
+    let mut ledger = Ledger::new(now);
+    let mut answered = |calls: u64| {
+        for _ in 0..calls {
+            book.record("/a", Outcome::Ok, LATENCY);
+        }
+        now = now + MAX_WINDOW;
+        ledger.take(&report(&book, "h", 1), Side::New, now);
+        now = now + MAX_WINDOW;
+        let window = ledger.close(now).expect("the window is complete");
+        let tallies: Vec<_> = window.new.into_iter().flat_map(|(_, t)| t).collect();
+        let calls: u64 = tallies.iter().map(|t| t.calls()).sum();
+        let timed: u64 = tallies.iter().flat_map(|t| &t.buckets).sum();
+        (calls, timed)
+    };
+    assert_eq!(answered(0), (0, 0));
+    assert_eq!(answered(WARM_CALLS), (WARM_CALLS, 0), "cold");
+    assert_eq!(answered(5), (5, 5), "warm");
+}
+
+#[test]
+fn slots_keep_names_that_share_a_hash_bucket() {
+    let book = Book::new();
+    let names: Vec<Name> = (0..MAX_ROUTES).map(|i| format!("/r{i}").into()).collect();
+    for name in names.iter().chain(&names) {
+        book.record(name, Outcome::Ok, LATENCY);
+    }
+    let report = report(&book, "h", 1);
+    assert_eq!(report.routes.len(), MAX_ROUTES);
+    assert!(report.routes.iter().all(|t| t.calls() == 2));
+}
--- a/buckthorn/tests/rollout_fake/mod.rs
+++ b/buckthorn/tests/rollout_fake/mod.rs
@@ -51,10 +51,16 @@
             }
             Event::Received { messages, .. } => {
                 for message in messages {
-                    if let Message::Members(members) = message {
-                        for member in members {
-                            cx.shared.view.merge(member, cx.now);
+                    match message {
+                        Message::Members(members) => {
+                            for member in members {
+                                cx.shared.view.merge(member, cx.now);
+                            }
                         }
+                        Message::Snapshot(state) => {
+                            cx.shared.tail.install(State::clone(state));
+                        }
+                        _ => {}
                     }
                 }
             }
@@ -178,20 +184,68 @@
 
     /// Publishes a move from v1 to v2.
     pub(crate) fn publish_move(&mut self, start: Time, deadline: Time) -> Name {
+        let to: Name = "v2".into();
+        self.publish(vec![Operation::Move {
+            service: SERVICE.into(),
+            route: "".into(),
+            from: "v1".into(),
+            to: to.clone(),
+            start,
+            deadline,
+        }]);
+        intent::move_id(SERVICE, "", "v1", &to, start, deadline)
+    }
+
+    /// Publishes operations.
+    pub(crate) fn publish(&mut self, operations: Vec<Operation>) {
         self.push(Body::Change(Change {
             base: self.state.intent_version,
             author: "test".into(),
             at: self.now,
-            operations: vec![Operation::Move {
-                service: SERVICE.into(),
-                route: "".into(),
-                from: "v1".into(),
-                to: "v2".into(),
-                start,
-                deadline,
-            }],
+            operations,
         }));
-        intent::move_id(SERVICE, "", "v1", "v2", start, deadline)
+    }
+
+    /// Hands the lease to a host.
+    pub(crate) fn claim(&mut self, index: usize, replaces: u64) {
+        let host = self.nodes[index].member.host.clone();
+        let at = self.now;
+        self.push(Body::Claim(Claim { host, replaces, at }));
+    }
+
+    /// Changes a member in every node's view.
+    pub(crate) fn update(&mut self, index: usize, change: impl FnOnce(&mut Member)) {
+        let member = &mut self.nodes[index].member;
+        member.sequence += 1;
+        change(member);
+        let messages = vec![Message::Members(vec![member.clone()])];
+        self.tell_all(messages);
+    }
+
+    /// Hands messages to every node.
+    pub(crate) fn tell_all(&mut self, messages: Vec<Message>) {
+        for index in 0..self.nodes.len() {
+            let (from, messages) = ("test".into(), messages.clone());
+            self.deliver(index, &Event::Received { from, messages });
+        }
+    }
+
+    /// Nodes that have quarantined the new version of a move.
+    pub(crate) fn quarantining(&self, id: &str) -> usize {
+        let nodes = self.nodes.iter();
+        nodes
+            .filter(|n| n.kernel.shared().quarantine.is_quarantined(id))
+            .count()
+    }
+
+    /// Lowest share that a node gives the new version of a move.
+    pub(crate) fn given(&self, id: &str) -> u16 {
+        let share = self.entry(id).share;
+        let limits = self.nodes.iter();
+        limits
+            .map(|n| n.kernel.shared().quarantine.limit(id, share))
+            .min()
+            .unwrap_or(share)
     }
 
     /// Move as the log has it.
--- a/buckthorn/tests/rollout_plugin.rs
+++ b/buckthorn/tests/rollout_plugin.rs
@@ -6,10 +6,14 @@
 use std::time::Duration;
 
 use buckthorn::clock::Time;
+use buckthorn::config::change::Operation;
 use buckthorn::config::intent::Phase;
-use buckthorn::journal::record::{self, Body, Claim};
+use buckthorn::journal::fold::COMPARISON_SHARE;
+use buckthorn::journal::record::{self, Body};
+use buckthorn::membership::member::Member;
 use buckthorn::name::Name;
 use buckthorn::rollout::evidence::Outcome;
+use buckthorn::rpc::message::Message;
 use fake::{Fault, Mesh};
 
 /// Start of the moves.
@@ -18,14 +22,38 @@
 /// Deadline of the moves.
 const DEADLINE: Time = Time::from_secs(1_310);
 
-/// Runs with 100 good calls a second.
-fn run_good(mesh: &mut Mesh, id: &Name, end: Time) {
+/// Latency of the calls.
+const LATENCY: Duration = Duration::from_millis(5);
+
+/// Runs with 100 calls a second, answered as told.
+fn run(mesh: &mut Mesh, id: &Name, end: Time, answer: impl Fn(&Member) -> Outcome) {
     mesh.run_with(end, |mesh| {
-        let share = mesh.entry(id).share;
-        mesh.call(share, 100, |_| (Outcome::Ok, Duration::from_millis(5)));
+        let share = mesh.given(id);
+        mesh.call(share, 100, |member| (answer(member), LATENCY));
     });
 }
 
+/// Runs with 100 good calls a second.
+fn run_good(mesh: &mut Mesh, id: &Name, end: Time) {
+    run(mesh, id, end, |_| Outcome::Ok);
+}
+
+/// Answer of a bad new version.
+fn bad(member: &Member) -> Outcome {
+    match is_new(member) {
+        true => Outcome::Error,
+        false => Outcome::Ok,
+    }
+}
+
+/// Whether a member runs the new version.
+fn is_new(member: &Member) -> bool {
+    member
+        .backend_server
+        .as_ref()
+        .is_some_and(|server| &*server.version == "v2")
+}
+
 #[test]
 fn good_move_reaches_full_share_and_is_done() {
     let mut mesh = Mesh::new(1, 4);
@@ -80,13 +108,7 @@
 
     // Another host takes the lease over while the append is still under way.
     mesh.nodes[0].is_paused = true;
-    let host = mesh.nodes[1].member.host.clone();
-    let at = mesh.now;
-    mesh.push(Body::Claim(Claim {
-        host,
-        replaces: 1,
-        at,
-    }));
+    mesh.claim(1, 1);
     let share = mesh.entry(&id).share;
     for (index, id, payload) in held {
         mesh.append(index, id, payload);
@@ -95,3 +117,206 @@
     run_good(&mut mesh, &id, Time::from_secs(1_500));
     assert_eq!(mesh.phase(&id), Phase::Done);
 }
+
+#[test]
+fn bad_version_is_taken_back_from_the_canary() {
+    let mut mesh = Mesh::new(5, 4);
+    let id = mesh.publish_move(START, DEADLINE);
+    let mut largest = 0;
+    mesh.run_with(DEADLINE, |mesh| {
+        largest = largest.max(mesh.entry(&id).share);
+        mesh.call(mesh.given(&id), 100, |member| (bad(member), LATENCY));
+    });
+    assert_eq!(mesh.phase(&id), Phase::TakenBack);
+    assert!(largest <= 100, "share rose to {largest}");
+    let quarantining = mesh.quarantining(&id);
+    assert_eq!(quarantining, 0, "the end of the move ends the quarantine");
+}
+
+#[test]
+fn fault_common_to_both_versions_condemns_neither() {
+    let mut mesh = Mesh::new(6, 4);
+    let id = mesh.publish_move(START, DEADLINE);
+    run_good(&mut mesh, &id, Time::from_secs(1_080));
+    run(&mut mesh, &id, Time::from_secs(1_120), |_| Outcome::Error);
+    run_good(&mut mesh, &id, DEADLINE);
+    assert_eq!(mesh.phase(&id), Phase::Watching);
+
+    // In the watch the old version has no calls until the share is lowered to compare.
+    run(&mut mesh, &id, Time::from_secs(1_330), |_| Outcome::Error);
+    run_good(&mut mesh, &id, Time::from_secs(1_600));
+    assert_eq!(mesh.phase(&id), Phase::Done);
+}
+
+#[test]
+fn one_lying_owner_condemns_no_version() {
+    let mut mesh = Mesh::new(7, 4);
+    let id = mesh.publish_move(START, DEADLINE);
+    let liar = mesh.nodes[7].member.host.clone();
+    run(&mut mesh, &id, Time::from_secs(1_600), |member| {
+        match member.host == liar {
+            true => Outcome::Error,
+            false => Outcome::Ok,
+        }
+    });
+    assert_eq!(mesh.quarantining(&id), 0);
+    assert_eq!(mesh.phase(&id), Phase::Done);
+}
+
+#[test]
+fn nodes_contain_a_bad_version_while_the_log_is_down() {
+    let mut mesh = Mesh::new(8, 4);
+    let id = mesh.publish_move(START, DEADLINE);
+    run_good(&mut mesh, &id, Time::from_secs(1_150));
+    mesh.fault = Fault::Down;
+    run(&mut mesh, &id, Time::from_secs(1_160), bad);
+    assert_eq!(mesh.quarantining(&id), mesh.nodes.len());
+    assert_eq!(mesh.phase(&id), Phase::Shifting);
+    mesh.fault = Fault::None;
+    run(&mut mesh, &id, Time::from_secs(1_170), bad);
+    assert_eq!(mesh.phase(&id), Phase::TakenBack);
+}
+
+#[test]
+fn nodes_compare_at_full_share_while_the_log_is_down() {
+    let mut mesh = Mesh::new(9, 4);
+    let id = mesh.publish_move(START, DEADLINE);
+    run_good(&mut mesh, &id, DEADLINE);
+    mesh.fault = Fault::Down;
+    let mut lowest = mesh.given(&id);
+    mesh.run_with(Time::from_secs(1_330), |mesh| {
+        let given = mesh.given(&id);
+        assert!(given <= lowest, "the share rose under accusations");
+        lowest = given;
+        mesh.call(given, 100, |member| (bad(member), LATENCY));
+    });
+    assert_eq!(mesh.quarantining(&id), mesh.nodes.len());
+    assert_eq!(mesh.phase(&id), Phase::Watching);
+}
+
+#[test]
+fn doubt_about_a_common_fault_ends_with_the_next_step() {
+    let mut mesh = Mesh::new(10, 4);
+    let id = mesh.publish_move(START, DEADLINE);
+    run_good(&mut mesh, &id, DEADLINE);
+    mesh.fault = Fault::Down;
+    run(&mut mesh, &id, Time::from_secs(1_330), |_| Outcome::Error);
+    assert_eq!(mesh.given(&id), COMPARISON_SHARE);
+    assert_eq!(mesh.quarantining(&id), 0);
+    mesh.fault = Fault::None;
+    run_good(&mut mesh, &id, Time::from_secs(1_700));
+    assert_eq!(mesh.phase(&id), Phase::Done);
+}
+
+#[test]
+fn holder_cut_off_is_replaced() {
+    let mut mesh = Mesh::new(11, 4);
+    let id = mesh.publish_move(START, DEADLINE);
+    run_good(&mut mesh, &id, Time::from_secs(1_100));
+    mesh.nodes[0].is_cut_off = true;
+    run_good(&mut mesh, &id, Time::from_secs(1_120));
+    let share = mesh.entry(&id).share;
+    run_good(&mut mesh, &id, Time::from_secs(1_160));
+    assert_eq!(mesh.entry(&id).share, share, "nobody else decides");
+    mesh.claim(5, 1);
+    run_good(&mut mesh, &id, Time::from_secs(1_600));
+    assert_eq!(mesh.phase(&id), Phase::Done);
+}
+
+#[test]
+fn second_of_two_crossing_claims_decides_nothing() {
+    let mut mesh = Mesh::new(12, 4);
+    let id = mesh.publish_move(START, DEADLINE);
+    run_good(&mut mesh, &id, Time::from_secs(1_050));
+    mesh.claim(1, 1);
+    mesh.claim(2, 1);
+    run_good(&mut mesh, &id, Time::from_secs(1_600));
+    assert_eq!(mesh.phase(&id), Phase::Done);
+    let second = mesh.nodes[2].member.host.clone();
+    let has_decided = |record: &record::Record| record.id.contains(&*second);
+    assert!(!mesh.log.iter().any(has_decided));
+}
+
+#[test]
+fn holder_that_starts_from_a_snapshot_goes_on() {
+    let mut mesh = Mesh::new(13, 4);
+    let id = mesh.publish_move(START, DEADLINE);
+    mesh.nodes[3].is_cut_off = true;
+    run_good(&mut mesh, &id, Time::from_secs(1_100));
+
+    // The records that node 3 lacks are trimmed; it gets the state instead and claims the lease.
+    let messages = vec![Message::Snapshot(mesh.state.clone().into())];
+    mesh.tell_all(messages);
+    mesh.nodes[3].is_cut_off = false;
+    mesh.nodes[0].is_paused = true;
+    mesh.claim(3, 1);
+    run_good(&mut mesh, &id, Time::from_secs(1_600));
+    assert_eq!(mesh.phase(&id), Phase::Done);
+}
+
+#[test]
+fn superseded_move_gets_no_further_step() {
+    let mut mesh = Mesh::new(14, 4);
+    let id = mesh.publish_move(START, DEADLINE);
+    run_good(&mut mesh, &id, Time::from_secs(1_100));
+    let later = mesh.publish_move(Time::from_secs(1_120), Time::from_secs(1_420));
+    run_good(&mut mesh, &later, Time::from_secs(1_700));
+    assert_eq!(mesh.phase(&id), Phase::TakenBack);
+    assert_eq!(mesh.phase(&later), Phase::Done);
+}
+
+#[test]
+fn move_crosses_the_exit_of_a_failure_domain() {
+    let mut mesh = Mesh::new(15, 4);
+    let id = mesh.publish_move(START, DEADLINE);
+    for name in ["domain-0", "domain-1", "domain-2"] {
+        mesh.push(Body::Domain(record::Domain {
+            name: name.into(),
+            region: "bc-lower".into(),
+        }));
+    }
+    run_good(&mut mesh, &id, Time::from_secs(1_100));
+    mesh.publish(vec![Operation::Out {
+        failure_domain: "domain-1".into(),
+    }]);
+    run_good(&mut mesh, &id, DEADLINE);
+    assert_eq!(mesh.phase(&id), Phase::Watching);
+}
+
+#[test]
+fn bad_version_is_held_when_the_old_servers_are_gone() {
+    let mut mesh = Mesh::new(16, 4);
+    let id = mesh.publish_move(START, DEADLINE);
+    run_good(&mut mesh, &id, Time::from_secs(1_150));
+    let share = mesh.entry(&id).share;
+    run(&mut mesh, &id, Time::from_secs(1_150), bad);
+    for index in 0..4 {
+        mesh.update(index, |member| {
+            if let Some(server) = &mut member.backend_server {
+                server.is_draining = true;
+            }
+        });
+    }
+    run(&mut mesh, &id, Time::from_secs(1_200), bad);
+    let entry = mesh.entry(&id);
+    assert_eq!((entry.phase, entry.share), (Phase::Holding, share));
+    assert!(entry.reason.starts_with("no way back"), "{}", entry.reason);
+    assert_eq!(mesh.quarantining(&id), 0);
+}
+
+#[test]
+fn move_that_cannot_make_its_deadline_says_so_before_its_start() {
+    let mut mesh = Mesh::new(17, 4);
+    let start = Time::from_secs(1_100);
+    let id = mesh.publish_move(start, start + Duration::from_secs(8));
+    run_good(&mut mesh, &id, Time::from_secs(1_010));
+    let entry = mesh.entry(&id);
+    assert_eq!((entry.phase, entry.share), (Phase::Holding, 0));
+    assert!(
+        entry.reason.starts_with("deadline too near"),
+        "{}",
+        entry.reason
+    );
+    run_good(&mut mesh, &id, Time::from_secs(1_400));
+    assert_eq!(mesh.phase(&id), Phase::Done);
+}
--- a/buckthorn_lab/src/experiment/moves/case.rs
+++ b/buckthorn_lab/src/experiment/moves/case.rs
@@ -72,7 +72,7 @@
     OneBadHost,
     /// Good: one server of the new version turns cold again.
     ColdAgain,
-    /// Good: some owners' reports lag or are lost.
+    /// Good: some owners' reports lag or are lost, and a shared dependency fails for a while.
     LaggingReports,
     /// Good: owners restart and count from zero.
     Restarts,
@@ -80,6 +80,8 @@
     DomainOut,
     /// Good: the log is down for a part of the move.
     LogOutage,
+    /// Good: the log is down while a shared dependency fails under both versions.
+    CommonInOutage,
     /// Good: the lease changes hands and the evidence starts anew.
     HolderChange,
     /// Bad: calls fail from the start.
@@ -108,7 +110,7 @@
 
 impl Kind {
     /// Kinds of good moves.
-    pub const GOOD: [Self; 10] = [
+    pub const GOOD: [Self; 11] = [
         Self::Plain,
         Self::CommonFailure,
         Self::CommonSlowness,
@@ -118,6 +120,7 @@
         Self::Restarts,
         Self::DomainOut,
         Self::LogOutage,
+        Self::CommonInOutage,
         Self::HolderChange,
     ];
 
--- a/buckthorn_lab/src/experiment/moves/policy.rs
+++ b/buckthorn_lab/src/experiment/moves/policy.rs
@@ -245,8 +245,8 @@
 
     /// Whether the log is down.
     fn is_log_down(&self) -> bool {
-        matches!(self.case.kind, Kind::LogOutage | Kind::FailsInOutage)
-            && self.model.is_lasting(seconds(self.now))
+        let kinds = [Kind::LogOutage, Kind::CommonInOutage, Kind::FailsInOutage];
+        kinds.contains(&self.case.kind) && self.model.is_lasting(seconds(self.now))
     }
 
     /// One tick.
@@ -344,7 +344,10 @@
             *at > now
         });
         let (intent, quarantine) = (&self.state.intent, &mut self.quarantine);
-        quarantine.prune(intent, now);
+        // A node drops accusations with its own fold, which the steps under way have not reached.
+        if self.shares.is_empty() {
+            quarantine.prune(intent, now);
+        }
         self.accusations.retain(|(at, accusation)| {
             if *at <= now {
                 quarantine.merge(std::slice::from_ref(accusation), intent, false);
--- a/buckthorn_lab/src/experiment/moves/service.rs
+++ b/buckthorn_lab/src/experiment/moves/service.rs
@@ -192,7 +192,9 @@
         let case = self.case;
         let is_last_host = index + 1 == self.servers.len();
         match case.kind {
-            Kind::CommonFailure if self.is_lasting(at) => {
+            Kind::CommonFailure | Kind::CommonInOutage | Kind::LaggingReports
+                if self.is_lasting(at) =>
+            {
                 (self.rng.random_bool(case.severity), 1.0)
             }
             Kind::CommonSlowness if self.is_lasting(at) => (false, case.factor),
