Test that a share waits while the nodes hold it down

Cause: removing that guard on a scratch copy left the plug-in's tests green. Change: a test of the decision.

--- a/buckthorn/tests/rollout_controller.rs
+++ b/buckthorn/tests/rollout_controller.rs
@@ -169,3 +169,23 @@
         Phase::Done
     );
 }
+
+#[test]
+fn share_does_not_rise_while_the_nodes_hold_it_down() {
+    let now = Time::from_secs(1_500);
+    let heard = trial(now, 1, Duration::from_millis(5));
+    let held = entry(Phase::Holding, 200);
+    let lowered = Fleet {
+        is_lowered: true,
+        ..FLEET
+    };
+    assert_eq!(
+        controller::decide(&held, &heard, lowered, now),
+        Decision::Wait
+    );
+    let (phase, share, _) = step(controller::decide(&held, &heard, FLEET, now));
+    assert!(phase == Phase::Shifting && share > 200);
+    let full = entry(Phase::Watching, FULL_SHARE);
+    let (phase, share, _) = step(controller::decide(&full, &heard, lowered, now));
+    assert_eq!((phase, share), (Phase::Holding, 200));
+}
