--- a/buckthorn/src/journal/amend.rs
+++ b/buckthorn/src/journal/amend.rs
@@ -22,6 +22,7 @@
     for operation in &change.operations {
         amend_one(&mut next, operation, change.at)?;
     }
+    withdraw_unreachable(&mut next, change.at);
     prune_ended(&mut next);
     Ok(next)
 }
@@ -66,8 +67,8 @@
 
 /// Declares the version of a route.
 fn serve(intent: &mut Intent, service: &Name, route: &Name, version: &Name) -> Result<(), String> {
-    check_name("service", service, false)?;
-    check_name("route", route, true)?;
+    check_service(service)?;
+    check_route(route)?;
     check_name("version", version, false)?;
     let index = match intent.services.binary_search_by(|s| s.name.cmp(service)) {
         Ok(index) => index,
@@ -225,8 +226,38 @@
             "{field} {name:?} holds white space or control characters"
         ));
     }
-    if field == "route" && !name.is_empty() && !name.starts_with('/') {
-        return Err(format!("route {name:?} does not start with a slash"));
+    Ok(())
+}
+
+/// Checks the name of a service, which callers give as the host of their call.
+///
+/// # Errors
+///
+/// Says what is wrong with the name.
+pub fn check_service(name: &str) -> Result<(), String> {
+    check_name("service", name, false)?;
+    let is_host =
+        |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || matches!(c, '-' | '.' | '_');
+    if !name.chars().all(is_host) {
+        return Err(format!(
+            "service {name:?} is not a host name in lower case: letters, digits, -, . and _"
+        ));
+    }
+    Ok(())
+}
+
+/// Checks a path prefix, empty for the whole service.
+///
+/// # Errors
+///
+/// Says what is wrong with the prefix.
+pub fn check_route(prefix: &str) -> Result<(), String> {
+    check_name("route", prefix, true)?;
+    if !prefix.is_empty() && !prefix.starts_with('/') {
+        return Err(format!("route {prefix:?} does not start with a slash"));
+    }
+    if prefix.contains(['?', '#']) {
+        return Err(format!("route {prefix:?} holds more than a path"));
     }
     Ok(())
 }
@@ -237,6 +268,13 @@
         .moves
         .binary_search_by(|m| m.id.cmp(&step.id))
         .map_err(|_| format!("no move {}", step.id))?;
+    let begins = intent.moves[index].phase == Phase::Waiting && step.phase.is_active();
+    if begins && !intent.is_startable(&intent.moves[index]) {
+        return Err(format!(
+            "move {}: {} does not serve alone yet",
+            step.id, intent.moves[index].from
+        ));
+    }
     let entry = &mut intent.moves[index];
     if !is_legal(entry, step) {
         return Err(format!(
@@ -252,6 +290,7 @@
         let (service, route, to) = (entry.service.clone(), entry.route.clone(), entry.to.clone());
         set_version(intent, &service, &route, to);
     }
+    withdraw_unreachable(intent, step.at);
     prune_ended(intent);
     Ok(())
 }
@@ -277,6 +316,38 @@
     }
 }
 
+/// Withdraws moves not begun whose old version neither serves nor is brought by an open move.
+fn withdraw_unreachable(intent: &mut Intent, at: Time) {
+    let find = |intent: &Intent| {
+        intent
+            .moves
+            .iter()
+            .position(|m| m.phase == Phase::Waiting && !is_reachable(intent, m))
+    };
+    // Each round may leave another move without the one that it follows.
+    while let Some(index) = find(intent) {
+        let entry = &mut intent.moves[index];
+        entry.phase = Phase::Cancelled;
+        entry.reason = format!("no move brings {} any more", entry.from);
+        entry.changed = at;
+    }
+}
+
+/// Whether the old version of a move serves or is brought by an open move before its start.
+fn is_reachable(intent: &Intent, entry: &Move) -> bool {
+    let serving = intent
+        .service(&entry.service)
+        .and_then(|service| service.route(&entry.route));
+    serving.is_some_and(|route| route.version == entry.from)
+        || intent.moves.iter().any(|other| {
+            !other.phase.is_ended()
+                && other.service == entry.service
+                && other.route == entry.route
+                && other.to == entry.from
+                && other.deadline <= entry.start
+        })
+}
+
 /// Sets the serving version of a route.
 fn set_version(intent: &mut Intent, service: &str, route: &str, version: Name) {
     let Ok(index) = intent.services.binary_search_by(|s| (*s.name).cmp(service)) else {
--- a/buckthorn_lab/src/flags.rs
+++ b/buckthorn_lab/src/flags.rs
@@ -15,6 +15,8 @@
         cmd demo {
             /// Deployment: fernleaf or otjiwarongo.
             optional --deployment deployment: String
+            /// File for the JSON.
+            optional --json json: PathBuf
         }
         /// Runs the stand-in of the platform's log.
         cmd log {
@@ -128,6 +130,10 @@
         }
         /// Measures convergence under message loss, deaths and log outages.
         cmd convergence {
+            /// Node counts, separated by commas.
+            optional --nodes nodes: String
+            /// Changes measured in each case.
+            optional --changes changes: u32
             /// Seed.
             optional --seed seed: u64
             /// File for the JSON.
