Eject hosts that fail from the path of a call

Change: each attempt's end is counted towards ejection (refusals as not run leave the host's standing, but for a backend server that cannot be reached); spill-over and panic choices are counted. Conclusion: hedging is still not wired, as no rule says when one starts.

--- a/buckthorn/src/proxy/dispatch.rs
+++ b/buckthorn/src/proxy/dispatch.rs
@@ -20,9 +20,11 @@
 use crate::admission::gate::Refusal;
 use crate::counter::Counter;
 use crate::name::Name;
+use crate::rollout::evidence::Outcome;
 use crate::routing::budget::{self, Budget, Inward, Layer, MAX_ATTEMPTS, Next};
-use crate::routing::choice::{Choice, choose};
+use crate::routing::choice::{self, Choice, choose};
 use crate::routing::load::Load;
+use crate::routing::outlier;
 use crate::routing::table::Endpoint;
 
 /// What came of one attempt.
@@ -147,7 +149,12 @@
     };
     let now = plane.clock.now();
     match choose(&table, route, now, tried, &mut rand::rng()) {
-        Choice::Endpoint(_, endpoint) => Ok(endpoint.clone()),
+        Choice::Endpoint(_, endpoint) => {
+            if let Some(counter) = choice::counter(&table, endpoint, now) {
+                plane.counters.hit(counter);
+            }
+            Ok(endpoint.clone())
+        }
         Choice::NoBackendServer => Err(Reason::Refused(Refusal::NoBackendServer)),
     }
 }
@@ -190,16 +197,26 @@
     } else {
         match send(plane, call, endpoint, left, request).await {
             Ok(response) => response,
-            Err(failure) => return failed(plane, failure),
+            Err(failure) => {
+                observe(plane, call, &endpoint.host, failure_outcome(&failure));
+                return failed(plane, failure);
+            }
         }
     };
     if let Some(permille) = told(&response) {
         endpoint.load.tell(permille);
     }
     if answer::is_refusal(&response) {
+        observe(plane, call, &endpoint.host, refusal_outcome(&response));
         return refused_by_owner(plane, response);
     }
-    let response = watch(plane, &method, in_flight, response);
+    let observer = Observer {
+        plane: plane.clone(),
+        call: call.clone(),
+        host: endpoint.host.clone(),
+        status: response.status(),
+    };
+    let response = watch(plane, &method, in_flight, observer, response);
     if call.is_idempotent && is_server_error(response.status()) {
         return Attempt::Failed(Failed {
             response,
@@ -210,6 +227,60 @@
     Attempt::Answered(response)
 }
 
+/// Counts the end of a call at a host towards its ejection.
+fn observe(plane: &Plane, call: &Call, host: &str, outcome: Outcome) {
+    let table = plane.table.load();
+    let now = plane.clock.now();
+    let verdict = outlier::observe(&table, &call.service, &call.path, host, outcome, now);
+    if let Some(counter) = verdict.counter() {
+        plane.counters.hit(counter);
+    }
+}
+
+/// What a failure on the hop says of the host.
+const fn failure_outcome(failure: &Failure) -> Outcome {
+    match failure {
+        Failure::NotRun(Reason::Unreachable) | Failure::Unknown(Reason::Reset) => Outcome::Reset,
+        Failure::Unknown(Reason::Timeout) => Outcome::Timeout,
+        // The node protects itself or its backend server, or the fault is this node's own.
+        Failure::NotRun(_) | Failure::Unknown(_) => Outcome::Cancelled,
+    }
+}
+
+/// What an owner's refusal says of its backend server.
+fn refusal_outcome(response: &Response<Body>) -> Outcome {
+    if answer::has_reason(response, Reason::Unreachable) {
+        return Outcome::Reset;
+    }
+    if answer::is_not_run(response) {
+        return Outcome::Shed;
+    }
+    if answer::has_reason(response, Reason::Timeout) {
+        return Outcome::Timeout;
+    }
+    Outcome::Reset
+}
+
+/// Counts the end of an answer towards the ejection of the host that gave it.
+struct Observer {
+    /// Path of a call.
+    plane: Arc<Plane>,
+    /// Call.
+    call: Call,
+    /// Host that answered.
+    host: Name,
+    /// Status of the answer.
+    status: StatusCode,
+}
+
+impl Observer {
+    /// Counts the end.
+    fn end(&self, ending: Ending) {
+        let outcome = owner::outcome(self.status, ending);
+        observe(&self.plane, &self.call, &self.host, outcome);
+    }
+}
+
 /// Whether a status says that another backend server may do better.
 fn is_server_error(status: StatusCode) -> bool {
     status.is_server_error()
@@ -297,6 +368,7 @@
     plane: &Arc<Plane>,
     method: &http::Method,
     in_flight: InFlight,
+    observer: Observer,
     response: Response<Body>,
 ) -> Response<Body> {
     let bounds = Bounds {
@@ -311,6 +383,7 @@
             Ending::Fault(_) => Counter::BrokenAnswers,
             Ending::Dropped => Counter::CallerGone,
         });
+        observer.end(ending);
         drop(in_flight);
     };
     answer::boxed(response.map(|body| Monitor::new(body, bounds, on_end)))
--- a/buckthorn/src/proxy/owner.rs
+++ b/buckthorn/src/proxy/owner.rs
@@ -315,7 +315,7 @@
 }
 
 /// Outcome of an answered call.
-fn outcome(status: StatusCode, ending: Ending) -> Outcome {
+pub(super) fn outcome(status: StatusCode, ending: Ending) -> Outcome {
     match ending {
         Ending::Dropped => Outcome::Cancelled,
         Ending::Fault(Fault::Idle) => Outcome::Timeout,
