Refuse whole a state that no fold gives

A version beyond the offset, a term at the end of its type or lists out of order then broke an invariant, or the searches, when a later record was applied. The records kept for peers were bounded in number but not in bytes, and each pull of an envelope got a batch of its own.

The tail keeps at most 8 MiB of payloads. One pull of an envelope is answered.

Conclusion: a buggy peer cannot install a state on which later records break an invariant. A well-formed lie further on is still believed.

--- /dev/null
+++ b/buckthorn/src/journal/check.rs
@@ -0,0 +1,167 @@
+//! What holds of every folded state, checked before one from a peer or the log is installed.
+//!
+//! A state that could not have come from a fold is refused as a whole: later records applied to it
+//! would break invariants or give another result than on the other nodes.
+
+use std::collections::BTreeMap;
+
+use super::amend::{check_name, check_route, check_service};
+use super::fold::{
+    MAX_ENDED_MOVES, MAX_FAILURE_DOMAINS, MAX_HISTORY, MAX_NAME_BYTES, MAX_OPEN_MOVES,
+    MAX_RECENT_IDS, MAX_ROUTES, MAX_SERVICES, MAX_TEXT_CHARS, State,
+};
+use crate::config::intent::{self, FULL_SHARE, Intent, Move, Phase, Service};
+
+/// Highest offset that a state may be at; a log that writes a million records a second takes 285
+/// years to get there.
+pub const MAX_OFFSET: u64 = 1 << 53;
+
+/// Checks a state as a whole.
+///
+/// # Errors
+///
+/// Says what could not have come from a fold.
+pub fn check(state: &State) -> Result<(), String> {
+    check_numbers(state)?;
+    check_lists(state)?;
+    let intent = &state.intent;
+    if state.version == 0 && *intent != Intent::default() {
+        return Err("an intent without a version".into());
+    }
+    check_services(&intent.services)?;
+    check_domains(intent)?;
+    check_moves(intent)
+}
+
+/// Checks offset, versions and lease.
+fn check_numbers(state: &State) -> Result<(), String> {
+    let lease = &state.lease;
+    if state.next > MAX_OFFSET {
+        return Err(format!("offset {} is beyond {MAX_OFFSET}", state.next));
+    }
+    if state.version > state.next || state.intent_version > state.version {
+        return Err(format!(
+            "version {} and intent version {} do not fit offset {}",
+            state.version, state.intent_version, state.next
+        ));
+    }
+    if lease.term > state.next || lease.holder.is_some() != (lease.term > 0) {
+        return Err(format!("term {} does not fit its holder", lease.term));
+    }
+    match &lease.holder {
+        Some(holder) => check_name("holder", holder, false),
+        None => Ok(()),
+    }
+}
+
+/// Checks the remembered identifiers and the history.
+fn check_lists(state: &State) -> Result<(), String> {
+    let is_long = |text: &str| text.len() > MAX_NAME_BYTES;
+    if state.recent.len() > MAX_RECENT_IDS || state.recent.iter().any(|id| is_long(id)) {
+        return Err("identifiers over their limit".into());
+    }
+    let history = &state.history;
+    let is_over = |text: &str, limit| text.chars().count() > limit;
+    let is_bounded = history.len() <= MAX_HISTORY
+        && history.iter().all(|entry| {
+            entry.offset < state.next
+                && !is_over(&entry.id, MAX_NAME_BYTES)
+                && !is_over(&entry.author, MAX_NAME_BYTES)
+                && !is_over(&entry.text, MAX_TEXT_CHARS)
+        });
+    if !is_bounded || !is_sorted(history.iter().map(|entry| entry.offset)) {
+        return Err("history over its limit or out of order".into());
+    }
+    Ok(())
+}
+
+/// Checks services and their routes.
+fn check_services(services: &[Service]) -> Result<(), String> {
+    if services.len() > MAX_SERVICES || !is_sorted(services.iter().map(|s| &s.name)) {
+        return Err("services over their limit or out of order".into());
+    }
+    for service in services {
+        check_service(&service.name)?;
+        let routes = &service.routes;
+        if routes.len() > MAX_ROUTES || !is_sorted(routes.iter().map(|r| &r.prefix)) {
+            return Err(format!(
+                "routes of {} over their limit or out of order",
+                service.name
+            ));
+        }
+        for route in routes {
+            check_route(&route.prefix)?;
+            check_name("version", &route.version, false)?;
+        }
+    }
+    Ok(())
+}
+
+/// Checks the failure domains.
+fn check_domains(intent: &Intent) -> Result<(), String> {
+    let domains = &intent.failure_domains;
+    if domains.len() > MAX_FAILURE_DOMAINS || !is_sorted(domains.iter().map(|d| &d.name)) {
+        return Err("failure domains over their limit or out of order".into());
+    }
+    domains.iter().try_for_each(|domain| {
+        check_name("failure domain", &domain.name, false)?;
+        check_name("region", &domain.region, false)
+    })
+}
+
+/// Checks the moves, and that at most one of a route is under way.
+fn check_moves(intent: &Intent) -> Result<(), String> {
+    let moves = &intent.moves;
+    let ended = moves.iter().filter(|m| m.phase.is_ended()).count();
+    if ended > MAX_ENDED_MOVES
+        || moves.len() - ended > MAX_OPEN_MOVES
+        || !is_sorted(moves.iter().map(|m| &m.id))
+    {
+        return Err("moves over their limit or out of order".into());
+    }
+    let mut active = BTreeMap::new();
+    for entry in moves {
+        check_move(intent, entry)?;
+        let route = (&entry.service, &entry.route);
+        if entry.phase.is_active() && active.insert(route, &entry.id).is_some() {
+            return Err(format!("move {}: another is under way", entry.id));
+        }
+    }
+    Ok(())
+}
+
+/// Checks one move.
+fn check_move(intent: &Intent, entry: &Move) -> Result<(), String> {
+    check_name("version", &entry.from, false)?;
+    check_name("version", &entry.to, false)?;
+    let (service, route) = (&entry.service, &entry.route);
+    let (from, to) = (&entry.from, &entry.to);
+    let id = intent::move_id(service, route, from, to, entry.start, entry.deadline);
+    let serving = intent
+        .service(service)
+        .and_then(|service| service.route(route));
+    let is_share_legal = match entry.phase {
+        Phase::Shifting | Phase::Holding => entry.share <= FULL_SHARE,
+        Phase::Watching | Phase::Done => entry.share == FULL_SHARE,
+        Phase::Waiting | Phase::TakenBack | Phase::Cancelled => entry.share == 0,
+    };
+    let is_from_serving =
+        !entry.phase.is_active() || serving.is_some_and(|route| route.version == entry.from);
+    let is_legal = entry.id == id
+        && serving.is_some()
+        && entry.deadline > entry.start
+        && from != to
+        && is_share_legal
+        && is_from_serving
+        && entry.reason.chars().count() <= MAX_TEXT_CHARS;
+    if is_legal {
+        Ok(())
+    } else {
+        Err(format!("move {id} contradicts itself or its route"))
+    }
+}
+
+/// Whether items strictly rise.
+fn is_sorted<T: Ord>(items: impl Iterator<Item = T>) -> bool {
+    items.is_sorted_by(|a, b| a < b)
+}
--- a/buckthorn/src/journal/checkpoint.rs
+++ b/buckthorn/src/journal/checkpoint.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use super::check::check;
 use super::fold::State;
 use super::record::Record;
 
@@ -19,10 +20,11 @@
     serde_json::to_string(state).expect("states encode as JSON")
 }
 
-/// Newest readable state among records of the checkpoint stream.
+/// Newest readable state among records of the checkpoint stream that passes [`check`].
 pub fn resume(records: &[Record]) -> Option<State> {
     records
         .iter()
         .rev()
-        .find_map(|record| serde_json::from_str(&record.payload).ok())
+        .filter_map(|record| serde_json::from_str(&record.payload).ok())
+        .find(|state| check(state).is_ok())
 }
--- a/buckthorn/src/journal/mod.rs
+++ b/buckthorn/src/journal/mod.rs
@@ -1,6 +1,7 @@
 //! The configuration stream of the platform's log and the state folded from it.
 
 pub mod amend;
+pub mod check;
 pub mod checkpoint;
 pub mod fold;
 pub mod lease;
--- a/buckthorn/src/journal/plugin.rs
+++ b/buckthorn/src/journal/plugin.rs
@@ -16,7 +16,7 @@
 use super::record::{
     self, Body, CHECKPOINT_STREAM, CONFIG_STREAM, Claim, Domain, LEASE_STREAM, Record, Renewal,
 };
-use super::tail::Answer;
+use super::tail::{Answer, Install};
 use crate::clock::Time;
 use crate::counter::Counter;
 use crate::kernel::{Action, Context, Event, LATEST, Plugin, Registry};
@@ -78,6 +78,8 @@
     was_holder: bool,
     /// Second in which snapshots were last sent, and how many.
     snapshots: (u64, u32),
+    /// Whether a pull of the envelope in hand was answered; one envelope has one.
+    is_pull_answered: bool,
 }
 
 /// Reads of one stream.
@@ -133,6 +135,7 @@
             Event::LogRead { stream, batch } => self.log_read(cx, stream, batch),
             Event::LogFailed { stream } => self.log_failed(cx, stream),
             Event::Received { from, messages } | Event::Answered { from, messages } => {
+                self.is_pull_answered = false;
                 for message in messages {
                     self.receive(cx, from, message);
                 }
@@ -276,6 +279,7 @@
             return;
         }
         if !batch.records.is_empty() {
+            cx.shared.counters.hit(Counter::SnapshotsRefused);
             // The newest checkpoint is no further on than this node: try the records again.
             self.search = Search::Idle;
             self.config.fail(cx.now, cx.rng.random());
@@ -316,8 +320,14 @@
             {
                 sync(cx);
             }
-            Message::Pull { from: offset } => self.answer_pull(cx, *offset),
-            Message::Snapshot(state) => self.install(cx, state),
+            Message::Pull { .. } if self.is_pull_answered => {
+                cx.shared.counters.hit(Counter::MessagesRefused);
+            }
+            Message::Pull { from: offset } => {
+                self.is_pull_answered = true;
+                self.answer_pull(cx, *offset);
+            }
+            Message::Snapshot(state) => self.install(cx, from, state),
             _ => {}
         }
     }
@@ -344,9 +354,14 @@
     }
 
     /// Installs a peer's state when it is further on.
-    fn install(&mut self, cx: &mut Context<'_>, state: &State) {
-        if !cx.shared.tail.install(state.clone()) {
+    fn install(&mut self, cx: &mut Context<'_>, from: &str, state: &State) {
+        let result = cx.shared.tail.install(state.clone());
+        if result != Install::Done {
             cx.shared.counters.hit(Counter::SnapshotsRefused);
+            if let Install::Invalid(what) = result {
+                let text = format!("snapshot of {from} refused: {what}");
+                cx.act(Action::Note { text });
+            }
             return;
         }
         cx.shared.counters.hit(Counter::SnapshotsInstalled);
--- a/buckthorn/src/journal/tail.rs
+++ b/buckthorn/src/journal/tail.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
+use super::check;
 use super::checkpoint;
 use super::fold::{Outcome, State};
 use super::record::Record;
@@ -13,6 +14,9 @@
 /// Bytes of records in one answer to a peer.
 pub const MAX_BATCH_BYTES: usize = 256 * 1024;
 
+/// Bytes of payloads kept for peers.
+pub const MAX_BYTES: usize = 8 * 1024 * 1024;
+
 /// State and recent records.
 #[derive(Clone, Debug, Default)]
 pub struct Tail {
@@ -20,6 +24,19 @@
     state: Arc<State>,
     /// Records before `state.next`, oldest first, without gaps.
     records: VecDeque<Record>,
+    /// Bytes of the payloads of `records`.
+    bytes: usize,
+}
+
+/// What came of a state that was to be installed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Install {
+    /// It is in place.
+    Done,
+    /// It is no further on than the one held.
+    Older,
+    /// It could not have come from a fold, and why.
+    Invalid(String),
 }
 
 /// What a node sends to one that lags behind.
@@ -53,32 +70,43 @@
                 .back()
                 .is_none_or(|last| last.offset < record.offset);
             if is_new {
+                self.bytes += record.payload.len();
                 self.records.push_back(record.clone());
             }
         }
-        if self.records.len() > MAX_RECORDS {
-            self.records.pop_front();
+        while self.records.len() > MAX_RECORDS || self.bytes > MAX_BYTES {
+            let dropped = self.records.pop_front();
+            self.bytes -= dropped.map_or(0, |record| record.payload.len());
         }
         outcome
     }
 
     /// Replaces the state by one that is further on.
     ///
-    /// Returns whether it did; an older or equal state is never installed.
-    pub fn install(&mut self, state: State) -> bool {
+    /// An older or equal state is never installed, nor one that could not have come from a fold.
+    pub fn install(&mut self, state: State) -> Install {
         if state.next <= self.state.next || state.version < self.state.version {
-            return false;
+            return Install::Older;
+        }
+        if let Err(what) = check::check(&state) {
+            return Install::Invalid(what);
         }
         self.records.clear();
+        self.bytes = 0;
         self.state = Arc::new(state);
-        true
+        Install::Done
+    }
+
+    /// Records kept for peers and the bytes of their payloads.
+    pub fn kept(&self) -> (usize, usize) {
+        (self.records.len(), self.bytes)
     }
 
     /// Goes on after a gap, from the newest readable record of the checkpoint stream.
     ///
     /// Returns whether a later state was installed.
     pub fn resume(&mut self, records: &[Record]) -> bool {
-        checkpoint::resume(records).is_some_and(|state| self.install(state))
+        checkpoint::resume(records).is_some_and(|state| self.install(state) == Install::Done)
     }
 
     /// What to send to a node whose next offset is `from`.
