Refuse peers' numbers that no node counts

Cause: counts of evidence and slots of members were summed as sent, so two large ones overflowed and stopped the node; an accusation from far in the future was never forgotten and 512 of them shut out true ones; routes of an owner grew with every partial report; an envelope could hold any number of messages, each with its own answer.

Change: evidence, accusations and members are checked for what a node can have counted, raised or announced, and passed over and counted as peer.refused otherwise, as are accusations for which there is no room. Sums stay at a highest count. An envelope of more than 64 messages is refused whole.

--- a/buckthorn/src/kernel/mod.rs
+++ b/buckthorn/src/kernel/mod.rs
@@ -12,7 +12,7 @@
 use rand_chacha::rand_core::SeedableRng;
 
 use crate::clock::Time;
-use crate::counter::Board;
+use crate::counter::{Board, Counter};
 use crate::journal::lease::Keeper;
 use crate::journal::tail::Tail;
 use crate::membership::member::{BackendServer, Member};
@@ -118,6 +118,9 @@
     },
 }
 
+/// Messages that one envelope may hold; one with more is refused whole.
+pub const MAX_MESSAGES: usize = 64;
+
 /// Interval of [`Event::Tick`].
 pub const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -276,6 +279,10 @@
 
     /// Lets every plug-in react to an event and returns what is to be done.
     pub fn handle(&mut self, now: Time, event: &Event) -> Vec<Action> {
+        if is_overfull(event) {
+            self.shared.counters.hit(Counter::MessagesRefused);
+            return Vec::new();
+        }
         let version = self.shared.tail.state().version;
         let mut actions = Vec::new();
         for plugin in &mut self.plugins {
@@ -294,3 +301,13 @@
         actions
     }
 }
+
+/// Whether an event brings more messages than an envelope may hold.
+fn is_overfull(event: &Event) -> bool {
+    match event {
+        Event::Received { messages, .. } | Event::Answered { messages, .. } => {
+            messages.len() > MAX_MESSAGES
+        }
+        _ => false,
+    }
+}
--- a/buckthorn/src/membership/plugin.rs
+++ b/buckthorn/src/membership/plugin.rs
@@ -6,6 +6,7 @@
 use rand::Rng;
 use rand::seq::IteratorRandom;
 
+use crate::admin::announcement::{MAX_CONNECTIONS, MAX_SLOTS};
 use crate::clock::Time;
 use crate::counter::Counter;
 use crate::journal::record::JOIN_STREAM;
@@ -646,7 +647,10 @@
             .iter()
             .all(|name| !name.is_empty() && name.len() <= MAX_NAME_BYTES)
         && member.backend_server.as_ref().is_none_or(|server| {
-            server.service.len() <= MAX_NAME_BYTES && server.version.len() <= MAX_NAME_BYTES
+            server.service.len() <= MAX_NAME_BYTES
+                && server.version.len() <= MAX_NAME_BYTES
+                && server.slots <= MAX_SLOTS
+                && server.connections <= MAX_CONNECTIONS
         })
 }
 
--- a/buckthorn/src/rollout/evidence.rs
+++ b/buckthorn/src/rollout/evidence.rs
@@ -17,6 +17,7 @@
 use serde::ser::SerializeSeq;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
+use crate::journal::fold::MAX_NAME_BYTES;
 use crate::name::{self, Name};
 
 /// Routes counted apart; calls on further routes are counted together.
@@ -37,6 +38,9 @@
 /// Outcomes counted, all but `Cancelled`.
 pub const OUTCOMES: usize = 6;
 
+/// Highest count that a report may hold, so that sums over a mesh fit their type.
+pub const MAX_COUNT: u64 = 1 << 40;
+
 /// Cumulative counts of one owner, since its node started.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
@@ -60,6 +64,17 @@
     pub routes: Vec<Tally>,
 }
 
+impl Report {
+    /// Whether an owner can have counted this: bounded names and counts, routes in order.
+    pub fn is_plausible(&self) -> bool {
+        let names = [&self.host, &self.service, &self.version];
+        names.iter().all(|name| name.len() <= MAX_NAME_BYTES)
+            && self.routes.len() <= MAX_ROUTES + 1
+            && self.routes.is_sorted_by(|a, b| a.route < b.route)
+            && self.routes.iter().all(Tally::is_plausible)
+    }
+}
+
 /// Cumulative counts of one route.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Tally {
@@ -100,6 +115,12 @@
         }
     }
 
+    /// Whether every count lies within [`MAX_COUNT`].
+    fn is_plausible(&self) -> bool {
+        let mut counts = self.outcomes.iter().chain(&self.buckets);
+        self.buckets.len() == BUCKETS && counts.all(|&count| count <= MAX_COUNT)
+    }
+
     /// Calls that ran.
     pub fn calls(&self) -> u64 {
         self.outcomes.iter().sum::<u64>() - self.shed()
@@ -131,13 +152,11 @@
         })
     }
 
-    /// Adds another tally.
+    /// Adds another tally; a sum stays at [`MAX_COUNT`] once it is there.
     pub fn add(&mut self, other: &Self) {
-        for (sum, count) in self.outcomes.iter_mut().zip(&other.outcomes) {
-            *sum += count;
-        }
-        for (sum, count) in self.buckets.iter_mut().zip(&other.buckets) {
-            *sum += count;
+        let sums = self.outcomes.iter_mut().zip(&other.outcomes);
+        for (sum, count) in sums.chain(self.buckets.iter_mut().zip(&other.buckets)) {
+            *sum = sum.saturating_add(*count).min(MAX_COUNT);
         }
     }
 
--- a/buckthorn/src/rollout/ledger.rs
+++ b/buckthorn/src/rollout/ledger.rs
@@ -15,7 +15,7 @@
 use crate::clock::Time;
 use crate::name::Name;
 
-use super::evidence::{Report, Tally};
+use super::evidence::{MAX_ROUTES, Report, Tally};
 
 /// Shortest window.
 pub const MIN_WINDOW: Duration = Duration::from_millis(400);
@@ -29,6 +29,9 @@
 /// Time after an owner's first call from which its backend server counts as warm.
 pub const WARM_TIME: Duration = Duration::from_secs(30);
 
+/// Routes remembered of one owner, more than one book of it holds.
+pub const MAX_OWNER_ROUTES: usize = 4 * MAX_ROUTES;
+
 /// Version of a move that an owner's backend server runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Side {
@@ -188,6 +191,7 @@
                 self.last[index] = tally.clone();
                 gained
             }
+            Err(_) if self.last.len() >= MAX_OWNER_ROUTES => return,
             Err(index) => {
                 self.last.insert(index, tally.clone());
                 tally.clone()
@@ -196,7 +200,7 @@
         if gained.calls() + gained.shed() == 0 {
             return;
         }
-        self.calls += gained.calls();
+        self.calls = self.calls.saturating_add(gained.calls());
         if !is_warm {
             gained.buckets.fill(0);
         }
--- a/buckthorn/src/rollout/plugin.rs
+++ b/buckthorn/src/rollout/plugin.rs
@@ -321,8 +321,19 @@
     /// Takes a message of another node in.
     fn receive(&mut self, cx: &mut Context<'_>, message: &Message) {
         match message {
+            Message::Evidence(report) if !report.is_plausible() => {
+                cx.shared.counters.hit(Counter::MessagesRefused);
+            }
             Message::Evidence(report) => self.take(cx, report),
-            Message::Accusations(accusations) => accuse(cx, accusations, false),
+            Message::Accusations(accusations) => {
+                let (plausible, others): (Vec<_>, Vec<_>) = accusations
+                    .iter()
+                    .cloned()
+                    .partition(|accusation| accusation.is_plausible(cx.now));
+                let refused = others.len() as u64;
+                cx.shared.counters.add(Counter::MessagesRefused, refused);
+                accuse(cx, &plausible, false);
+            }
             _ => {}
         }
     }
@@ -346,6 +357,8 @@
         .shared
         .quarantine
         .merge(accusations, &state.intent, is_alone);
+    let counters = &cx.shared.counters;
+    counters.add(Counter::MessagesRefused, merge.refused);
     for id in &merge.lowered {
         cx.act(Action::Note {
             text: format!("move {id}: share lowered to compare the versions"),
--- a/buckthorn/src/rollout/quarantine.rs
+++ b/buckthorn/src/rollout/quarantine.rs
@@ -15,7 +15,8 @@
 
 use crate::clock::Time;
 use crate::config::intent::{Intent, Move};
-use crate::journal::fold::COMPARISON_SHARE;
+use crate::journal::fold::{COMPARISON_SHARE, MAX_NAME_BYTES};
+use crate::membership::plugin::MAX_SKEW;
 use crate::name::{self, Name};
 
 /// Distinct accusing hosts that quarantine a version.
@@ -30,6 +31,9 @@
 /// Time for which accusations of a move that the intent does not hold are kept.
 pub const UNKNOWN_KEPT: Duration = Duration::from_secs(600);
 
+/// Length of a move's identifier in bytes: service, version, hash and what joins them.
+pub const MAX_ID_BYTES: usize = 2 * MAX_NAME_BYTES + 8;
+
 /// Length of a reason in characters.
 pub const MAX_REASON_CHARS: usize = 240;
 
@@ -62,6 +66,17 @@
     pub at: Time,
 }
 
+impl Accusation {
+    /// Whether a node can have raised this: bounded names, and a time that is not far ahead.
+    pub fn is_plausible(&self, now: Time) -> bool {
+        !self.id.is_empty()
+            && self.id.len() <= MAX_ID_BYTES
+            && !self.host.is_empty()
+            && self.host.len() <= MAX_NAME_BYTES
+            && self.at <= now + MAX_SKEW
+    }
+}
+
 /// Accusations held and the quarantines that follow from them.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
@@ -82,6 +97,8 @@
     pub entered: Vec<Name>,
     /// Moves whose share is now lowered.
     pub lowered: Vec<Name>,
+    /// Accusations for which there was no room.
+    pub refused: u64,
 }
 
 impl Quarantine {
@@ -132,6 +149,8 @@
         for accusation in accusations {
             if self.insert(accusation, intent) {
                 merge.fresh.push(accusation.clone());
+            } else if self.lacks_room(accusation) {
+                merge.refused += 1;
             }
         }
         let quorum = if is_alone { 1 } else { QUORUM };
@@ -151,6 +170,12 @@
         merge
     }
 
+    /// Whether an accusation is not held and there is no room for any more.
+    fn lacks_room(&self, accusation: &Accusation) -> bool {
+        self.accusations.len() >= MAX_ACCUSATIONS
+            && !self.of(&accusation.id).any(|a| a.host == accusation.host)
+    }
+
     /// Adds one accusation; says whether it was new.
     fn insert(&mut self, accusation: &Accusation, intent: &Intent) -> bool {
         let is_over = intent
--- a/buckthorn/src/rollout/trial.rs
+++ b/buckthorn/src/rollout/trial.rs
@@ -285,8 +285,9 @@
             let hosts: Vec<_> = new.iter().map(|(h, t)| (h.clone(), count(t))).collect();
             self.slow.take(Kind::Slow, &hosts, count(old), length);
         }
-        self.stage_new += new.iter().map(|(_, t)| t.calls()).sum::<u64>();
-        self.stage_old += old.calls();
+        let calls = new.iter().map(|(_, t)| t.calls()).sum();
+        self.stage_new = self.stage_new.saturating_add(calls);
+        self.stage_old = self.stage_old.saturating_add(old.calls());
         self.learn(old, length);
     }
 
--- /dev/null
+++ b/buckthorn/tests/input_message.rs
@@ -0,0 +1,669 @@
+//! Whatever a peer sends, a whole kernel goes on, keeps its bounds and counts what it refuses.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use buckthorn::clock::Time;
+use buckthorn::config::change::{Change, Operation};
+use buckthorn::config::intent::Phase;
+use buckthorn::counter::{Board, Counter};
+use buckthorn::journal::check;
+use buckthorn::journal::fold::State;
+use buckthorn::journal::lease::Lease;
+use buckthorn::journal::record::{self, Body, Claim, Domain, Record, Step};
+use buckthorn::journal::tail;
+use buckthorn::kernel::{Action, Event, Identity, Kernel, MAX_MESSAGES, Registry, TICK_INTERVAL};
+use buckthorn::membership::member::{BackendServer, Member, Status};
+use buckthorn::membership::plugin::MAX_MEMBERS;
+use buckthorn::name::Name;
+use buckthorn::node;
+use buckthorn::rollout::evidence::{BUCKETS, MAX_COUNT, MAX_ROUTES, OUTCOMES, Report, Tally};
+use buckthorn::rollout::quarantine::{Accusation, Degree, MAX_ACCUSATIONS};
+use buckthorn::routing::load;
+use buckthorn::routing::table::Table;
+use buckthorn::rpc::message::{Digest, Envelope, Message, Verdict};
+use proptest::prelude::*;
+use proptest::sample::select;
+use proptest::test_runner::RngSeed;
+
+/// Time at which the tests begin.
+const START: Time = Time::from_secs(1_700_000_000);
+
+/// Actions that any event may lead to besides those for each item of its messages.
+const BASE_ACTIONS: usize = 64;
+
+/// Actions that one item of a message may lead to.
+const ACTIONS_PER_ITEM: usize = 16;
+
+/// Member with a backend server.
+fn member(host: &str) -> Member {
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+    Member {
+        host: host.into(),
+        incarnation: START.0,
+        sequence: 0,
+        region: "bc-lower".into(),
+        failure_domain: "bc-lower-a".into(),
+        rpc: address,
+        hop: address,
+        status: Status::Alive,
+        backend_server: Some(BackendServer {
+            service: "card-desk".into(),
+            version: if host == "h1" { "v1" } else { "v2" }.into(),
+            slots: 10,
+            connections: 130,
+            is_draining: false,
+        }),
+    }
+}
+
+/// Record at an offset.
+fn record(offset: u64, payload: impl Into<Name>) -> Record {
+    Record {
+        offset,
+        id: format!("id-{offset}").into(),
+        payload: payload.into(),
+    }
+}
+
+/// One node under test.
+struct Bench {
+    /// Decision core.
+    kernel: Kernel,
+    /// Its counters.
+    counters: Arc<Board>,
+    /// Present time.
+    now: Time,
+    /// Loads of the routing table.
+    loads: load::Registry,
+    /// Move under way.
+    move_id: Name,
+}
+
+impl Bench {
+    /// Node that holds the lease and judges a move, with two peers.
+    fn new() -> Self {
+        let own = member("own");
+        let identity = Identity {
+            host: own.host,
+            incarnation: own.incarnation,
+            region: own.region,
+            failure_domain: own.failure_domain,
+            rpc: own.rpc,
+            hop: own.hop,
+            seeds: vec![own.rpc],
+        };
+        let counters = Arc::new(Board::new());
+        let mut registry = Registry::default();
+        node::register(&mut registry);
+        let mut bench = Self {
+            kernel: Kernel::new(identity, counters.clone(), 1, START, registry),
+            counters,
+            now: START,
+            loads: load::Registry::default(),
+            move_id: "".into(),
+        };
+        let members = Message::Members(vec![member("h1"), member("h2")]);
+        bench.answered(vec![members, Message::Records(history())]);
+        bench.move_id = bench.state().intent.moves[0].id.clone();
+        let step = Step {
+            term: 1,
+            id: bench.move_id.clone(),
+            phase: Phase::Shifting,
+            share: 50,
+            reason: "canary".into(),
+            at: START,
+        };
+        let step = record(bench.state().next, record::encode(Body::Step(step)));
+        bench.answered(vec![Message::Records(vec![step])]);
+        assert!(bench.state().intent.moves[0].phase.is_active());
+        bench.ticks(3);
+        bench
+    }
+
+    /// Folded state.
+    fn state(&self) -> &State {
+        self.kernel.shared().tail.state()
+    }
+
+    /// Count of a counter.
+    fn count(&self, counter: Counter) -> u64 {
+        self.counters.get(counter)
+    }
+
+    /// Hands an event over and checks every bound; `items` is the size of what it brings.
+    fn handle(&mut self, event: &Event, items: usize) -> Vec<Action> {
+        let actions = self.kernel.handle(self.now, event);
+        let shared = self.kernel.shared();
+        let bound = BASE_ACTIONS + ACTIONS_PER_ITEM * items;
+        assert!(
+            actions.len() <= bound,
+            "{} actions for {items} items",
+            actions.len()
+        );
+        assert!(shared.view.len() <= MAX_MEMBERS);
+        assert!(shared.quarantine.entries().len() <= MAX_ACCUSATIONS);
+        let (records, bytes) = shared.tail.kept();
+        assert!(records <= tail::MAX_RECORDS && bytes <= tail::MAX_BYTES);
+        assert_eq!(check::check(shared.tail.state()), Ok(()));
+        assert_eq!(shared.view.get("own"), Some(&shared.member));
+        if actions
+            .iter()
+            .any(|action| matches!(action, Action::Rebuild))
+        {
+            let identity = &shared.identity;
+            Table::build(
+                shared.tail.state(),
+                &shared.view,
+                &shared.quarantine,
+                &mut self.loads,
+                &identity.failure_domain,
+                &identity.region,
+            );
+        }
+        actions
+    }
+
+    /// Messages as the answer of a peer.
+    fn answered(&mut self, messages: Vec<Message>) -> Vec<Action> {
+        let items = messages.iter().map(items).sum();
+        let from = "h1".into();
+        self.handle(&Event::Answered { from, messages }, items)
+    }
+
+    /// Some beats.
+    fn ticks(&mut self, count: usize) {
+        for _ in 0..count {
+            self.now = self.now + TICK_INTERVAL;
+            self.handle(&Event::Tick, 0);
+        }
+    }
+
+    /// An envelope as a request or an answer, then some beats and a longer time.
+    fn exchange(&mut self, envelope: Envelope, is_answer: bool) {
+        let items = envelope.messages.iter().map(items).sum();
+        let Envelope { from, messages } = envelope;
+        let event = if is_answer {
+            Event::Answered { from, messages }
+        } else {
+            Event::Received { from, messages }
+        };
+        self.handle(&event, items);
+        self.ticks(6);
+    }
+}
+
+/// Records that serve a service, claim the lease and plan a move.
+fn history() -> Vec<Record> {
+    let domain = Domain {
+        name: "bc-lower-a".into(),
+        region: "bc-lower".into(),
+    };
+    let claim = Claim {
+        host: "own".into(),
+        replaces: 0,
+        at: START,
+    };
+    let change = Change {
+        base: 0,
+        author: "operator".into(),
+        at: START,
+        operations: vec![
+            Operation::Serve {
+                service: "card-desk".into(),
+                route: "".into(),
+                version: "v1".into(),
+            },
+            Operation::Move {
+                service: "card-desk".into(),
+                route: "".into(),
+                from: "v1".into(),
+                to: "v2".into(),
+                start: START,
+                deadline: START + Duration::from_secs(600),
+            },
+        ],
+    };
+    let bodies = [
+        Body::Domain(domain),
+        Body::Claim(claim),
+        Body::Change(change),
+    ];
+    (0..)
+        .zip(bodies)
+        .map(|(offset, body)| record(offset, record::encode(body)))
+        .collect()
+}
+
+/// Size of a message in items.
+fn items(message: &Message) -> usize {
+    1 + match message {
+        Message::Members(list) => list.len(),
+        Message::Verdicts(list) => list.len(),
+        Message::Records(list) => list.len(),
+        Message::Accusations(list) => list.len(),
+        _ => 0,
+    }
+}
+
+/// Name, often one that means something.
+fn any_name() -> impl Strategy<Value = Name> {
+    let known = select(vec![
+        "own",
+        "h1",
+        "h2",
+        "card-desk",
+        "v1",
+        "v2",
+        "bc-lower-a",
+        "",
+        "*",
+    ]);
+    prop_oneof![
+        8 => known.prop_map(Name::from),
+        1 => any::<String>().prop_map(Name::from),
+        1 => (100_usize..400).prop_map(|length| "n".repeat(length).into()),
+        1 => (0_u32..5_000).prop_map(|number| format!("x{number}").into()),
+    ]
+}
+
+/// Number, often at an edge.
+fn any_number() -> impl Strategy<Value = u64> {
+    let day = 24 * 3_600 * 1_000_000;
+    prop_oneof![
+        0_u64..12,
+        START.0 - 5..START.0 + 5,
+        select(vec![
+            START.0 + day,
+            1 << 32,
+            1 << 40,
+            1 << 53,
+            u64::MAX - 1,
+            u64::MAX
+        ]),
+        any::<u64>(),
+    ]
+}
+
+/// Member, often a lie about a known one.
+fn any_member() -> impl Strategy<Value = Member> {
+    let status = select(vec![
+        Status::Alive,
+        Status::Suspect,
+        Status::Dead,
+        Status::Left,
+    ]);
+    let server = prop::option::of((any_name(), any_name(), any::<u32>(), any::<bool>()));
+    let names = (any_name(), any_name(), any_name());
+    (names, any_number(), any_number(), status, server).prop_map(
+        |((host, region, failure_domain), incarnation, sequence, status, server)| Member {
+            host,
+            incarnation,
+            sequence,
+            region,
+            failure_domain,
+            status,
+            backend_server: server.map(|(service, version, slots, is_draining)| BackendServer {
+                service,
+                version,
+                slots,
+                connections: slots,
+                is_draining,
+            }),
+            ..member("")
+        },
+    )
+}
+
+/// Payload of a record, often one that can be read.
+fn any_payload() -> impl Strategy<Value = Name> {
+    let step =
+        (any_name(), any_number(), any::<u16>(), any_number()).prop_map(|(id, term, share, at)| {
+            Body::Step(Step {
+                term,
+                id,
+                phase: Phase::Watching,
+                share,
+                reason: "lie".into(),
+                at: Time(at),
+            })
+        });
+    let claim = (any_name(), any_number(), any_number()).prop_map(|(host, replaces, at)| {
+        Body::Claim(Claim {
+            host,
+            replaces,
+            at: Time(at),
+        })
+    });
+    let names = (any_name(), any_name(), any_name(), any_name());
+    let change = (names, any_number(), any_number(), any_number(), 0_u64..6).prop_map(
+        |((service, route, from, to), start, deadline, at, base)| {
+            let shift = Operation::Move {
+                service,
+                route,
+                from,
+                to,
+                start: Time(start),
+                deadline: Time(deadline),
+            };
+            Body::Change(Change {
+                base,
+                author: "liar".into(),
+                at: Time(at),
+                operations: vec![shift],
+            })
+        },
+    );
+    let domain =
+        (any_name(), any_name()).prop_map(|(name, region)| Body::Domain(Domain { name, region }));
+    let body = prop_oneof![step, claim, change, domain];
+    prop_oneof![
+        4 => body.prop_map(|body| record::encode(body).into()),
+        1 => any_number().prop_map(|schema| format!("{{\"schema\":{schema},\"body\":1}}").into()),
+        1 => any::<String>().prop_map(Name::from),
+    ]
+}
+
+/// State, most often nonsense.
+fn any_state() -> impl Strategy<Value = State> {
+    let numbers = prop::array::uniform4(any_number());
+    (numbers, prop::option::of(any_name()), any::<bool>()).prop_map(
+        |([next, version, intent_version, term], holder, is_folded)| {
+            let mut state = State::new();
+            if is_folded {
+                history().iter().for_each(|record| {
+                    state.apply(record);
+                });
+            }
+            State {
+                next,
+                version,
+                intent_version,
+                lease: Lease { term, holder },
+                ..state
+            }
+        },
+    )
+}
+
+/// Evidence of an owner, often of the move under way and often with absurd counts.
+fn any_report() -> impl Strategy<Value = Report> {
+    let counts = prop::array::uniform6(any_number());
+    let tally = (any_name(), counts, any_number()).prop_map(
+        |(route, outcomes, count): (Name, [u64; OUTCOMES], u64)| Tally {
+            route,
+            outcomes,
+            buckets: vec![count; BUCKETS],
+        },
+    );
+    let owner = prop_oneof![
+        4 => select(vec![("h1", "v1"), ("h2", "v2"), ("own", "v2")])
+            .prop_map(|(host, version)| (host.into(), "card-desk".into(), version.into())),
+        1 => (any_name(), any_name(), any_name()),
+    ];
+    let incarnation = prop_oneof![4 => Just(START.0), 1 => any_number()];
+    let routes = prop::collection::vec(tally, 0..4);
+    (owner, incarnation, any::<bool>(), routes, any::<bool>()).prop_map(
+        |((host, service, version), incarnation, is_partial, mut routes, is_sorted)| {
+            if is_sorted {
+                routes.sort_by(|a, b| a.route.cmp(&b.route));
+            }
+            Report {
+                host,
+                incarnation,
+                service,
+                version,
+                is_partial,
+                routes,
+            }
+        },
+    )
+}
+
+/// Any message.
+fn any_message() -> impl Strategy<Value = Message> {
+    let digest = || {
+        (prop::array::uniform3(any_number()), any::<bool>()).prop_map(
+            |([next, view, quarantine], is_synced)| Digest {
+                next,
+                view,
+                quarantine,
+                is_synced,
+            },
+        )
+    };
+    let verdict = (any_member(), any::<bool>()).prop_map(|(lie, is_known)| Verdict {
+        facts: if is_known { member("h1").facts() } else { 7 },
+        ..lie.verdict()
+    });
+    let records = (0_u64..9, any_number(), any_payload()).prop_map(|(low, high, payload)| {
+        let offset = if high % 3 == 0 { high } else { low };
+        record(offset, payload)
+    });
+    let accusation = (any_name(), any_name(), any::<bool>(), any_number()).prop_map(
+        |(id, host, is_doubt, at)| Accusation {
+            id,
+            host,
+            degree: if is_doubt {
+                Degree::Doubt
+            } else {
+                Degree::Fault
+            },
+            reason: "lie".into(),
+            at: Time(at),
+        },
+    );
+    let list = || 0..6;
+    prop_oneof![
+        1 => digest().prop_map(Message::Ping),
+        1 => digest().prop_map(Message::Ack),
+        1 => any_name().prop_map(|host| Message::PingRequest { host }),
+        1 => (any_name(), any::<bool>())
+            .prop_map(|(host, is_alive)| Message::PingResult { host, is_alive }),
+        1 => prop::collection::vec(any_member(), list()).prop_map(Message::Members),
+        1 => prop::collection::vec(verdict, list()).prop_map(Message::Verdicts),
+        1 => prop::collection::vec(any_number(), 60..68).prop_map(Message::Buckets),
+        1 => prop::collection::vec(any::<u16>(), 0..200).prop_map(Message::WantBuckets),
+        1 => any_member().prop_map(Message::Join),
+        1 => prop::collection::vec(records, list()).prop_map(Message::Records),
+        1 => any_number().prop_map(|from| Message::Pull { from }),
+        1 => any_state().prop_map(|state| Message::Snapshot(Arc::new(state))),
+        1 => Just(Message::Busy),
+        1 => prop::collection::vec(accusation, list()).prop_map(Message::Accusations),
+        4 => any_report().prop_map(Message::Evidence),
+        1 => any_number().prop_map(|version| Message::Applied { version }),
+    ]
+}
+
+/// Any envelope.
+fn any_envelope() -> impl Strategy<Value = Envelope> {
+    (any_name(), prop::collection::vec(any_message(), 0..8))
+        .prop_map(|(from, messages)| Envelope { from, messages })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(43),
+        ..ProptestConfig::default()
+    })]
+
+    /// Envelopes that lie are decoded and handed over; the node goes on within its bounds.
+    #[test]
+    fn any_envelope_leaves_the_node_within_its_bounds(
+        exchanges in prop::collection::vec((any_envelope(), any::<bool>()), 1..6),
+        pause in 0_u64..4_000,
+    ) {
+        let mut bench = Bench::new();
+        for (envelope, is_answer) in exchanges {
+            let text = serde_json::to_vec(&envelope).unwrap();
+            let decoded: Envelope = serde_json::from_slice(&text).unwrap();
+            bench.exchange(decoded, is_answer);
+        }
+        bench.now = bench.now + Duration::from_secs(pause);
+        bench.ticks(20);
+    }
+
+    /// Bytes that were changed on their way are an error or an envelope like any other.
+    #[test]
+    fn any_bytes_are_an_envelope_or_an_error(
+        envelope in any_envelope(),
+        changes in prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 0..4),
+        noise in prop::collection::vec(any::<u8>(), 0..100),
+    ) {
+        prop_assert!(serde_json::from_slice::<Envelope>(&noise).is_err());
+        let mut bytes = serde_json::to_vec(&envelope).unwrap();
+        for (index, byte) in changes {
+            let index = index.index(bytes.len());
+            bytes[index] = byte;
+        }
+        if let Ok(envelope) = serde_json::from_slice(&bytes) {
+            Bench::new().exchange(envelope, false);
+        }
+    }
+}
+
+/// Evidence of an owner of the new version.
+fn report(routes: Vec<Tally>) -> Report {
+    Report {
+        host: "h2".into(),
+        incarnation: START.0,
+        service: "card-desk".into(),
+        version: "v2".into(),
+        is_partial: false,
+        routes,
+    }
+}
+
+/// Counts of a route, each alike.
+fn tally(route: &str, count: u64) -> Tally {
+    Tally {
+        route: route.into(),
+        outcomes: [count; OUTCOMES],
+        buckets: vec![count; BUCKETS],
+    }
+}
+
+#[test]
+fn an_overfull_envelope_is_refused_whole() {
+    let mut bench = Bench::new();
+    let pull = Message::Pull { from: 0 };
+    let actions = bench.answered(vec![pull; MAX_MESSAGES + 1]);
+    assert!(actions.is_empty(), "{actions:?}");
+    assert_eq!(bench.count(Counter::MessagesRefused), 1);
+}
+
+#[test]
+fn one_pull_of_an_envelope_is_answered() {
+    let mut bench = Bench::new();
+    let actions = bench.answered(vec![Message::Pull { from: 0 }; 5]);
+    let replies = actions
+        .iter()
+        .filter(|action| matches!(action, Action::Reply(_)));
+    assert_eq!(replies.count(), 1);
+    assert_eq!(bench.count(Counter::MessagesRefused), 4);
+}
+
+#[test]
+fn evidence_that_no_owner_counted_is_refused() {
+    let mut bench = Bench::new();
+    let many = (0..=MAX_ROUTES + 1).map(|i| tally(&format!("/{i:04}"), 1));
+    let short = Tally {
+        buckets: vec![1],
+        ..tally("/", 1)
+    };
+    let lies = [
+        report(vec![tally("/", u64::MAX)]),
+        report(vec![tally("/", MAX_COUNT + 1)]),
+        report(vec![tally("/b", 1), tally("/a", 1)]),
+        report(many.collect()),
+        report(vec![short]),
+        Report {
+            host: "h".repeat(200).into(),
+            ..report(Vec::new())
+        },
+    ];
+    for (refused, lie) in (1..).zip(lies) {
+        bench.answered(vec![Message::Evidence(lie)]);
+        assert_eq!(bench.count(Counter::MessagesRefused), refused);
+    }
+}
+
+#[test]
+fn the_highest_counts_over_and_over_overflow_nothing() {
+    let mut bench = Bench::new();
+    for round in 0..60 {
+        let count = if round % 2 == 0 { 0 } else { MAX_COUNT };
+        for (host, version) in [("h1", "v1"), ("h2", "v2")] {
+            let lie = Report {
+                host: host.into(),
+                version: version.into(),
+                ..report(vec![tally("/", count), tally("/a", count)])
+            };
+            bench.answered(vec![Message::Evidence(lie)]);
+        }
+        bench.ticks(3);
+    }
+    assert_eq!(bench.count(Counter::MessagesRefused), 0);
+    let mut sum = tally("/", MAX_COUNT);
+    sum.add(&tally("/", u64::MAX));
+    assert_eq!(sum, tally("/", MAX_COUNT));
+}
+
+#[test]
+fn accusations_that_no_node_raised_are_refused() {
+    let accuse = |id: &str, host: &str, at: Time| Accusation {
+        id: id.into(),
+        host: host.into(),
+        degree: Degree::Fault,
+        reason: "lie".into(),
+        at,
+    };
+    let mut bench = Bench::new();
+    let lies = vec![
+        accuse("m", "h1", Time(u64::MAX)),
+        accuse("", "h1", START),
+        accuse("m", "", START),
+        accuse(&"m".repeat(300), "h1", START),
+        accuse("m", &"h".repeat(200), START),
+    ];
+    bench.answered(vec![Message::Accusations(lies)]);
+    assert!(bench.kernel.shared().quarantine.entries().is_empty());
+    assert_eq!(bench.count(Counter::MessagesRefused), 5);
+    let many = (0..=MAX_ACCUSATIONS).map(|i| accuse(&format!("m{i}"), "h1", START));
+    bench.answered(vec![Message::Accusations(many.collect())]);
+    assert_eq!(
+        bench.kernel.shared().quarantine.entries().len(),
+        MAX_ACCUSATIONS
+    );
+    assert_eq!(bench.count(Counter::MessagesRefused), 6);
+}
+
+#[test]
+fn a_member_with_more_slots_than_can_be_announced_is_refused() {
+    let mut bench = Bench::new();
+    let lies = ["h3", "h4"].map(|host| {
+        let mut lie = member(host);
+        lie.backend_server.as_mut().unwrap().slots = u32::MAX;
+        lie
+    });
+    bench.answered(vec![Message::Members(lies.to_vec())]);
+    bench.ticks(3);
+    assert!(bench.kernel.shared().view.get("h3").is_none());
+    assert_eq!(bench.count(Counter::MessagesRefused), 2);
+}
+
+#[test]
+fn records_kept_for_peers_are_bounded_in_bytes() {
+    let mut bench = Bench::new();
+    let payload: Name = "x".repeat(200_000).into();
+    for _ in 0..60 {
+        let next = bench.state().next;
+        bench.answered(vec![Message::Records(vec![record(next, payload.clone())])]);
+    }
+    let (records, bytes) = bench.kernel.shared().tail.kept();
+    assert!(records < 60 && bytes <= tail::MAX_BYTES);
+    assert_eq!(bench.count(Counter::RecordsRefused), 60);
+}
