Read numbers in headers as their grammars have them

Cause: a wait of more microseconds than fit was cut to its low bits, so that a very long deadline became a very short one; signs were taken in lengths, attempts and urgencies; of several urgencies the first counted and of several idempotency keys the first was taken.

Change: durations saturate when added to a time; numbers are digits only; the last urgency counts (RFC 8941, section 3.2); two idempotency keys are refused as malformed. Times that no calendar holds are shown in microseconds.

Conclusion: a longer wait never means an earlier deadline.

--- a/buckthorn/src/clock.rs
+++ b/buckthorn/src/clock.rs
@@ -42,7 +42,7 @@
     type Output = Self;
 
     fn add(self, rhs: Duration) -> Self {
-        Self(self.0.saturating_add(rhs.as_micros() as u64))
+        Self(self.0.saturating_add(micros(rhs)))
     }
 }
 
@@ -50,19 +50,27 @@
     type Output = Self;
 
     fn sub(self, rhs: Duration) -> Self {
-        Self(self.0.saturating_sub(rhs.as_micros() as u64))
+        Self(self.0.saturating_sub(micros(rhs)))
     }
 }
 
 impl fmt::Display for Time {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match jiff::Timestamp::from_microsecond(self.0 as i64) {
-            Ok(stamp) => write!(f, "{stamp:.3}"),
-            Err(_) => write!(f, "{}us", self.0),
+        let stamp = i64::try_from(self.0)
+            .ok()
+            .and_then(|micros| jiff::Timestamp::from_microsecond(micros).ok());
+        match stamp {
+            Some(stamp) => write!(f, "{stamp:.3}"),
+            None => write!(f, "{}us", self.0),
         }
     }
 }
 
+/// Whole microseconds of a duration, the most that a time holds when there are more.
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
+
 /// Wall clock that never steps backwards within one process.
 #[derive(Clone, Debug)]
 pub struct Clock {
--- a/buckthorn/src/proxy/header.rs
+++ b/buckthorn/src/proxy/header.rs
@@ -38,6 +38,9 @@
 /// Prefix of every header that is the system's own.
 pub const PREFIX: &str = "x-buckthorn-";
 
+/// Urgency of the calls that go last (RFC 9218, section 4.1).
+const LOWEST_URGENCY: Urgency = 7;
+
 /// Longest accepted idempotency key in bytes.
 pub const MAX_KEY_BYTES: usize = 255;
 
@@ -120,9 +123,13 @@
             return Err("tunnels and upgrades are not carried");
         }
         let remaining = number(&parts.headers, DEADLINE)?;
-        let key = match parts.headers.get(IDEMPOTENCY_KEY) {
-            None => None,
-            Some(value) => Some(parse_key(value).ok_or("the idempotency key is malformed")?),
+        let mut keys = parts.headers.get_all(IDEMPOTENCY_KEY).iter();
+        let key = match (keys.next(), keys.next()) {
+            (None, _) => None,
+            (Some(value), None) => {
+                Some(parse_key(value).ok_or("the idempotency key is malformed")?)
+            }
+            (Some(_), Some(_)) => return Err("more than one idempotency key is named"),
         };
         let wait = remaining.map_or(call_timeout, Duration::from_millis);
         Ok(Self {
@@ -161,14 +168,17 @@
 
 /// Urgency by RFC 9218, section 4.1; the default when absent or malformed.
 pub fn urgency(headers: &HeaderMap) -> Urgency {
-    let Some(value) = headers.get(PRIORITY).and_then(|v| v.to_str().ok()) else {
-        return DEFAULT_URGENCY;
-    };
-    value
-        .split(',')
-        .find_map(|item| item.trim().strip_prefix("u="))
-        .and_then(|digits| digits.split(';').next()?.trim().parse().ok())
-        .filter(|urgency| *urgency <= 7)
+    // Of several members with one key the last counts (RFC 8941, section 3.2).
+    let last = headers
+        .get_all(PRIORITY)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|item| item.trim().strip_prefix("u="))
+        .next_back();
+    last.and_then(|value| whole(value.split(';').next()?.trim_end()))
+        .and_then(|number| Urgency::try_from(number).ok())
+        .filter(|urgency| *urgency <= LOWEST_URGENCY)
         .unwrap_or(DEFAULT_URGENCY)
 }
 
@@ -187,10 +197,16 @@
     let Some(value) = headers.get(name) else {
         return Ok(None);
     };
-    let parsed = value.to_str().ok().and_then(|text| text.parse().ok());
+    let parsed = value.to_str().ok().and_then(whole);
     parsed.map(Some).ok_or("a header is not a whole number")
 }
 
+/// Whole number written in digits only, as no header's grammar allows a sign.
+fn whole(text: &str) -> Option<u64> {
+    let is_digits = text.bytes().all(|byte| byte.is_ascii_digit());
+    is_digits.then(|| text.parse().ok()).flatten()
+}
+
 /// Whole number in a header of the system's own, `None` when absent or malformed.
 pub fn own(headers: &HeaderMap, name: &str) -> Option<u64> {
     number(headers, name).ok().flatten()
