Refuse a shared secret that no header carries

Cause: a secret with line breaks, other control characters, letters beyond ASCII or spaces at its ends passed the settings, though headers refuse or trim it: the start failed without naming the setting, and a previous secret of that kind was never matched.

Change: secrets are printable ASCII without spaces at the ends; the expectation in the help and the error says so. The value still enters no error.

Conclusion: a secret that is accepted can be presented.

--- a/buckthorn/src/node/settings.rs
+++ b/buckthorn/src/node/settings.rs
@@ -131,13 +131,13 @@
     entry(
         "secret",
         "BUCKTHORN_SECRET",
-        "at least 16 bytes; environment only",
+        "at least 16 bytes of printable ASCII; environment only",
         None,
     ),
     entry(
         "previous-secret",
         "BUCKTHORN_SECRET_PREVIOUS",
-        "at least 16 bytes, or empty; environment only",
+        "at least 16 bytes of printable ASCII, or empty; environment only",
         Some(""),
     ),
     entry(
@@ -326,7 +326,7 @@
     fn secret(&self, flag: &str) -> Result<Option<String>, Error> {
         match self.value(flag) {
             Some(text) if text.is_empty() => Ok(None),
-            Some(text) if text.len() < MIN_SECRET_BYTES => Err(self.error(flag, "")),
+            Some(text) if !is_secret(&text) => Err(self.error(flag, "")),
             other => Ok(other),
         }
     }
@@ -369,6 +369,12 @@
     }
 }
 
+/// Whether a text can serve as a secret: long enough, and carried unchanged by a header.
+fn is_secret(text: &str) -> bool {
+    let is_printable = text.bytes().all(|byte| matches!(byte, b' '..=b'~'));
+    text.len() >= MIN_SECRET_BYTES && is_printable && text.trim() == text
+}
+
 /// Entry of a flag.
 fn find(flag: &str) -> &'static Entry {
     ENTRIES
