--- a/buckthorn/tests/input_message.rs
+++ b/buckthorn/tests/input_message.rs
@@ -465,6 +465,7 @@
         1 => prop::collection::vec(verdict, list()).prop_map(Message::Verdicts),
         1 => prop::collection::vec(any_number(), 60..68).prop_map(Message::Buckets),
         1 => prop::collection::vec(any::<u16>(), 0..200).prop_map(Message::WantBuckets),
+        1 => prop::collection::vec(any_name(), 0..200).prop_map(Message::WantMembers),
         1 => any_member().prop_map(Message::Join),
         1 => prop::collection::vec(records, list()).prop_map(Message::Records),
         1 => any_number().prop_map(|from| Message::Pull { from }),
