--- a/buckthorn/src/rollout/evidence.rs
+++ b/buckthorn/src/rollout/evidence.rs
@@ -21,7 +21,7 @@
 use crate::name::{self, Name};
 
 /// Routes counted apart; calls on further routes are counted together.
-pub const MAX_ROUTES: usize = 32;
+pub const MAX_ROUTES: usize = 8;
 
 /// Name under which the routes over the limit are counted together.
 pub const OTHER_ROUTES: &str = "*";
@@ -66,7 +66,7 @@
 
 impl Report {
     /// Whether an owner can have counted this: bounded names and counts, routes in order.
-    pub fn is_plausible(&self) -> bool {
+    pub fn is_sound(&self) -> bool {
         let names = [&self.host, &self.service, &self.version];
         names.iter().all(|name| name.len() <= MAX_NAME_BYTES)
             && self.routes.len() <= MAX_ROUTES + 1
@@ -352,7 +352,7 @@
                 let short = || serde::de::Error::custom("counts end early");
                 let mut tally = Tally::new(seq.next_element()?.ok_or_else(short)?);
                 for count in &mut tally.outcomes {
-                    *count = seq.next_element()?.ok_or_else(short)?;
+                    *count = bounded(seq.next_element()?.ok_or_else(short)?)?;
                 }
                 let mut index: usize = seq.next_element()?.ok_or_else(short)?;
                 while let Some(count) = seq.next_element()? {
@@ -360,7 +360,7 @@
                         .buckets
                         .get_mut(index)
                         .ok_or_else(|| serde::de::Error::custom("more buckets than there are"))?;
-                    *slot = count;
+                    *slot = bounded(count)?;
                     index += 1;
                 }
                 Ok(tally)
@@ -370,3 +370,11 @@
         deserializer.deserialize_seq(Counts)
     }
 }
+
+/// Count from the wire, if it is in bounds.
+fn bounded<E: serde::de::Error>(count: u64) -> Result<u64, E> {
+    if count > MAX_COUNT {
+        return Err(E::custom("count out of bounds"));
+    }
+    Ok(count)
+}
