--- a/buckthorn/src/membership/word.rs
+++ b/buckthorn/src/membership/word.rs
@@ -3,6 +3,7 @@
 //! Only a host raises its own sequence. A claim of a higher rank by others is refuted by a higher
 //! one still, and an older claim is answered with the present word.
 
+use crate::admin::announcement::{MAX_CONNECTIONS, MAX_SLOTS};
 use crate::clock::Time;
 use crate::counter::Counter;
 use crate::kernel::Context;
@@ -167,6 +168,9 @@
             .iter()
             .all(|name| !name.is_empty() && name.len() <= MAX_NAME_BYTES)
         && member.backend_server.as_ref().is_none_or(|server| {
-            server.service.len() <= MAX_NAME_BYTES && server.version.len() <= MAX_NAME_BYTES
+            server.service.len() <= MAX_NAME_BYTES
+                && server.version.len() <= MAX_NAME_BYTES
+                && server.slots <= MAX_SLOTS
+                && server.connections <= MAX_CONNECTIONS
         })
 }
