Keep the shared secrets in one module

Cause: the data path and the control protocol each had a type for the same secrets and their rotation. Change: secret::Secrets serves both and the operators' page; no change of behaviour. Conclusion: one comparison in constant time, in one place.

--- a/buckthorn/src/admin/server.rs
+++ b/buckthorn/src/admin/server.rs
@@ -23,7 +23,7 @@
 
 use super::{Announcement, Handler, Refusal, announcement};
 use crate::counter::{Board, Counter};
-use crate::proxy::secret::Secrets;
+use crate::secret::Secrets;
 
 /// Connections at once; more wait until one ends.
 pub const MAX_CONNECTIONS: usize = 64;
@@ -189,8 +189,7 @@
         Access::Secret(secrets) => request
             .headers()
             .get(AUTHORIZATION)
-            .and_then(|value| value.as_bytes().strip_prefix(b"Bearer "))
-            .is_some_and(|offered| secrets.accepts(offered)),
+            .is_some_and(|value| secrets.accepts_bearer(value.as_bytes())),
     }
 }
 
--- a/buckthorn/src/lib.rs
+++ b/buckthorn/src/lib.rs
@@ -23,3 +23,4 @@
 pub mod rollout;
 pub mod routing;
 pub mod rpc;
+pub mod secret;
--- a/buckthorn/src/node/mod.rs
+++ b/buckthorn/src/node/mod.rs
@@ -33,9 +33,9 @@
 use crate::kernel::{Event, Identity, Kernel, Registry};
 use crate::platform::client::Client;
 use crate::proxy::limit::Limits;
-use crate::proxy::secret::Secrets;
 use crate::proxy::{Drained, Plane};
 use crate::routing::table::Table;
+use crate::secret::Secrets;
 use crate::{journal, membership, name, proxy, rollout, rpc};
 
 /// Inputs that may wait for the kernel's thread.
@@ -134,16 +134,16 @@
             let plane = plane(settings, &path);
             let callers = tokio::net::TcpListener::from_std(callers)?;
             let hop = tokio::net::TcpListener::from_std(hop)?;
-            let secret = secret(settings);
+            let secrets = secrets(settings);
             let client = rpc::client::Client::new(
-                &secret,
+                &secrets,
                 rpc::client::Timeouts::default(),
                 counters.clone(),
             )?;
             let rpc = rpc::server::serve(
                 settings.host.clone(),
                 control,
-                secret,
+                secrets,
                 rpc::server::Limits::default(),
                 counters.clone(),
                 inbound,
@@ -294,17 +294,12 @@
     Arc::new(plane)
 }
 
-/// Secrets of the data path and the operators' page.
+/// Secrets shared by the nodes.
 fn secrets(settings: &Settings) -> Secrets {
     let previous = settings.previous_secret.as_deref().map(Arc::from);
     Secrets::new(settings.secret.as_str(), previous)
 }
 
-/// Secret of the control protocol.
-fn secret(settings: &Settings) -> rpc::secret::Secret {
-    rpc::secret::Secret::new(&settings.secret).with_previous(settings.previous_secret.clone())
-}
-
 /// Asks the kernel's thread for the status.
 fn inspect(inputs: &Sender<Input>) -> Option<Status> {
     let (sender, receiver) = channel::bounded(1);
--- a/buckthorn/src/proxy/hop.rs
+++ b/buckthorn/src/proxy/hop.rs
@@ -23,8 +23,8 @@
 use super::body::{self, Body};
 use super::header::{DEADLINE, PART, Part, SECRET};
 use super::limit::Limits;
-use super::secret::Secrets;
 use crate::counter::{Board, Counter};
+use crate::secret::Secrets;
 
 /// Peers remembered; beyond this, those without a connection are forgotten.
 const MAX_PEERS: usize = 1_024;
--- a/buckthorn/src/proxy/mod.rs
+++ b/buckthorn/src/proxy/mod.rs
@@ -28,7 +28,6 @@
 pub mod payload;
 pub mod pool;
 pub mod resume;
-pub mod secret;
 pub mod socket;
 
 use std::sync::Arc;
@@ -47,7 +46,7 @@
 
 use self::limit::Limits;
 use self::owner::Owner;
-use self::secret::Secrets;
+use crate::secret::Secrets;
 
 /// Everything that the path of a call reads.
 #[derive(Debug)]
--- a/buckthorn/src/rpc/client.rs
+++ b/buckthorn/src/rpc/client.rs
@@ -16,10 +16,10 @@
 use crate::counter::{Board, Counter};
 
 use super::message::Envelope;
-use super::secret::Secret;
 use super::{
     FRAME_BYTES, MAX_MESSAGE_BYTES, METHOD, REQUEST_HEADER_BYTES, RESPONSE_HEADER_BYTES, depth,
 };
+use crate::secret::Secrets;
 
 /// Peers to which connections are kept.
 pub const MAX_PEERS: usize = 32;
@@ -79,13 +79,17 @@
 }
 
 impl Client {
-    /// Client that presents a secret.
+    /// Client that presents the current secret.
     ///
     /// # Errors
     ///
     /// Fails when the secret does not fit a header.
-    pub fn new(secret: &Secret, timeouts: Timeouts, counters: Arc<Board>) -> anyhow::Result<Self> {
-        let mut value = HeaderValue::from_str(&secret.header())
+    pub fn new(
+        secrets: &Secrets,
+        timeouts: Timeouts,
+        counters: Arc<Board>,
+    ) -> anyhow::Result<Self> {
+        let mut value = HeaderValue::from_str(&secrets.bearer())
             .context("the shared secret holds characters that no header takes")?;
         value.set_sensitive(true);
         let mut headers = HeaderMap::new();
--- a/buckthorn/src/rpc/mod.rs
+++ b/buckthorn/src/rpc/mod.rs
@@ -6,7 +6,6 @@
 pub mod client;
 pub mod depth;
 pub mod message;
-pub mod secret;
 pub mod server;
 
 /// Name of the only method.
--- a/buckthorn/src/rpc/server.rs
+++ b/buckthorn/src/rpc/server.rs
@@ -25,8 +25,8 @@
 use crate::counter::{Board, Counter};
 
 use super::message::{Envelope, Message};
-use super::secret::Secret;
 use super::{MAX_MESSAGE_BYTES, METHOD, RESPONSE_HEADER_BYTES, depth};
+use crate::secret::Secrets;
 
 /// Silence after which a connection is closed, and the longest that headers may take.
 pub const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -92,7 +92,7 @@
 /// What every request needs.
 struct Shared {
     /// Accepted secrets.
-    secret: Secret,
+    secrets: Secrets,
     /// Bounds.
     limits: Limits,
     /// Counters.
@@ -111,7 +111,7 @@
 pub fn serve(
     host: crate::name::Name,
     listener: TcpListener,
-    secret: Secret,
+    secrets: Secrets,
     limits: Limits,
     counters: Arc<Board>,
     inbound: crossbeam::channel::Sender<Inbound>,
@@ -120,7 +120,7 @@
     let address = listener.local_addr()?;
     let listener = tokio::net::TcpListener::from_std(listener)?;
     let shared = Arc::new(Shared {
-        secret,
+        secrets,
         limits,
         counters,
         inbound,
@@ -261,7 +261,7 @@
     let is_accepted = request
         .headers()
         .get(http::header::AUTHORIZATION)
-        .is_some_and(|value| shared.secret.accepts(value.as_bytes()));
+        .is_some_and(|value| shared.secrets.accepts_bearer(value.as_bytes()));
     if !is_accepted {
         counters.hit(Counter::RefusedUnauthenticated);
         return plain(http::StatusCode::UNAUTHORIZED);
--- a/buckthorn/src/proxy/secret.rs
+++ b/buckthorn/src/secret.rs
@@ -1,10 +1,14 @@
-//! Secrets shared by the nodes, compared in constant time.
+//! Secrets shared by the nodes, compared in constant time; the previous one is accepted while
+//! nodes change over.
 
 use std::fmt;
 use std::sync::Arc;
 
 use subtle::ConstantTimeEq;
 
+/// Scheme of the authorization header (RFC 6750).
+const BEARER: &str = "Bearer ";
+
 /// The secret in use and, during a rotation, the one before it.
 #[derive(Clone)]
 pub struct Secrets {
@@ -28,6 +32,18 @@
         &self.current
     }
 
+    /// Value of the authorization header that this node presents.
+    pub fn bearer(&self) -> String {
+        format!("{BEARER}{}", self.current)
+    }
+
+    /// Whether the value of an authorization header holds an accepted secret.
+    pub fn accepts_bearer(&self, header: &[u8]) -> bool {
+        header
+            .strip_prefix(BEARER.as_bytes())
+            .is_some_and(|offered| self.accepts(offered))
+    }
+
     /// Whether an offered secret is accepted; takes the same time for any secret of equal length.
     pub fn accepts(&self, offered: &[u8]) -> bool {
         let is_current = self.current.as_bytes().ct_eq(offered);
--- a/buckthorn/tests/admin_server.rs
+++ b/buckthorn/tests/admin_server.rs
@@ -8,7 +8,7 @@
 use buckthorn::admin::server::MAX_HEADER_BYTES;
 use buckthorn::admin::{self, Access, Announcement, Handle, Handler, Refusal, announcement};
 use buckthorn::counter::{Board, Counter};
-use buckthorn::proxy::secret::Secrets;
+use buckthorn::secret::Secrets;
 use expect_test::{Expect, expect};
 use serde_json::{Value, json};
 use tokio::runtime::Runtime;
--- a/buckthorn/tests/rpc_exchange.rs
+++ b/buckthorn/tests/rpc_exchange.rs
@@ -7,9 +7,9 @@
 use buckthorn::counter::{Board, Counter};
 use buckthorn::rpc::client::{Client, Timeouts};
 use buckthorn::rpc::message::{Digest, Envelope, Message};
-use buckthorn::rpc::secret::Secret;
 use buckthorn::rpc::server::{self, Handle, Inbound, Limits};
 use buckthorn::rpc::{MAX_MESSAGE_BYTES, depth};
+use buckthorn::secret::Secrets;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 /// A server with its counters.
@@ -21,7 +21,7 @@
 }
 
 /// Server that answers every envelope with its own messages.
-fn echo(secret: Secret) -> Fixture {
+fn echo(secret: Secrets) -> Fixture {
     let (sender, receiver) = crossbeam::channel::bounded::<Inbound>(8);
     std::thread::spawn(move || {
         for inbound in receiver {
@@ -33,7 +33,11 @@
 }
 
 /// Server that hands envelopes to a channel.
-fn fixture(secret: Secret, sender: crossbeam::channel::Sender<Inbound>, limits: Limits) -> Fixture {
+fn fixture(
+    secret: Secrets,
+    sender: crossbeam::channel::Sender<Inbound>,
+    limits: Limits,
+) -> Fixture {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let counters = Arc::new(Board::new());
     let handle = server::serve(
@@ -49,7 +53,7 @@
 }
 
 /// Client with its counters.
-fn client(secret: &Secret) -> (Client, Arc<Board>) {
+fn client(secret: &Secrets) -> (Client, Arc<Board>) {
     let counters = Arc::new(Board::new());
     let client = Client::new(secret, Timeouts::default(), counters.clone()).unwrap();
     (client, counters)
@@ -79,7 +83,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn exchange_returns_the_answer_and_counts_bytes() {
-    let secret = Secret::new("s1");
+    let secret = Secrets::new("s1", None);
     let server = echo(secret.clone());
     let (client, counters) = client(&secret);
     for _ in 0..3 {
@@ -106,14 +110,14 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn peers_without_the_secret_are_refused_and_counted() {
-    let server = echo(Secret::new("new").with_previous(Some("old".into())));
+    let server = echo(Secrets::new("new", Some("old".into())));
     let address = server.handle.address();
     for accepted in ["new", "old"] {
-        let (client, _) = client(&Secret::new(accepted));
+        let (client, _) = client(&Secrets::new(accepted, None));
         client.exchange(address, &envelope()).await.unwrap();
     }
     for refused in ["ne", "neww", "other", ""] {
-        let (client, _) = client(&Secret::new(refused));
+        let (client, _) = client(&Secrets::new(refused, None));
         client.exchange(address, &envelope()).await.unwrap_err();
     }
     assert!(raw(address, "", "{}").await.starts_with("HTTP/1.1 401"));
@@ -122,7 +126,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn oversized_and_deep_messages_are_refused_and_counted() {
-    let server = echo(Secret::new("s"));
+    let server = echo(Secrets::new("s", None));
     let address = server.handle.address();
     let head = "authorization: Bearer s\r\n";
     let large = " ".repeat(MAX_MESSAGE_BYTES as usize + 1);
@@ -144,7 +148,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_node_with_a_full_queue_says_busy() {
-    let secret = Secret::new("s");
+    let secret = Secrets::new("s", None);
     let (sender, receiver) = crossbeam::channel::bounded(1);
     let server = fixture(secret.clone(), sender, Limits::default());
     let address = server.handle.address();
@@ -163,7 +167,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn connections_over_the_limit_are_closed() {
-    let secret = Secret::new("s");
+    let secret = Secrets::new("s", None);
     let (sender, _receiver) = crossbeam::channel::bounded(1);
     let limits = Limits {
         connections: 2,
