--- a/buckthorn_lab/src/report/chart.rs
+++ b/buckthorn_lab/src/report/chart.rs
@@ -25,13 +25,13 @@
     pub(super) title: &'static str,
     /// JSON pointer of the array.
     pub(super) rows: &'static str,
-    /// Field by which rows fall into lines of their own.
-    pub(super) group: Option<&'static str>,
+    /// Fields by which rows fall into lines of their own.
+    pub(super) group: &'static [&'static str],
     /// Field along the x axis.
     pub(super) x: &'static str,
     /// Label of the x axis.
     pub(super) x_label: &'static str,
-    /// Fields along the y axis, each a line.
+    /// Fields along the y axis, each a line; one that begins with a slash is a JSON pointer.
     pub(super) ys: &'static [&'static str],
     /// Label of the y axis.
     pub(super) y_label: &'static str,
@@ -118,7 +118,7 @@
                 continue;
             };
             for y in self.ys {
-                let Some(value) = row.get(*y).and_then(Value::as_f64) else {
+                let Some(value) = field(row, y).and_then(Value::as_f64) else {
                     continue;
                 };
                 let name = self.name(row, y);
@@ -138,18 +138,17 @@
 
     /// Name of the line that a row's figure belongs to.
     fn name(&self, row: &Value, y: &str) -> String {
-        let group = self
-            .group
-            .and_then(|group| row.get(group))
+        let fields = self.group.iter().filter_map(|field| row.get(*field));
+        let mut words: Vec<String> = fields
             .map(|value| match value {
                 Value::String(text) => text.clone(),
                 other => other.to_string(),
-            });
-        match group {
-            Some(group) if self.ys.len() == 1 => group,
-            Some(group) => format!("{group} {y}"),
-            None => y.to_owned(),
+            })
+            .collect();
+        if self.group.is_empty() || self.ys.len() > 1 {
+            words.push(y.to_owned());
         }
+        words.join(" ")
     }
 
     /// Adds a point to a line.
@@ -161,6 +160,15 @@
     }
 }
 
+/// Value of a field, or of a JSON pointer.
+fn field<'a>(row: &'a Value, name: &str) -> Option<&'a Value> {
+    if name.starts_with('/') {
+        row.pointer(name)
+    } else {
+        row.get(name)
+    }
+}
+
 /// Error of the drawing library.
 fn to_error(error: impl std::fmt::Display) -> anyhow::Error {
     anyhow::anyhow!("the plot could not be drawn: {error}")
--- a/buckthorn_lab/src/report/page.rs
+++ b/buckthorn_lab/src/report/page.rs
@@ -47,7 +47,11 @@
 
     /// Adds a table for each array of objects that a value holds, and one for its plain fields.
     pub(super) fn tables(&mut self, value: &Value) {
-        let Value::Object(map) = value else { return };
+        let map = match value {
+            Value::Object(map) => map,
+            Value::Array(rows) => return self.rows("rows", rows),
+            _ => return,
+        };
         let plain: Vec<(&String, &Value)> = map.iter().filter(|(_, v)| is_plain(v)).collect();
         if !plain.is_empty() {
             let rows = plain
