Name the longest name in one place

Cause: the settings had a copy of the fold's limit on names, and the members' plausibility check an alias of it. Conclusion: a node cannot be started under a name that the fold refuses.

--- a/buckthorn/src/membership/word.rs
+++ b/buckthorn/src/membership/word.rs
@@ -6,6 +6,7 @@
 use crate::admin::announcement::{MAX_CONNECTIONS, MAX_SLOTS};
 use crate::clock::Time;
 use crate::counter::Counter;
+use crate::journal::fold::MAX_NAME_BYTES;
 use crate::kernel::Context;
 use crate::rpc::message::Verdict;
 
@@ -161,7 +162,6 @@
 
 /// Whether an entry may be true.
 fn is_plausible(member: &Member, now: Time) -> bool {
-    const MAX_NAME_BYTES: usize = crate::journal::fold::MAX_NAME_BYTES;
     let names = [&member.host, &member.region, &member.failure_domain];
     member.incarnation <= (now + MAX_SKEW).0
         && names
--- a/buckthorn/src/node/settings.rs
+++ b/buckthorn/src/node/settings.rs
@@ -4,11 +4,9 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
+use crate::journal::fold::MAX_NAME_BYTES;
 use crate::name::Name;
 
-/// Longest host, region or failure domain name in bytes.
-const MAX_NAME_BYTES: usize = 128;
-
 /// Shortest shared secret in bytes.
 const MIN_SECRET_BYTES: usize = 16;
 
