--- a/buckthorn/src/admin/announcement.rs
+++ b/buckthorn/src/admin/announcement.rs
@@ -5,6 +5,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -41,6 +42,30 @@
     /// Distinguishes one start of the backend server from the next, when given.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub instance: Option<Name>,
+    /// What a heartbeat adds, where the backend server sends heartbeats.
+    #[serde(skip)]
+    pub heartbeat: Option<Heartbeat>,
+}
+
+/// What a heartbeat says beyond an announcement.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Heartbeat {
+    /// When the backend server started, by its own clock in milliseconds; a later start is a new
+    /// incarnation.
+    pub started: u64,
+    /// Number of the heartbeat within the incarnation.
+    pub sequence: u64,
+    /// Whether the backend server is about to leave.
+    pub is_draining: bool,
+    /// How long it stays cold.
+    pub cold_left: Duration,
+}
+
+impl Heartbeat {
+    /// Order of heartbeats.
+    pub fn rank(&self) -> (u64, u64) {
+        (self.started, self.sequence)
+    }
 }
 
 /// What is wrong with an announcement.
@@ -85,7 +110,17 @@
         let mut announcement: Self =
             serde_json::from_slice(body).map_err(|error| Error::Malformed(error.to_string()))?;
         announcement.service = announcement.service.to_ascii_lowercase().into();
-        if amend::check_service(&announcement.service).is_err() {
+        announcement.check()?;
+        Ok(announcement)
+    }
+
+    /// Checks every field.
+    ///
+    /// # Errors
+    ///
+    /// Names the first field that is out of bounds.
+    pub fn check(&self) -> Result<(), Error> {
+        if amend::check_service(&self.service).is_err() {
             return Err(Error::Field {
                 name: "service",
                 expected: format!(
@@ -93,19 +128,19 @@
                 ),
             });
         }
-        check_name("version", &announcement.version)?;
-        if let Some(instance) = &announcement.instance {
+        check_name("version", &self.version)?;
+        if let Some(instance) = &self.instance {
             check_name("instance", instance)?;
         }
-        check_number("slots", announcement.slots, MAX_SLOTS)?;
-        check_number("connections", announcement.connections, MAX_CONNECTIONS)?;
-        if announcement.address.port() == 0 || announcement.address.ip().is_unspecified() {
+        check_number("slots", self.slots, MAX_SLOTS)?;
+        check_number("connections", self.connections, MAX_CONNECTIONS)?;
+        if self.address.port() == 0 || self.address.ip().is_unspecified() {
             return Err(Error::Field {
                 name: "address",
                 expected: "an IP number and port that the node can connect to".into(),
             });
         }
-        Ok(announcement)
+        Ok(())
     }
 
     /// What the peers are told.
@@ -121,7 +156,9 @@
 
     /// Whether another announcement comes from the same start of the same backend server.
     pub fn is_same_start(&self, other: &Self) -> bool {
-        self.service == other.service
+        let started = |a: &Self| a.heartbeat.map(|heartbeat| heartbeat.started);
+        started(self) == started(other)
+            && self.service == other.service
             && self.version == other.version
             && self.address == other.address
             && self.instance == other.instance
--- a/buckthorn/src/admin/mod.rs
+++ b/buckthorn/src/admin/mod.rs
@@ -50,6 +50,13 @@
     /// Starts the drain of the own backend server.
     fn leave(&self);
 
+    /// Takes the leave of an instance; one that is not the present one changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the node is too busy to take it.
+    fn depart(&self, instance: &str) -> Result<(), Refusal>;
+
     /// Status of the node, unless it does not answer in time.
     fn status(&self) -> Option<Value>;
 
--- a/buckthorn/src/admin/registration.rs
+++ b/buckthorn/src/admin/registration.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use super::announcement::Heartbeat;
 use super::{Announcement, Refusal};
 use crate::clock::Time;
 
@@ -16,6 +17,10 @@
 /// Silence after which a backend server is withdrawn.
 pub const EXPIRY: Duration = Duration::from_secs(10);
 
+/// Silence after which a backend server that sends heartbeats is withdrawn: they come every 1 to
+/// 2 s and may be seconds late.
+pub const HEARTBEAT_EXPIRY: Duration = Duration::from_secs(6);
+
 /// Time between telling the peers of a leave and refusing new work.
 pub const DRAIN_GRACE: Duration = Duration::from_millis(500);
 
@@ -60,6 +65,8 @@
 pub enum Next {
     /// Nothing changed.
     Nothing,
+    /// The backend server is known and well.
+    Refreshed,
     /// The backend server is new or has changed: let it in and tell the peers.
     Open,
     /// Tell the peers that it drains.
@@ -72,6 +79,14 @@
     Expired,
 }
 
+/// Silence after which a backend server is withdrawn.
+fn expiry(last: &Announcement) -> Duration {
+    match last.heartbeat {
+        Some(_) => HEARTBEAT_EXPIRY,
+        None => EXPIRY,
+    }
+}
+
 impl Registration {
     /// Registration before the first announcement.
     pub fn new() -> Self {
@@ -92,6 +107,9 @@
     ///
     /// Refuses a backend server that has just taken its leave.
     pub fn announce(&mut self, announcement: &Announcement, now: Time) -> Result<Next, Refusal> {
+        if let Some(heartbeat) = &announcement.heartbeat {
+            return Ok(self.heartbeat(announcement, heartbeat, now));
+        }
         let is_held = self.departed.as_ref().is_some_and(|(departed, at)| {
             now.since(*at) < LEAVE_HOLD && departed.is_same_start(announcement)
         });
@@ -106,6 +124,39 @@
         Ok(if is_known { Next::Nothing } else { Next::Open })
     }
 
+    /// Takes a heartbeat; one that is late, or of an earlier incarnation, changes nothing.
+    fn heartbeat(&mut self, announcement: &Announcement, beat: &Heartbeat, now: Time) -> Next {
+        let departed = self.departed.as_ref().map(|(departed, _)| departed);
+        let is_past =
+            |held: &Announcement| held.heartbeat.is_some_and(|held| beat.rank() < held.rank());
+        if self.current().is_some_and(is_past) || departed.is_some_and(is_past) {
+            return Next::Nothing;
+        }
+        if departed.is_some_and(|departed| departed.is_same_start(announcement)) {
+            return Next::Nothing;
+        }
+        if beat.is_draining {
+            let is_present = matches!(&self.state, State::Present { last, .. }
+                if last.is_same_start(announcement));
+            self.departed = Some((announcement.clone(), now));
+            if !is_present {
+                return Next::Nothing;
+            }
+            return self.leave(now);
+        }
+        let is_known = matches!(&self.state, State::Present { last, .. }
+            if last.is_same_start(announcement) && last.slots == announcement.slots);
+        self.state = State::Present {
+            last: announcement.clone(),
+            at: now,
+        };
+        if is_known {
+            Next::Refreshed
+        } else {
+            Next::Open
+        }
+    }
+
     /// Takes the backend server's leave.
     pub fn leave(&mut self, now: Time) -> Next {
         let State::Present { last, .. } = &self.state else {
@@ -126,7 +177,7 @@
     /// New work is refused before calls in flight are counted, so that none slips in between.
     pub fn poll(&mut self, now: Time, running: usize) -> Next {
         match &mut self.state {
-            State::Present { at, .. } if now.since(*at) >= EXPIRY => {
+            State::Present { last, at } if now.since(*at) >= expiry(last) => {
                 self.state = State::Absent;
                 Next::Expired
             }
--- a/buckthorn/src/admission/gate.rs
+++ b/buckthorn/src/admission/gate.rs
@@ -54,6 +54,8 @@
     OutOfService,
     /// The version is quarantined.
     Quarantined,
+    /// Over the rate that a cold backend server bears.
+    Cold,
 }
 
 impl Refusal {
@@ -67,6 +69,7 @@
             Self::NoBackendServer => "no-backend-server",
             Self::OutOfService => "out-of-service",
             Self::Quarantined => "quarantined",
+            Self::Cold => "cold",
         }
     }
 
@@ -80,6 +83,7 @@
             Self::NoBackendServer => Counter::RefusedNoBackendServer,
             Self::OutOfService => Counter::RefusedOutOfService,
             Self::Quarantined => Counter::RefusedQuarantined,
+            Self::Cold => Counter::RefusedCold,
         }
     }
 }
@@ -135,6 +139,11 @@
         Self::with_limit(Limit::warm(slots, now))
     }
 
+    /// Gate that lets all slots be used at any time.
+    pub fn fixed(slots: u32, now: Time) -> Self {
+        Self::with_limit(Limit::fixed(slots, now))
+    }
+
     /// Gate with a limit.
     fn with_limit(limit: Limit) -> Self {
         Self {
--- a/buckthorn/src/admission/limit.rs
+++ b/buckthorn/src/admission/limit.rs
@@ -114,6 +114,8 @@
     cut: Time,
     /// Time of the last sign of use.
     used: Time,
+    /// Whether the limit stays at the slots.
+    is_fixed: bool,
 }
 
 impl Window {
@@ -147,6 +149,15 @@
             changed: now,
             cut: Time::default(),
             used: now,
+            is_fixed: false,
+        }
+    }
+
+    /// Limit that stays at the slots, for a backend server whose slots are exact.
+    pub fn fixed(slots: u32, now: Time) -> Self {
+        Self {
+            is_fixed: true,
+            ..Self::warm(slots, now)
         }
     }
 
@@ -194,7 +205,7 @@
         let idle = now.since(self.used).as_micros() / IDLE_HALVING.as_micros();
         self.touch(now);
         let start = f64::from(START_LIMIT.min(self.slots));
-        if idle == 0 || self.value <= start {
+        if idle == 0 || self.value <= start || self.is_fixed {
             return Change::Kept;
         }
         self.value = (self.value / 2_f64.powi(idle.min(32) as i32)).max(start);
@@ -236,7 +247,7 @@
 
     /// Cuts the limit, once in [`CUT_INTERVAL`].
     pub fn overload(&mut self, now: Time) -> Change {
-        if now.since(self.cut) < CUT_INTERVAL.max(self.mean) {
+        if self.is_fixed || now.since(self.cut) < CUT_INTERVAL.max(self.mean) {
             return Change::Kept;
         }
         self.value = (self.value * CUT_FACTOR).max(1.0);
--- a/buckthorn/src/admission/mod.rs
+++ b/buckthorn/src/admission/mod.rs
@@ -8,3 +8,4 @@
 pub mod gate;
 pub mod limit;
 pub mod queue;
+pub mod warmth;
--- /dev/null
+++ b/buckthorn/src/admission/warmth.rs
@@ -0,0 +1,101 @@
+//! Rate limit of a cold backend server.
+//!
+//! The limit holds over every sliding second, since a cold backend server fails on short bursts as
+//! well. While it is unsure whether the backend server is cold, for instance after its connections
+//! broke, it is taken for cold until the next heartbeat says otherwise.
+
+use std::collections::VecDeque;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use crate::clock::Time;
+
+/// Span over which calls are counted; a little over a second, since calls arrive later than they
+/// are let in.
+const WINDOW: Duration = Duration::from_millis(1_100);
+
+/// Longest time that a doubt lasts without a heartbeat: about two heartbeat intervals.
+const MAX_DOUBT: Duration = Duration::from_secs(3);
+
+/// Rate limit of a backend server while it is cold.
+#[derive(Debug)]
+pub struct Warmth {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    /// Calls that may start within a window; none when the backend server is never limited.
+    calls: Option<usize>,
+    /// End of the cold period.
+    until: Time,
+    /// End of a doubt.
+    doubt: Time,
+    /// Starts within the last window.
+    starts: VecDeque<Time>,
+}
+
+impl Warmth {
+    /// Limit for a backend server that bears `rate` calls a second while cold.
+    pub fn new(rate: Option<f64>) -> Self {
+        Self {
+            inner: Mutex::new(Inner {
+                calls: rate.map(|rate| (rate.floor() as usize).max(1)),
+                until: Time::default(),
+                doubt: Time::default(),
+                starts: VecDeque::new(),
+            }),
+        }
+    }
+
+    /// Takes over the rate of a new policy.
+    pub fn set_rate(&self, rate: Option<f64>) {
+        self.lock().calls = rate.map(|rate| (rate.floor() as usize).max(1));
+    }
+
+    /// Notes how long the backend server says that it stays cold.
+    pub fn told(&self, now: Time, left: Duration) {
+        let mut inner = self.lock();
+        inner.until = now + left;
+        inner.doubt = Time::default();
+    }
+
+    /// Takes the backend server for cold until it says otherwise.
+    pub fn doubt(&self, now: Time) {
+        self.lock().doubt = now + MAX_DOUBT;
+    }
+
+    /// Whether the limit is in force.
+    pub fn is_cold(&self, now: Time) -> bool {
+        self.lock().is_cold(now)
+    }
+
+    /// Whether a call may start now; counts it if so.
+    pub fn admit(&self, now: Time) -> bool {
+        let mut inner = self.lock();
+        while inner
+            .starts
+            .front()
+            .is_some_and(|at| now.since(*at) >= WINDOW)
+        {
+            inner.starts.pop_front();
+        }
+        let is_full = inner.calls.is_some_and(|calls| inner.starts.len() >= calls);
+        if is_full && inner.is_cold(now) {
+            return false;
+        }
+        // Starts are counted while warm too, so that a turn to cold finds the last second's.
+        inner.starts.push_back(now);
+        true
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    fn is_cold(&self, now: Time) -> bool {
+        now < self.until || now < self.doubt
+    }
+}
--- a/buckthorn/src/config/mod.rs
+++ b/buckthorn/src/config/mod.rs
@@ -1,6 +1,9 @@
 //! Routing intent: what operators publish.
 
 pub mod change;
+pub mod intake;
 pub mod intent;
+pub mod order;
 pub mod plan;
+pub mod policy;
 pub mod sheet;
--- a/buckthorn/src/counter.rs
+++ b/buckthorn/src/counter.rs
@@ -57,6 +57,8 @@
     RefusedKeyReused "refused.key_reused" "Idempotency keys used again for another request.",
     RefusedKeysFull "refused.keys_full" "Calls refused because no more idempotency keys can be held.",
     RefusedKeyAnswerNotKept "refused.key_answer_not_kept" "Repeats of a key whose first answer was too large to keep.",
+    RefusedByBackend "refused.backend" "Calls that the backend server itself refused as not run.",
+    RefusedCold "refused.cold" "Calls over the rate that a cold backend server bears.",
     RefusedUnreachable "refused.unreachable" "Calls refused because no connection could be opened.",
     KeysHeldOnce "key.held_once" "Idempotency keys that could not be noted at a second node.",
     AnsweredFromKey "call.answered_from_key" "Repeats answered with the first outcome of their key.",
--- a/buckthorn/src/journal/plugin.rs
+++ b/buckthorn/src/journal/plugin.rs
@@ -20,10 +20,10 @@
 use crate::clock::Time;
 use crate::counter::Counter;
 use crate::kernel::{Action, Context, Event, LATEST, Plugin, Registry};
+use crate::log::{Append, Batch};
 use crate::membership;
 use crate::membership::member::Member;
 use crate::name::{self, Name};
-use crate::platform::{Append, Batch};
 use crate::rpc::message::Message;
 
 /// Peers of the own failure domain to which a node pushes a new record.
--- a/buckthorn/src/kernel/mod.rs
+++ b/buckthorn/src/kernel/mod.rs
@@ -12,13 +12,14 @@
 use rand_chacha::rand_core::SeedableRng;
 
 use crate::clock::Time;
+use crate::config::order::{Decision, Feed, Orders};
 use crate::counter::{Board, Counter};
 use crate::journal::lease::Keeper;
 use crate::journal::tail::Tail;
+use crate::log::{Append, Batch};
 use crate::membership::member::{BackendServer, Member};
 use crate::membership::view::View;
 use crate::name::Name;
-use crate::platform::{Append, Batch};
 use crate::rollout::evidence;
 use crate::rollout::quarantine::Quarantine;
 use crate::rpc::message::Message;
@@ -72,10 +73,29 @@
     Announced(Option<BackendServer>),
     /// What the owner counted, at most once per tick.
     Observed(evidence::Report),
+    /// Operators' orders were read.
+    Ordered(Feed),
+    /// Published decisions on moves were read.
+    Decided(Vec<Decision>),
+    /// A decision was published, or could not be.
+    Published(Publication),
+    /// Control addresses of nodes that can be joined through.
+    Seeds(Vec<SocketAddr>),
     /// The process was asked to stop.
     Shutdown,
 }
 
+/// What came of publishing a decision.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Publication {
+    /// It is published.
+    Done(Decision),
+    /// Others published meanwhile; what they did is read first.
+    Conflict,
+    /// Nothing is known of it, or it was refused.
+    Failed(String),
+}
+
 /// Something to do.
 #[derive(Clone, Debug)]
 pub enum Action {
@@ -111,6 +131,8 @@
     },
     /// The routing table has to be built anew: the state, view or quarantine changed.
     Rebuild,
+    /// Publish a decision on a move.
+    Publish(Decision),
     /// Write a line to the log of decisions.
     Note {
         /// What was decided.
@@ -161,6 +183,8 @@
     pub quarantine: Quarantine,
     /// Controller lease as kept by this node.
     pub keeper: Keeper,
+    /// Operators' orders, where they come from a topic of their own.
+    pub orders: Orders,
     /// Counters.
     pub counters: Arc<Board>,
     /// Whether the fold has once been as far as the log or a peer; no table is published before.
@@ -260,6 +284,7 @@
             tail: Tail::new(),
             view,
             quarantine: Quarantine::new(),
+            orders: Orders::default(),
             counters,
             is_synced: false,
             is_stopping: false,
--- a/buckthorn/src/lib.rs
+++ b/buckthorn/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! Decision modules ([`journal`], [`membership`], [`rollout`], [`routing`], [`admission`]) take
 //! events and the time and return what to do; they perform no I/O. [`proxy`], [`rpc`] and
-//! [`platform`] are the edges that do. [`kernel`] connects the two.
+//! [`log`] are the edges that do. [`kernel`] connects the two.
 
 pub mod admin;
 pub mod admission;
@@ -15,10 +15,10 @@
 pub mod counter;
 pub mod journal;
 pub mod kernel;
+pub mod log;
 pub mod membership;
 pub mod name;
 pub mod node;
-pub mod platform;
 pub mod proxy;
 pub mod rollout;
 pub mod routing;
--- a/buckthorn/src/membership/join.rs
+++ b/buckthorn/src/membership/join.rs
@@ -14,8 +14,8 @@
 use crate::clock::Time;
 use crate::journal::record::Record;
 use crate::kernel::LATEST;
+use crate::log::Batch;
 use crate::name::Name;
-use crate::platform::Batch;
 use crate::rpc::message::Message;
 
 use super::member::Member;
--- a/buckthorn/src/membership/plugin.rs
+++ b/buckthorn/src/membership/plugin.rs
@@ -10,8 +10,8 @@
 use crate::counter::Counter;
 use crate::journal::record::JOIN_STREAM;
 use crate::kernel::{Action, Context, Event, Plugin, Registry};
+use crate::log::Append;
 use crate::name::Name;
-use crate::platform::Append;
 use crate::rpc::message::{Digest, Message};
 
 use super::exchange::charge;
@@ -67,11 +67,21 @@
     registry.add(Reporter::default());
 }
 
+/// Registers membership that joins through seeds alone, which someone else keeps up to date.
+pub fn register_seeded(registry: &mut Registry) {
+    registry.add(Membership {
+        is_seeded: true,
+        ..Membership::default()
+    });
+}
+
 /// Membership of one node.
 #[derive(Debug, Default)]
 pub struct Membership {
     /// Attempts to join.
     pub(super) joiner: Joiner,
+    /// Whether addresses to join through come as seeds alone, not from the log.
+    pub(super) is_seeded: bool,
     /// Addresses in the log.
     pub(super) directory: Directory,
     /// Probes.
@@ -119,6 +129,7 @@
             Event::Unreachable { host, .. } => self.prober.failed(host, cx.now),
             Event::Announced(backend_server) => self.announce(cx, backend_server.clone()),
             Event::Shutdown => self.leave(cx),
+            Event::Seeds(seeds) => cx.shared.identity.seeds.clone_from(seeds),
             Event::LogRead { stream, batch } if *stream == JOIN_STREAM => {
                 self.directory.read(batch, cx.now, cx.rng);
             }
@@ -147,7 +158,9 @@
         if cx.shared.member.status == Status::Left {
             return;
         }
-        self.consult_log(cx);
+        if !self.is_seeded {
+            self.consult_log(cx);
+        }
         self.join(cx);
         self.refute(cx);
         let polled = self
--- a/buckthorn/src/node/driver.rs
+++ b/buckthorn/src/node/driver.rs
@@ -10,17 +10,19 @@
 use slog::{Logger, info, warn};
 use tokio::runtime;
 
-use super::platform::Platform;
+use super::Outlet;
+use super::log::Follower;
 use super::status::{self, Status};
 use super::telemetry::Statsd;
 use crate::admin::registration::{Next, Registration};
 use crate::admin::{Announcement, Refusal};
 use crate::admission::door::Door;
+use crate::admission::gate::Gate;
 use crate::clock::{Clock, Time};
 use crate::counter::{Board, Counter};
 use crate::kernel::{Action, Event, Kernel, TICK_INTERVAL};
+use crate::log::Append;
 use crate::name::Name;
-use crate::platform::Append;
 use crate::proxy::owner::Owner;
 use crate::rollout::evidence::Book;
 use crate::routing::load::Registry;
@@ -37,6 +39,10 @@
 /// Exchanges with peers under way at once.
 const MAX_EXCHANGES: usize = 256;
 
+/// Part of the rate that a cold backend server bears that is used; the rest is for calls that
+/// arrive bunched.
+const COLD_RATE_FACTOR: f64 = 1.0;
+
 /// Something for the kernel's thread.
 #[derive(Debug)]
 pub(super) enum Input {
@@ -51,6 +57,13 @@
     },
     /// The own backend server is leaving.
     Left,
+    /// An instance of the backend server leaves.
+    Departed {
+        /// Instance.
+        instance: Name,
+        /// Told once it is taken.
+        reply: Sender<()>,
+    },
     /// Someone asks for the status.
     Inspect(Sender<Status>),
     /// The thread is to end.
@@ -73,7 +86,11 @@
 /// Edges through which actions are carried out.
 pub(super) struct Edges {
     /// Threads of the log.
-    pub(super) platform: Platform,
+    pub(super) follower: Option<Follower>,
+    /// Where decisions are published, if they are.
+    pub(super) outlet: Option<Arc<dyn Outlet>>,
+    /// Load of backend servers and retry budgets.
+    pub(super) loads: Registry,
     /// Client of the control protocol.
     pub(super) client: Arc<rpc::client::Client>,
     /// Runtime on which exchanges run.
@@ -94,8 +111,6 @@
     edges: Edges,
     /// Where exchanges report.
     inputs: Sender<Input>,
-    /// Loads kept across tables.
-    loads: Registry,
     /// Exchanges under way.
     exchanges: Arc<AtomicUsize>,
     /// Backend server of this host.
@@ -116,7 +131,6 @@
             path,
             edges,
             inputs,
-            loads: Registry::default(),
             exchanges: Arc::default(),
             registration: Registration::new(),
             evidence_at: Time::default(),
@@ -166,6 +180,14 @@
                 let _ = reply.try_send(result);
             }
             Input::Left => self.leave(),
+            Input::Departed { instance, reply } => {
+                let current = self.registration.current();
+                if current.is_some_and(|last| last.instance.as_ref() == Some(&instance)) {
+                    self.leave();
+                }
+                // Whoever told may have gone.
+                let _ = reply.try_send(());
+            }
             Input::Inspect(reply) => {
                 let now = self.path.clock.now();
                 let status = status::of(self.kernel.shared(), &self.path.table.load(), now);
@@ -229,13 +251,21 @@
                     address,
                     messages,
                 } => self.send(host, address, messages),
-                Action::Read { stream, from, wait } => self.edges.platform.read(stream, from, wait),
+                Action::Read { stream, from, wait } => {
+                    if let Some(follower) = &self.edges.follower {
+                        follower.read(stream, from, wait);
+                    }
+                }
                 Action::Append {
                     stream,
                     id,
                     payload,
                 } => self.append(stream, id, payload),
                 Action::Rebuild => is_stale = true,
+                Action::Publish(decision) => match &self.edges.outlet {
+                    Some(outlet) => outlet.publish(&decision),
+                    None => warn!(self.edges.logger, "decision dropped: no outlet"),
+                },
                 Action::Note { text } => info!(self.edges.logger, "{}", text),
             }
         }
@@ -250,14 +280,25 @@
         if !shared.is_synced {
             return;
         }
-        let table = Table::build(
-            shared.tail.state(),
-            &shared.view,
-            &shared.quarantine,
-            &mut self.loads,
-            &shared.identity.failure_domain,
-            &shared.identity.region,
-        );
+        self.edges.loads.share_slack(shared.view.live().count());
+        let table = if shared.orders.policy().is_some() {
+            Table::from_orders(
+                &shared.orders,
+                &shared.view,
+                &mut self.edges.loads,
+                &shared.identity.failure_domain,
+                &shared.identity.region,
+            )
+        } else {
+            Table::build(
+                shared.tail.state(),
+                &shared.view,
+                &shared.quarantine,
+                &mut self.edges.loads,
+                &shared.identity.failure_domain,
+                &shared.identity.region,
+            )
+        };
         let in_force = self.path.table.load().version;
         assert!(
             table.version >= in_force,
@@ -267,6 +308,9 @@
             info!(self.edges.logger, "configuration in force"; "version" => table.version);
         }
         self.path.table.store(Arc::new(table));
+        if let Some(owner) = self.path.owner.load_full() {
+            owner.warmth.set_rate(self.cold_rate(&owner.service));
+        }
     }
 
     /// Sends messages to a peer and reports what comes of it.
@@ -298,7 +342,8 @@
 
     /// Starts an append; one that finds no room is reported as refused.
     fn append(&mut self, stream: &'static str, id: Name, payload: String) {
-        if self.edges.platform.append(stream, id.clone(), payload) {
+        let follower = self.edges.follower.as_ref();
+        if follower.is_some_and(|log| log.append(stream, id.clone(), payload)) {
             return;
         }
         let result = Append::Refused {
@@ -312,17 +357,28 @@
     /// Takes an announcement of the own backend server.
     fn announce(&mut self, announcement: Announcement) -> Result<(), Refusal> {
         let now = self.path.clock.now();
-        if self.registration.announce(&announcement, now)? != Next::Open {
-            return Ok(());
+        match self.registration.announce(&announcement, now)? {
+            Next::Open => {}
+            Next::Refreshed => {
+                self.warm(&announcement, now);
+                return Ok(());
+            }
+            Next::Drain => {
+                self.tell_drain();
+                return Ok(());
+            }
+            _ => return Ok(()),
         }
         info!(self.edges.logger, "backend server announced";
             "service" => %announcement.service, "version" => %announcement.version);
         let server = announcement.backend_server(false);
-        let door = Door::new(
-            self.path.clock.clone(),
-            self.path.counters.clone(),
-            announcement.slots,
-        );
+        let last = announcement.clone();
+        let (clock, counters) = (self.path.clock.clone(), self.path.counters.clone());
+        let door = match announcement.heartbeat {
+            // Its slots are exact: the contract says what happens beyond them.
+            Some(_) => Door::with_gate(clock, counters, Gate::fixed(announcement.slots, now)),
+            None => Door::new(clock, counters, announcement.slots),
+        };
         if let Some(old) = self.path.owner.load_full() {
             old.door.close();
         }
@@ -334,8 +390,10 @@
             announcement.connections,
             door,
             Arc::new(Book::new()),
-        );
+        )
+        .with_instance(last.instance.clone(), self.cold_rate(&last.service));
         self.path.owner.store(Some(Arc::new(owner)));
+        self.warm(&last, now);
         self.handle(&Event::Announced(Some(server)));
         Ok(())
     }
@@ -343,9 +401,29 @@
     /// Starts the drain of the own backend server.
     fn leave(&mut self) {
         let now = self.path.clock.now();
-        if self.registration.leave(now) != Next::Drain {
-            return;
+        if self.registration.leave(now) == Next::Drain {
+            self.tell_drain();
         }
+    }
+
+    /// Takes over how long the backend server stays cold.
+    fn warm(&self, announcement: &Announcement, now: Time) {
+        if let (Some(owner), Some(heartbeat)) =
+            (self.path.owner.load_full(), announcement.heartbeat)
+        {
+            owner.warmth.told(now, heartbeat.cold_left);
+        }
+    }
+
+    /// Rate that a cold backend server of a service bears.
+    fn cold_rate(&self, service: &str) -> Option<f64> {
+        let policy = self.kernel.shared().orders.policy()?;
+        let rate = policy.service(service)?.cold_rate?;
+        Some(rate * COLD_RATE_FACTOR)
+    }
+
+    /// Tells the peers that the backend server drains.
+    fn tell_drain(&mut self) {
         let Some(last) = self.registration.current() else {
             return;
         };
@@ -363,7 +441,7 @@
             .as_ref()
             .map_or(0, |owner| owner.door.running());
         match self.registration.poll(now, running as usize) {
-            Next::Nothing | Next::Open | Next::Drain => {}
+            Next::Nothing | Next::Refreshed | Next::Open | Next::Drain => {}
             Next::Close => {
                 if let Some(owner) = self.path.owner.load_full() {
                     owner.door.close();
--- a/buckthorn/src/node/platform.rs
+++ b/buckthorn/src/node/log.rs
@@ -12,8 +12,8 @@
 use super::driver::Input;
 use crate::journal::record::{CONFIG_STREAM, LEASE_STREAM};
 use crate::kernel::Event;
+use crate::log::{Append, Log};
 use crate::name::Name;
-use crate::platform::{Append, Log};
 
 /// Jobs that may wait for a thread; the kernel never has more under way.
 const MAX_JOBS: usize = 256;
@@ -43,7 +43,7 @@
 
 /// Threads that talk to the log.
 #[derive(Debug)]
-pub(super) struct Platform {
+pub(super) struct Follower {
     /// Reads of the configuration stream.
     config: Sender<Job>,
     /// Reads of the lease stream.
@@ -54,7 +54,7 @@
     append: Sender<Job>,
 }
 
-impl Platform {
+impl Follower {
     /// Starts the threads; they end when this is dropped.
     pub(super) fn start(log: &Arc<dyn Log>, inputs: &Sender<Input>) -> Self {
         let spawn = |name: &str| spawn(name, log.clone(), inputs.clone());
--- a/buckthorn/src/node/mod.rs
+++ b/buckthorn/src/node/mod.rs
@@ -5,7 +5,7 @@
 //! owner by one atomic pointer each.
 
 mod driver;
-mod platform;
+mod log;
 pub mod settings;
 pub mod status;
 pub mod telemetry;
@@ -22,21 +22,24 @@
 use tokio::runtime::{self, Runtime};
 
 use self::driver::{Driver, Edges, Input, Path};
-use self::platform::Platform;
+use self::log::Follower;
 use self::settings::Settings;
 use self::status::Status;
 use self::telemetry::Statsd;
 use crate::admin;
 use crate::admin::announcement::Announcement;
 use crate::clock::Clock;
+use crate::config::order::Decision;
 use crate::counter::Board;
 use crate::kernel::{Event, Identity, Kernel, Registry};
-use crate::platform::client::Client;
+use crate::log::client::Client;
+use crate::proxy::contract::Contract;
 use crate::proxy::limit::Limits;
 use crate::proxy::{Drained, Plane};
+use crate::routing::load::Registry as Loads;
 use crate::routing::table::Table;
 use crate::secret::Secrets;
-use crate::{journal, membership, name, proxy, rollout, rpc};
+use crate::{config, journal, membership, name, proxy, rollout, rpc};
 
 /// Inputs that may wait for the kernel's thread.
 const MAX_INPUTS: usize = 4_096;
@@ -70,6 +73,8 @@
     runtime: Option<Runtime>,
     /// Longest wait for calls in flight at shutdown.
     drain_timeout: Duration,
+    /// Time between telling that the node leaves and refusing calls.
+    leave_grace: Duration,
     /// Log of decisions.
     logger: Logger,
 }
@@ -87,6 +92,79 @@
     pub admin: SocketAddr,
 }
 
+/// Where the decisions of this node on moves are published; the outcome comes back as
+/// [`Event::Published`].
+pub trait Outlet: Send + Sync {
+    /// Starts to publish a decision; never blocks.
+    fn publish(&self, decision: &Decision);
+}
+
+/// What an adapter to a platform brings.
+#[derive(Clone)]
+pub struct Edge {
+    /// Contract with callers and backend servers.
+    pub contract: Contract,
+    /// Where decisions on moves are published.
+    pub outlet: Arc<dyn Outlet>,
+    /// Limits on what comes from outside; the settings' own go first.
+    pub limits: Limits,
+    /// Time for callers and peers to look elsewhere before a node that stops refuses calls.
+    pub leave_grace: Duration,
+    /// Retries of a service for each of its calls.
+    pub retry_ratio: f64,
+    /// Retries of a service beyond that, on all nodes together.
+    pub retry_slack: f64,
+}
+
+/// Where a node's orders come from.
+enum Source {
+    /// The log of the mesh's own records.
+    Log(Arc<dyn crate::log::Log>),
+    /// An adapter.
+    Edge(Box<Edge>),
+}
+
+impl Source {
+    fn edge(&self) -> Option<&Edge> {
+        match self {
+            Self::Log(_) => None,
+            Self::Edge(edge) => Some(edge),
+        }
+    }
+
+    fn log(&self) -> Option<&Arc<dyn crate::log::Log>> {
+        match self {
+            Self::Log(log) => Some(log),
+            Self::Edge(_) => None,
+        }
+    }
+}
+
+/// Hands a node what an adapter learns.
+#[derive(Clone)]
+pub struct Remote {
+    path: Path,
+    inputs: Sender<Input>,
+}
+
+impl Remote {
+    /// Hands in an event.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the node has stopped.
+    pub fn deliver(&self, event: Event) -> anyhow::Result<()> {
+        let input = Input::Event(event);
+        let sent = self.inputs.send(input);
+        sent.map_err(|_| anyhow::anyhow!("the node has stopped"))
+    }
+
+    /// Whether the node can route calls.
+    pub fn is_synced(&self) -> bool {
+        self.path.table.load().version > 0
+    }
+}
+
 impl Node {
     /// Starts a node.
     ///
@@ -94,6 +172,23 @@
     ///
     /// Fails when a port cannot be bound or a thread cannot be started.
     pub fn start(settings: &Settings, logger: Logger) -> anyhow::Result<Self> {
+        let log: Arc<dyn crate::log::Log> = Arc::new(Client::new(&settings.platform)?);
+        Self::launch(settings, Source::Log(log), logger)
+    }
+
+    /// Starts a node on a platform that an adapter speaks to.
+    ///
+    /// The adapter hands in what it reads through [`Node::remote`].
+    ///
+    /// # Errors
+    ///
+    /// Fails when a port cannot be bound or a thread cannot be started.
+    pub fn start_on(edge: Edge, settings: &Settings, logger: Logger) -> anyhow::Result<Self> {
+        Self::launch(settings, Source::Edge(Box::new(edge)), logger)
+    }
+
+    /// Binds the ports and starts the threads.
+    fn launch(settings: &Settings, source: Source, logger: Logger) -> anyhow::Result<Self> {
         let clock = Clock::new();
         let counters = Arc::new(Board::new());
         let callers = bind("listen", settings.listen)?;
@@ -131,7 +226,7 @@
             seeds: settings.seeds.clone(),
         };
         let (proxy, rpc, client) = runtime.block_on(async {
-            let plane = plane(settings, &path);
+            let plane = plane(settings, &path, source.edge());
             let callers = tokio::net::TcpListener::from_std(callers)?;
             let hop = tokio::net::TcpListener::from_std(hop)?;
             let secrets = secrets(settings);
@@ -151,9 +246,13 @@
             anyhow::Ok((proxy::serve(plane, callers, hop), rpc, client))
         })?;
 
-        let log: Arc<dyn crate::platform::Log> = Arc::new(Client::new(&settings.platform)?);
+        let leave_grace = source.edge().map_or(LEAVE_GRACE, |edge| edge.leave_grace);
         let edges = Edges {
-            platform: Platform::start(&log, &inputs),
+            follower: source.log().map(|log| Follower::start(log, &inputs)),
+            outlet: source.edge().map(|edge| edge.outlet.clone()),
+            loads: source.edge().map_or_else(Loads::default, |edge| {
+                Loads::with_budgets(edge.retry_slack, edge.retry_ratio)
+            }),
             client: Arc::new(client),
             runtime: runtime.handle().clone(),
             statsd: settings
@@ -164,7 +263,10 @@
         };
         let seed = name::rendezvous(&settings.host, &identity.incarnation.to_string());
         let mut registry = Registry::default();
-        register(&mut registry);
+        match source {
+            Source::Log(_) => register(&mut registry),
+            Source::Edge(_) => register_on(&mut registry),
+        }
         let kernel = Kernel::new(identity, counters.clone(), seed, clock.now(), registry);
         let driver = Driver::new(kernel, path.clone(), edges, inputs.clone());
         let kernel = thread::Builder::new()
@@ -194,10 +296,27 @@
             admin: Some(admin),
             runtime: Some(runtime),
             drain_timeout: settings.drain_timeout,
+            leave_grace,
             logger,
         })
     }
 
+    /// Handle for an adapter.
+    pub fn remote(&self) -> Remote {
+        Remote {
+            path: self.path.clone(),
+            inputs: self.inputs.clone(),
+        }
+    }
+
+    /// Entry for announcements of the own backend server.
+    pub fn handler(&self) -> impl admin::Handler + use<> {
+        Handler {
+            path: self.path.clone(),
+            inputs: self.inputs.clone(),
+        }
+    }
+
     /// Addresses that the node listens on.
     pub fn addresses(&self) -> Addresses {
         self.addresses
@@ -228,7 +347,7 @@
         info!(self.logger, "shutting down");
         let _ = self.inputs.send(Input::Left);
         let _ = self.inputs.send(Input::Event(Event::Shutdown));
-        thread::sleep(LEAVE_GRACE);
+        thread::sleep(self.leave_grace);
         let drained = match (&self.runtime, self.proxy.take()) {
             (Some(runtime), Some(proxy)) => runtime.block_on(proxy.drain(self.drain_timeout)),
             _ => Drained::Clean,
@@ -258,6 +377,13 @@
     }
 }
 
+/// Registers the plug-ins of a node whose orders come from an adapter.
+pub fn register_on(registry: &mut Registry) {
+    membership::plugin::register_seeded(registry);
+    config::intake::register(registry);
+    rollout::cutover::register(registry);
+}
+
 /// Adds every plug-in of a node, in the order in which they see events.
 pub fn register(registry: &mut Registry) {
     membership::plugin::register(registry);
@@ -274,13 +400,14 @@
 }
 
 /// Path of a call as the settings want it.
-fn plane(settings: &Settings, path: &Path) -> Arc<Plane> {
+fn plane(settings: &Settings, path: &Path, edge: Option<&Edge>) -> Arc<Plane> {
+    let limits = edge.map_or_else(Limits::default, |edge| edge.limits.clone());
     let limits = Limits {
         body_bytes: settings.max_body_bytes,
         caller_connections: settings.max_connections,
-        ..Limits::default()
+        ..limits
     };
-    let plane = Plane::builder(
+    let mut builder = Plane::builder(
         settings.host.clone(),
         settings.failure_domain.clone(),
         secrets(settings),
@@ -289,9 +416,11 @@
     .owner(path.owner.clone())
     .counters(path.counters.clone())
     .clock(path.clock.clone())
-    .limits(limits)
-    .build();
-    Arc::new(plane)
+    .limits(limits);
+    if let Some(edge) = edge {
+        builder = builder.contract(edge.contract.clone());
+    }
+    Arc::new(builder.build())
 }
 
 /// Secrets shared by the nodes.
@@ -336,6 +465,17 @@
         let _ = self.inputs.try_send(Input::Left);
     }
 
+    fn depart(&self, instance: &str) -> Result<(), admin::Refusal> {
+        let (reply, answer) = channel::bounded(1);
+        let instance = instance.into();
+        self.inputs
+            .try_send(Input::Departed { instance, reply })
+            .map_err(|_| admin::Refusal::Busy)?;
+        answer
+            .recv_timeout(INSPECT_TIMEOUT)
+            .map_err(|_| admin::Refusal::Busy)
+    }
+
     fn status(&self) -> Option<serde_json::Value> {
         inspect(&self.inputs).and_then(|status| serde_json::to_value(status).ok())
     }
--- a/buckthorn/src/proxy/answer.rs
+++ b/buckthorn/src/proxy/answer.rs
@@ -62,6 +62,8 @@
     KeyAnswerNotKept,
     /// No more idempotency keys can be held.
     KeysFull,
+    /// The backend server did not run the call.
+    BackendRefused,
     /// No connection to the node or the backend server could be opened.
     Unreachable,
     /// The connection broke before the answer.
@@ -91,6 +93,7 @@
             Self::KeyReused => "key-reused",
             Self::KeyAnswerNotKept => "key-answer-not-kept",
             Self::KeysFull => "keys-full",
+            Self::BackendRefused => "backend-refused",
             Self::Unreachable => "unreachable",
             Self::Reset => "reset",
             Self::Timeout => "timeout",
@@ -102,9 +105,11 @@
     pub const fn status(self) -> StatusCode {
         match self {
             Self::Refused(Refusal::Deadline) | Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
-            Self::Refused(_) | Self::NotReady | Self::Connections | Self::KeysFull => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::Refused(_)
+            | Self::NotReady
+            | Self::Connections
+            | Self::KeysFull
+            | Self::BackendRefused => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BadRequest | Self::BodyShort => StatusCode::BAD_REQUEST,
             Self::HeaderSize => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
@@ -134,6 +139,7 @@
             Self::KeyReused => Some(Counter::RefusedKeyReused),
             Self::KeysFull => Some(Counter::RefusedKeysFull),
             Self::KeyAnswerNotKept => Some(Counter::RefusedKeyAnswerNotKept),
+            Self::BackendRefused => Some(Counter::RefusedByBackend),
             Self::Unreachable => Some(Counter::RefusedUnreachable),
             Self::Reset | Self::Timeout | Self::Broken => None,
         }
@@ -231,3 +237,21 @@
 {
     response.map(BodyExt::boxed_unsync)
 }
+
+/// Makes a refusal say by its status alone whether the call ran, and when to come back.
+pub fn plain(response: &mut Response<Body>, retry_after: &HeaderValue) {
+    if !is_refusal(response) || !is_not_run(response) {
+        return;
+    }
+    let status = response.status_mut();
+    if matches!(
+        *status,
+        StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT
+    ) {
+        *status = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    if *status == StatusCode::SERVICE_UNAVAILABLE {
+        let headers = response.headers_mut();
+        headers.insert(header::RETRY_AFTER, retry_after.clone());
+    }
+}
--- a/buckthorn/src/proxy/dispatch.rs
+++ b/buckthorn/src/proxy/dispatch.rs
@@ -12,7 +12,7 @@
 use tokio::time::Instant;
 
 use super::answer::{self, Ran, Reason};
-use super::body::{self, Body, Bounds, Ending, Fault, Monitor};
+use super::body::{self, Body, Bounds, Ending, Fault, Monitor, Prefixed};
 use super::header::{self, ATTEMPTS, Call, LOAD, Part};
 use super::hop::{Failure, Outgoing};
 use super::payload::Payload;
@@ -43,8 +43,13 @@
     ran: budget::Ran,
     /// How it failed.
     failure: budget::Failure,
+    /// Whether the request may have reached a backend server.
+    has_arrived: bool,
 }
 
+/// Attempts under a policy's route, most of which end at owners without reaching a backend server.
+const MAX_TRIES: u32 = 6;
+
 /// Sends a call to a backend server, and to another where that is safe.
 pub async fn dispatch(
     plane: &Arc<Plane>,
@@ -60,45 +65,109 @@
         return answer::refuse(&plane.counters, reason, Ran::NotRun);
     };
     budget.earn();
-    prepare(&mut parts, call);
-    let mut attempts_left = MAX_ATTEMPTS;
-    let mut tried: Vec<Name> = Vec::new();
-    let mut last = None;
+    prepare(plane, &mut parts, call);
+    let mut attempts = Attempts::new(call);
     loop {
-        let endpoint = match pick(plane, call, &tried) {
+        let endpoint = match pick(plane, call, &attempts.tried) {
             Ok(endpoint) => endpoint,
             Err(reason) => {
-                return last
+                return attempts
+                    .last_word()
                     .unwrap_or_else(|| answer::refuse(&plane.counters, reason, Ran::NotRun));
             }
         };
         let body = payload.take().unwrap_or_else(body::empty);
         let request = Request::from_parts(parts.clone(), body);
-        attempts_left -= 1;
         let failed = match attempt(plane, call, &endpoint, request).await {
             Attempt::Answered(response) => {
                 return resume::protect(plane, call, &parts, endpoint.host, response);
             }
             Attempt::Failed(failed) => failed,
         };
-        let next = budget::decide(
-            &budget,
-            &budget::Attempt {
-                is_idempotent: call.is_idempotent,
-                ran: failed.ran,
-                failure: failed.failure,
-                time_left: Some(call.deadline.since(plane.clock.now())),
-                attempts_left,
-                layer: layer(call),
-                is_body_kept: payload.is_kept(),
-            },
-        );
+        attempts.count(&failed);
+        let failure = budget::Attempt {
+            is_idempotent: call.is_idempotent,
+            ran: failed.ran,
+            failure: failed.failure,
+            time_left: Some(call.deadline.since(plane.clock.now())),
+            attempts_left: attempts.left(),
+            layer: layer(call),
+            is_body_kept: payload.is_kept(),
+        };
+        let next = if call.arrivals.is_some() && !failed.has_arrived {
+            budget::permit(&failure)
+        } else {
+            budget::decide(&budget, &failure)
+        };
         plane.counters.hit(next.counter());
-        if matches!(next, Next::GiveUp(_)) {
-            return failed.response;
+        let is_over = matches!(next, Next::GiveUp(_));
+        attempts.note(endpoint.host, failed);
+        if is_over {
+            return attempts
+                .last_word()
+                .unwrap_or_else(|| answer::refuse(&plane.counters, Reason::Reset, Ran::Unknown));
         }
-        tried.push(endpoint.host);
-        last = Some(failed.response);
+    }
+}
+
+/// Attempts of a call so far.
+struct Attempts {
+    /// Attempts left.
+    tries: u32,
+    /// Backend servers that the call may still reach, where its route says so.
+    arrivals: Option<u32>,
+    /// Hosts that were tried.
+    tried: Vec<Name>,
+    /// What came of the last attempt that may have run.
+    unknown: Option<Response<Body>>,
+    /// What came of the last attempt.
+    last: Option<Response<Body>>,
+}
+
+impl Attempts {
+    /// None made yet.
+    fn new(call: &Call) -> Self {
+        Self {
+            tries: if call.arrivals.is_some() {
+                MAX_TRIES
+            } else {
+                MAX_ATTEMPTS
+            },
+            arrivals: call.arrivals,
+            tried: Vec::new(),
+            unknown: None,
+            last: None,
+        }
+    }
+
+    /// Counts a failed attempt.
+    fn count(&mut self, failed: &Failed) {
+        self.tries -= 1;
+        if failed.has_arrived {
+            self.arrivals = self.arrivals.map(|left| left.saturating_sub(1));
+        }
+    }
+
+    /// Attempts left.
+    fn left(&self) -> u32 {
+        match self.arrivals {
+            Some(0) => 0,
+            Some(_) | None => self.tries,
+        }
+    }
+
+    /// Keeps what came of an attempt.
+    fn note(&mut self, host: Name, failed: Failed) {
+        self.tried.push(host);
+        match failed.ran {
+            budget::Ran::Unknown => self.unknown = Some(failed.response),
+            budget::Ran::NotRun => self.last = Some(failed.response),
+        }
+    }
+
+    /// What the caller is told: an attempt that may have run outweighs later ones that did not.
+    fn last_word(&mut self) -> Option<Response<Body>> {
+        self.unknown.take().or_else(|| self.last.take())
     }
 }
 
@@ -118,15 +187,19 @@
 }
 
 /// Head of the request as every attempt sends it.
-fn prepare(parts: &mut Parts, call: &Call) {
+fn prepare(plane: &Plane, parts: &mut Parts, call: &Call) {
     header::strip_connection(&mut parts.headers);
     parts.headers.remove(names::EXPECT);
     parts.headers.remove(header::SECRET);
     parts.headers.remove(header::PART);
-    // The calls that the backend server makes for this one are an inner layer.
-    parts
-        .headers
-        .insert(ATTEMPTS, HeaderValue::from_static("1"));
+    match &plane.contract {
+        Some(contract) => contract.prepare(&mut parts.headers, call.urgency),
+        None => {
+            // The calls that the backend server makes for this one are an inner layer.
+            let attempts = HeaderValue::from_static("1");
+            parts.headers.insert(ATTEMPTS, attempts);
+        }
+    }
     parts.uri = target(call, parts);
 }
 
@@ -216,17 +289,41 @@
         host: endpoint.host.clone(),
         status: response.status(),
     };
-    let response = watch(plane, &method, in_flight, observer, response);
+    let mut response = watch(plane, &method, in_flight, observer, response);
+    if let Some(contract) = &plane.contract {
+        response = match read_whole(plane, call, contract.whole_answer_bytes, response).await {
+            Ok(response) => response,
+            Err(failure) => return failed(plane, failure),
+        };
+    }
     if call.is_idempotent && is_server_error(response.status()) {
         return Attempt::Failed(Failed {
             response,
             ran: budget::Ran::Unknown,
             failure: budget::Failure::Status,
+            has_arrived: true,
         });
     }
     Attempt::Answered(response)
 }
 
+/// Reads an answer to its end, so that one that breaks off can be asked for again.
+async fn read_whole(
+    plane: &Plane,
+    call: &Call,
+    max_bytes: usize,
+    response: Response<Body>,
+) -> Result<Response<Body>, Failure> {
+    let deadline = Instant::now() + call.deadline.since(plane.clock.now());
+    let (parts, body) = response.into_parts();
+    let read = tokio::time::timeout_at(deadline, Prefixed::read(body, max_bytes));
+    match read.await {
+        Ok(Ok((body, _))) => Ok(Response::from_parts(parts, body)),
+        Ok(Err(_)) => Err(Failure::Unknown(Reason::Broken)),
+        Err(_) => Err(Failure::Unknown(Reason::Timeout)),
+    }
+}
+
 /// Counts the end of a call at a host towards its ejection.
 fn observe(plane: &Plane, call: &Call, host: &str, outcome: Outcome) {
     let table = plane.table.load();
@@ -252,6 +349,9 @@
     if answer::has_reason(response, Reason::Unreachable) {
         return Outcome::Reset;
     }
+    if answer::has_reason(response, Reason::BackendRefused) {
+        return Outcome::Error;
+    }
     if answer::is_not_run(response) {
         return Outcome::Shed;
     }
@@ -294,6 +394,7 @@
         response: answer::refuse(&plane.counters, reason, Ran::NotRun),
         ran: budget::Ran::NotRun,
         failure: budget::Failure::Refused,
+        has_arrived: false,
     })
 }
 
@@ -314,6 +415,7 @@
             Reason::Timeout => budget::Failure::Timeout,
             _ => budget::Failure::Reset,
         },
+        has_arrived: ran == Ran::Unknown,
     })
 }
 
@@ -323,6 +425,8 @@
     if answer::has_reason(&response, Reason::Unauthenticated) {
         return failed(plane, Failure::NotRun(Reason::Unreachable));
     }
+    let has_arrived =
+        !answer::is_not_run(&response) || answer::has_reason(&response, Reason::BackendRefused);
     let (ran, failure) = if answer::is_not_run(&response) {
         (budget::Ran::NotRun, budget::Failure::Refused)
     } else if answer::has_reason(&response, Reason::Timeout) {
@@ -334,6 +438,7 @@
         response,
         ran,
         failure,
+        has_arrived,
     })
 }
 
--- a/buckthorn/src/proxy/header.rs
+++ b/buckthorn/src/proxy/header.rs
@@ -8,6 +8,7 @@
 
 use crate::admission::gate::{DEFAULT_URGENCY, Offer, Urgency};
 use crate::clock::Time;
+use crate::config::policy::{Kind, Policy};
 
 /// Milliseconds that remain until the caller needs the answer.
 pub const DEADLINE: &str = "x-buckthorn-deadline-ms";
@@ -31,7 +32,11 @@
 pub const KEY_FINGERPRINT: &str = "x-buckthorn-key-fingerprint";
 /// Status of an idempotency key's outcome.
 pub const KEY_STATUS: &str = "x-buckthorn-key-status";
-/// Priority by RFC 9218.
+/// Urgency that a policy's route gives a call, from ingress to owner.
+pub const URGENCY: &str = "x-buckthorn-urgency";
+/// Host that the caller named, where it differs from the service's name.
+pub const CALLER_HOST: &str = "x-buckthorn-host";
+/// Priority of a call (RFC 9218).
 pub const PRIORITY: &str = "priority";
 /// Key under which a call runs at most once.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
@@ -109,9 +114,62 @@
     pub attempts: Option<u32>,
     /// Idempotency key.
     pub key: Option<String>,
+    /// Backend servers that the call may reach, where a policy's route says so.
+    pub arrivals: Option<u32>,
+}
+
+/// Why a call cannot be routed by a policy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unrouted {
+    /// The request is not one that can be carried.
+    Malformed(&'static str),
+    /// No route matches.
+    NoRoute,
 }
 
 impl Call {
+    /// Routes a caller's request by the operators' policy.
+    ///
+    /// # Errors
+    ///
+    /// Says why it cannot be routed.
+    pub fn by_policy(
+        parts: &Parts,
+        policy: &Policy,
+        deadline_ms: &HeaderName,
+        now: Time,
+        call_timeout: Duration,
+    ) -> Result<Self, Unrouted> {
+        let host =
+            service(&parts.uri, &parts.headers).ok_or(Unrouted::Malformed("no host is named"))?;
+        if parts.method == Method::CONNECT || parts.headers.contains_key(header::UPGRADE) {
+            let what = "tunnels and upgrades are not carried";
+            return Err(Unrouted::Malformed(what));
+        }
+        let route = policy
+            .route(&host, parts.uri.path())
+            .ok_or(Unrouted::NoRoute)?;
+        let told = parts.headers.get(deadline_ms);
+        let remaining = told.map(|value| value.to_str().ok().and_then(whole));
+        let remaining = match remaining {
+            None => None,
+            Some(Some(millis)) => Some(Duration::from_millis(millis)),
+            Some(None) => return Err(Unrouted::Malformed("the deadline is not a whole number")),
+        };
+        let wait = remaining.unwrap_or(call_timeout).min(route.timeout);
+        Ok(Self {
+            service: route.next_service().to_string(),
+            path: parts.uri.path().to_owned(),
+            is_idempotent: route.kind == Kind::Idempotent,
+            urgency: route.urgency,
+            deadline: now + wait,
+            has_deadline: remaining.is_some(),
+            attempts: None,
+            key: None,
+            arrivals: Some(route.attempts.max(1)),
+        })
+    }
+
     /// Reads the head of a request.
     ///
     /// # Errors
@@ -136,11 +194,15 @@
             service,
             path: parts.uri.path().to_owned(),
             is_idempotent: is_idempotent(&parts.method),
-            urgency: urgency(&parts.headers),
+            urgency: match number(&parts.headers, URGENCY)? {
+                Some(urgency) => urgency.min(u64::from(LOWEST_URGENCY)) as Urgency,
+                None => urgency(&parts.headers),
+            },
             deadline: now + wait,
             has_deadline: remaining.is_some(),
             attempts: number(&parts.headers, ATTEMPTS)?.map(|n| n.min(u64::from(u32::MAX)) as u32),
             key,
+            arrivals: None,
         })
     }
 
--- a/buckthorn/src/proxy/ingress.rs
+++ b/buckthorn/src/proxy/ingress.rs
@@ -2,15 +2,17 @@
 
 use std::sync::Arc;
 
+use http::request::Parts;
 use http::{Request, Response};
 use hyper::body::Incoming;
 
 use super::answer::{self, Ran, Reason};
 use super::body::{Body, Monitor};
-use super::header::{Call, LOAD, PART, SECRET};
+use super::header::{CALLER_HOST, Call, LOAD, PART, SECRET, URGENCY, Unrouted};
 use super::payload::{Payload, Upload};
 use super::{Plane, dispatch, keyed};
 use crate::admission::gate::Refusal;
+use crate::clock::Time;
 use crate::counter::Counter;
 
 /// Carries a caller's call.
@@ -18,19 +20,21 @@
     plane.counters.hit(Counter::Calls);
     if plane.is_draining() {
         let reason = Reason::Refused(Refusal::Draining);
-        return answer::refuse(&plane.counters, reason, Ran::NotRun);
+        return finish(plane, answer::refuse(&plane.counters, reason, Ran::NotRun));
     }
     let (mut parts, body) = request.into_parts();
     let now = plane.clock.now();
-    let call = match Call::parse(&parts, now, plane.limits.call_timeout) {
+    let call = match route(plane, &parts, now) {
         Ok(call) => call,
-        Err(detail) => {
-            return answer::refuse_with(&plane.counters, Reason::BadRequest, Ran::NotRun, detail);
+        Err((reason, detail)) => {
+            let refusal = answer::refuse_with(&plane.counters, reason, Ran::NotRun, detail);
+            return finish(plane, refusal);
         }
     };
     // These speak between nodes only.
-    parts.headers.remove(SECRET);
-    parts.headers.remove(PART);
+    for name in [SECRET, PART, URGENCY, CALLER_HOST] {
+        parts.headers.remove(name);
+    }
     let upload = parts.extensions.remove::<Upload>().unwrap_or_default();
     let mut departure = Departure(Some(plane.clone()));
     let response = match Payload::read(plane, &parts, body).await {
@@ -42,6 +46,23 @@
     finish(plane, blame_upload(plane, &upload, response))
 }
 
+/// Finds what a caller's request asks for.
+fn route(plane: &Plane, parts: &Parts, now: Time) -> Result<Call, (Reason, &'static str)> {
+    let call_timeout = plane.limits.call_timeout;
+    let Some(contract) = &plane.contract else {
+        return Call::parse(parts, now, call_timeout).map_err(|what| (Reason::BadRequest, what));
+    };
+    let table = plane.table.load();
+    let policy = table.policy.as_ref().ok_or((Reason::NotReady, ""))?;
+    let deadline_ms = &contract.headers.deadline_ms;
+    Call::by_policy(parts, policy, deadline_ms, now, call_timeout).map_err(
+        |unrouted| match unrouted {
+            Unrouted::Malformed(what) => (Reason::BadRequest, what),
+            Unrouted::NoRoute => (Reason::NoRoute, ""),
+        },
+    )
+}
+
 /// Names a fault of the caller's streamed body instead of what it led to further in.
 fn blame_upload(plane: &Plane, upload: &Upload, response: Response<Body>) -> Response<Body> {
     let Some(reason) = upload.reason() else {
@@ -71,5 +92,8 @@
         plane.counters.hit(Counter::CallsUnknown);
     }
     response.headers_mut().remove(LOAD);
+    if let Some(contract) = &plane.contract {
+        answer::plain(&mut response, &contract.retry_after);
+    }
     response
 }
--- a/buckthorn/src/proxy/mod.rs
+++ b/buckthorn/src/proxy/mod.rs
@@ -16,6 +16,7 @@
 
 pub mod answer;
 pub mod body;
+pub mod contract;
 pub mod dispatch;
 pub mod header;
 pub mod hop;
@@ -44,6 +45,7 @@
 use crate::name::Name;
 use crate::routing::table::Table;
 
+use self::contract::Contract;
 use self::limit::Limits;
 use self::owner::Owner;
 use crate::secret::Secrets;
@@ -67,6 +69,8 @@
     pub secrets: Secrets,
     /// Limits on what comes from outside.
     pub limits: Limits,
+    /// Contract with callers and backend servers, where the platform has headers of its own.
+    pub contract: Option<Contract>,
     /// Connections to other nodes.
     pub(crate) peers: hop::Peers,
     /// Idempotency keys held here.
@@ -91,6 +95,7 @@
             failure_domain: failure_domain.into(),
             secrets,
             limits: Limits::default(),
+            contract: None,
         }
     }
 
@@ -119,6 +124,8 @@
     secrets: Secrets,
     /// Limits.
     limits: Limits,
+    /// Contract.
+    contract: Option<Contract>,
 }
 
 impl Builder {
@@ -152,6 +159,12 @@
         self
     }
 
+    /// Contract with callers and backend servers.
+    pub fn contract(mut self, contract: Contract) -> Self {
+        self.contract = Some(contract);
+        self
+    }
+
     /// Builds the plane.
     pub fn build(self) -> Plane {
         Plane {
@@ -165,6 +178,7 @@
             failure_domain: self.failure_domain,
             secrets: self.secrets,
             limits: self.limits,
+            contract: self.contract,
             is_draining: AtomicBool::new(false),
         }
     }
--- a/buckthorn/src/proxy/owner.rs
+++ b/buckthorn/src/proxy/owner.rs
@@ -6,22 +6,27 @@
 use std::time::Duration;
 
 use http::{HeaderValue, Request, Response, StatusCode, Uri, Version, header as names};
+use http_body_util::BodyExt;
 use tokio::time::Instant;
 
 use super::Plane;
 use super::answer::{self, Ran, Reason};
 use super::body::{self, Body, Bounds, Ending, Fault, Monitor};
+use super::contract::Finding;
 use super::header::{self, Call, DEADLINE, LOAD};
 use super::limit::Limits;
 use super::pool::{Denied, Failure, Pool, Reply};
 use crate::admission::door::{Door, Permit};
 use crate::admission::gate::Refusal;
+use crate::admission::warmth::Warmth;
 use crate::counter::{Board, Counter};
 use crate::name::Name;
 use crate::rollout::evidence::{self, Book, Outcome};
 
 /// Connections tried for one call before it is refused; nothing was sent on any of them.
 const MAX_CONNECTIONS_TRIED: u32 = 3;
+/// Longest wait for the body of a backend server's refusal, which is short and follows its head.
+const REFUSAL_READ_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// The backend server announced to this node.
 #[derive(Debug)]
@@ -42,6 +47,10 @@
     pub book: Arc<Book>,
     /// Connections to it, made at the first call.
     pool: std::sync::OnceLock<Arc<Pool>>,
+    /// Instance of the backend server, where it names one.
+    instance: Option<Name>,
+    /// Rate limit while the backend server is cold.
+    pub warmth: Warmth,
 }
 
 impl Owner {
@@ -64,9 +73,18 @@
             door,
             book,
             pool: std::sync::OnceLock::new(),
+            instance: None,
+            warmth: Warmth::new(None),
         }
     }
 
+    /// Owner of a named instance that bears `cold_rate` calls a second while cold.
+    pub fn with_instance(mut self, instance: Option<Name>, cold_rate: Option<f64>) -> Self {
+        self.instance = instance;
+        self.warmth = Warmth::new(cold_rate);
+        self
+    }
+
     /// Connections to the backend server.
     fn pool(&self, counters: &Arc<Board>, limits: &Limits) -> &Arc<Pool> {
         self.pool
@@ -108,6 +126,9 @@
         .enter(call.offer())
         .await
         .map_err(Reason::Refused)?;
+    if !owner.warmth.admit(plane.clock.now()) {
+        return Err(Reason::Refused(Refusal::Cold));
+    }
     Ok(Entry { permit, route })
 }
 
@@ -183,16 +204,24 @@
     let left = call.deadline.since(plane.clock.now());
     let deadline = Instant::now() + left;
     let method = request.method().clone();
-    let sent = send(pool, to_backend(request, left), deadline).await;
+    let request_id = request_id(plane, &request);
+    let request = to_backend(plane, owner, request, left);
+    let sent = send(pool, request, deadline).await;
     let Some(run) = run.release() else {
         return answer::refuse(&plane.counters, Reason::Reset, Ran::Unknown);
     };
     let latency = run.started.elapsed();
     match sent {
-        Ok(response) => pass_on(plane, run, &method, response),
+        Ok(response) => match inspect(plane, request_id.as_ref(), &response) {
+            Finding::Sound => pass_on(plane, run, &method, response),
+            finding => disown(plane, owner, run, finding, response).await,
+        },
         Err(Unanswered::NotRun(reason)) => {
             let outcome = match reason {
-                Reason::Unreachable => Outcome::Reset,
+                Reason::Unreachable => {
+                    owner.warmth.doubt(plane.clock.now());
+                    Outcome::Reset
+                }
                 _ => Outcome::Cancelled,
             };
             run.finish(outcome, latency);
@@ -209,6 +238,57 @@
     }
 }
 
+/// Identifier of a request under a contract.
+fn request_id(plane: &Plane, request: &Request<Body>) -> Option<HeaderValue> {
+    let contract = plane.contract.as_ref()?;
+    request.headers().get(&contract.headers.request_id).cloned()
+}
+
+/// Judges the head of an answer.
+fn inspect(plane: &Plane, id: Option<&HeaderValue>, response: &Response<Reply>) -> Finding {
+    match &plane.contract {
+        Some(contract) => contract
+            .headers
+            .inspect(id, response.status(), response.headers()),
+        None => Finding::Sound,
+    }
+}
+
+/// Refuses in place of an answer that is not passed on.
+async fn disown(
+    plane: &Plane,
+    owner: &Owner,
+    run: Run,
+    finding: Finding,
+    response: Response<Reply>,
+) -> Response<Body> {
+    let latency = run.started.elapsed();
+    match finding {
+        Finding::NotRun => {
+            // Read to its end, the connection can be used again.
+            let read = response.into_body().collect();
+            if tokio::time::timeout(REFUSAL_READ_TIMEOUT, read)
+                .await
+                .is_err()
+            {
+                plane.counters.hit(Counter::BrokenAnswers);
+            }
+            run.finish(Outcome::Shed, latency);
+            answer::refuse(&plane.counters, Reason::BackendRefused, Ran::NotRun)
+        }
+        Finding::Misdirected => {
+            owner.warmth.doubt(plane.clock.now());
+            run.finish(Outcome::Reset, latency);
+            answer::refuse(&plane.counters, Reason::Unreachable, Ran::NotRun)
+        }
+        Finding::Sound | Finding::Foreign | Finding::Broken => {
+            plane.counters.hit(Counter::BrokenAnswers);
+            run.finish(Outcome::Broken, latency);
+            answer::refuse(&plane.counters, Reason::Broken, Ran::Unknown)
+        }
+    }
+}
+
 /// Reports a call as cancelled when it is dropped while it waits for its answer.
 struct Guard(Option<Run>);
 
@@ -256,16 +336,31 @@
 }
 
 /// Request as the backend server gets it.
-fn to_backend(mut request: Request<Body>, left: Duration) -> Request<Body> {
+fn to_backend(
+    plane: &Plane,
+    owner: &Owner,
+    mut request: Request<Body>,
+    left: Duration,
+) -> Request<Body> {
     let headers = request.headers_mut();
     header::strip_connection(headers);
     headers.remove(header::SECRET);
     headers.remove(header::PART);
     headers.remove(names::EXPECT);
-    headers.insert(DEADLINE, HeaderValue::from(left.as_millis() as u64));
     let authority = request.uri().authority().cloned();
+    match &plane.contract {
+        Some(contract) => {
+            contract.to_backend(request.headers_mut(), left, owner.instance.as_ref());
+        }
+        None => {
+            let millis = HeaderValue::from(left.as_millis() as u64);
+            request.headers_mut().insert(DEADLINE, millis);
+        }
+    }
     if let Some(authority) = authority {
-        if let Ok(host) = HeaderValue::from_str(authority.as_str()) {
+        if plane.contract.is_none()
+            && let Ok(host) = HeaderValue::from_str(authority.as_str())
+        {
             request.headers_mut().insert(names::HOST, host);
         }
         let path = request.uri().path_and_query().cloned();
@@ -284,7 +379,7 @@
 ) -> Response<Body> {
     let latency = run.started.elapsed();
     let status = response.status();
-    if is_undelimited(method, &response) {
+    if plane.contract.is_none() && is_undelimited(method, &response) {
         plane.counters.hit(Counter::BrokenAnswers);
         run.finish(Outcome::Broken, latency);
         return answer::refuse(&plane.counters, Reason::Broken, Ran::Unknown);
--- /dev/null
+++ b/buckthorn/src/rollout/cutover.rs
@@ -0,0 +1,348 @@
+//! Moves that operators order with a window of seconds.
+//!
+//! The share of the new version follows a schedule over the window: small for most of it, so that a
+//! fault shows before many calls meet it, then rising quickly. Two judges, the seats of
+//! [`super::judge`], compare the versions by the owners' counts and tell every node what they find.
+//! A node raises the share only while it hears of a judge that finds nothing wrong, and drops it to
+//! zero on the first word of a fault; no node has to lead for that. The judges publish how the move
+//! ended, the second only when the first does not.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Time;
+use crate::config::order::{Decision, Move, Phase};
+use crate::counter::Counter;
+use crate::kernel::{Action, Context, Event, Plugin, Publication, Registry};
+use crate::membership::member::Member;
+use crate::name::Name;
+use crate::rpc::message::Message;
+
+use super::comparison::Comparison;
+use super::evidence::Report;
+use super::judge;
+
+/// Interval of a judge's findings; a third of [`FINDING_LIFETIME`].
+const FINDING_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Time for which a finding allows a share beyond the first; three findings may be lost.
+const FINDING_LIFETIME: Duration = Duration::from_millis(1_300);
+
+/// Wait between attempts to publish a decision; an append takes some 10 ms.
+const PUBLISH_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Head start of the first judge in publishing a decision.
+const HEAD_START: Duration = Duration::from_millis(500);
+
+/// Part of the window, in thousandths, and the share of the new version from there on.
+const SCHEDULE: [(u128, u16); 5] = [(0, 30), (650, 80), (750, 250), (820, 500), (880, 1_000)];
+
+/// Part of the window, in thousandths, after which a version without a fault is completed; what is
+/// left is for publishing it.
+const COMPLETE_AT: u128 = 930;
+
+/// Calls of the new version without which a move is not completed.
+const MIN_CALLS: u64 = 15;
+
+/// Registers the plug-in.
+pub fn register(registry: &mut Registry) {
+    registry.add(Cutover::default());
+}
+
+/// What a judge finds in a move.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Finding {
+    /// Service.
+    #[serde(rename = "s")]
+    pub service: Name,
+    /// Offset of the order.
+    #[serde(rename = "o")]
+    pub order: u64,
+    /// Time since the order in milliseconds, as the judge knows it.
+    #[serde(rename = "t")]
+    pub elapsed_ms: u64,
+    /// Whether the new version is at fault.
+    #[serde(rename = "f")]
+    pub is_fault: bool,
+}
+
+/// Moves that this node follows.
+#[derive(Debug, Default)]
+pub struct Cutover {
+    trials: Vec<Trial>,
+}
+
+/// One move as this node sees it.
+#[derive(Debug)]
+struct Trial {
+    service: Name,
+    order: u64,
+    comparison: Comparison,
+    /// When a judge last found nothing wrong.
+    clean: Option<Time>,
+    /// When this node last told its finding.
+    told: Time,
+    /// When this node last tried to publish.
+    published: Time,
+    /// When the move ended in this node's view.
+    ended: Option<Time>,
+    /// When this node last sent its counts.
+    reported: Time,
+}
+
+impl Trial {
+    fn new(entry: &Move) -> Self {
+        Self {
+            service: entry.service.clone(),
+            order: entry.order,
+            comparison: Comparison::default(),
+            clean: None,
+            told: Time::default(),
+            published: Time::default(),
+            ended: None,
+            reported: Time::default(),
+        }
+    }
+}
+
+impl Plugin for Cutover {
+    fn name(&self) -> &'static str {
+        "cutover"
+    }
+
+    fn handle(&mut self, cx: &mut Context<'_>, event: &Event) {
+        match event {
+            Event::Tick => self.tick(cx),
+            Event::Observed(report) => self.report(cx, report),
+            Event::Received { messages, .. } | Event::Answered { messages, .. } => {
+                for message in messages {
+                    self.receive(cx, message);
+                }
+            }
+            Event::Published(Publication::Done(decision)) => {
+                cx.shared.orders.decide(std::slice::from_ref(decision));
+                cx.act(Action::Rebuild);
+            }
+            Event::Published(Publication::Failed(reason)) => cx.act(Action::Note {
+                text: format!("decision not published: {reason}"),
+            }),
+            _ => {}
+        }
+    }
+}
+
+impl Cutover {
+    fn tick(&mut self, cx: &mut Context<'_>) {
+        self.follow(cx);
+        let mut is_stale = false;
+        for trial in &mut self.trials {
+            let Some(entry) = cx.shared.orders.find(&trial.service).cloned() else {
+                continue;
+            };
+            is_stale |= match entry.phase {
+                Phase::Running => run(cx, trial, &entry),
+                Phase::Completed | Phase::RolledBack => end(cx, trial, &entry),
+            };
+        }
+        if is_stale {
+            cx.act(Action::Rebuild);
+        }
+    }
+
+    /// Keeps a trial for each move whose end is not published.
+    fn follow(&mut self, cx: &Context<'_>) {
+        let orders = &cx.shared.orders;
+        let is_open = |entry: &Move| {
+            let decision = orders.decision(&entry.service);
+            !decision.is_some_and(|d| d.order == entry.order && d.phase != Phase::Running)
+        };
+        self.trials.retain(|trial| {
+            let entry = orders.find(&trial.service);
+            entry.is_some_and(|entry| entry.order == trial.order && is_open(entry))
+        });
+        for entry in orders.moves().iter().filter(|entry| is_open(entry)) {
+            if !self.trials.iter().any(|trial| trial.order == entry.order) {
+                self.trials.push(Trial::new(entry));
+            }
+        }
+    }
+
+    /// Sends the own backend server's counts to the judges of its service's move.
+    fn report(&mut self, cx: &mut Context<'_>, report: &Report) {
+        let Some(trial) = self.trials.iter_mut().find(|t| t.service == report.service) else {
+            return;
+        };
+        if cx.now.since(trial.reported) < FINDING_INTERVAL {
+            return;
+        }
+        trial.reported = cx.now;
+        let seats: Vec<Member> = seats(cx, trial.order).cloned().collect();
+        for seat in seats {
+            if seat.host == cx.shared.identity.host {
+                take(cx, trial, report);
+            } else {
+                cx.send(&seat, vec![Message::Evidence(report.clone())]);
+            }
+        }
+    }
+
+    fn receive(&mut self, cx: &mut Context<'_>, message: &Message) {
+        match message {
+            Message::Evidence(report) if report.is_sound() => {
+                if let Some(trial) = self.trials.iter_mut().find(|t| t.service == report.service) {
+                    take(cx, trial, report);
+                }
+            }
+            Message::Finding(finding) => self.heed(cx, finding),
+            _ => {}
+        }
+    }
+
+    /// Takes over what a judge found.
+    fn heed(&mut self, cx: &mut Context<'_>, finding: &Finding) {
+        let is_same = |trial: &&mut Trial| trial.order == finding.order;
+        let Some(trial) = self.trials.iter_mut().find(is_same) else {
+            return;
+        };
+        if finding.is_fault {
+            let phase = Phase::RolledBack;
+            if cx.shared.orders.end(&finding.service, finding.order, phase) {
+                cx.shared.counters.hit(Counter::Quarantines);
+                cx.act(Action::Note {
+                    text: format!("{}: new version taken back by a judge", finding.service),
+                });
+                cx.act(Action::Rebuild);
+            }
+            return;
+        }
+        trial.clean = Some(cx.now);
+        let started = cx.now - Duration::from_millis(finding.elapsed_ms);
+        let entry = cx.shared.orders.moves_mut().iter_mut();
+        if let Some(entry) = entry.into_iter().find(|entry| entry.order == finding.order) {
+            entry.started = entry.started.min(started);
+        }
+    }
+}
+
+/// Judges of a move.
+fn seats<'a>(cx: &'a Context<'_>, order: u64) -> impl Iterator<Item = &'a Member> {
+    judge::seats(&cx.shared.view, &format!("move-{order}")).into_iter()
+}
+
+/// Place of this node among the judges of a move.
+fn seat(cx: &Context<'_>, order: u64) -> Option<usize> {
+    seats(cx, order).position(|member| member.host == cx.shared.identity.host)
+}
+
+/// Adds an owner's counts to a comparison.
+fn take(cx: &Context<'_>, trial: &mut Trial, report: &Report) {
+    if let Some(entry) = cx.shared.orders.find(&trial.service) {
+        let is_new = entry.version == report.version;
+        trial.comparison.take(report, is_new);
+    }
+}
+
+/// Moves an open move on; returns whether routing changed.
+fn run(cx: &mut Context<'_>, trial: &mut Trial, entry: &Move) -> bool {
+    let elapsed = cx.now.since(entry.started);
+    let part = elapsed.as_millis() * 1_000 / entry.window.as_millis().max(1);
+    let place = seat(cx, entry.order);
+    if place.is_some() {
+        if let Some(fault) = trial.comparison.fault() {
+            cx.shared.counters.hit(Counter::Accusations);
+            cx.act(Action::Note {
+                text: format!("{}: {} taken back: {fault}", entry.service, entry.version),
+            });
+            cx.shared
+                .orders
+                .end(&entry.service, entry.order, Phase::RolledBack);
+            return true;
+        }
+        trial.clean = Some(cx.now);
+        if cx.now.since(trial.told) >= FINDING_INTERVAL {
+            trial.told = cx.now;
+            broadcast(cx, entry, false);
+        }
+        let has_evidence = trial.comparison.new_calls() >= MIN_CALLS;
+        let head_start = HEAD_START * place.unwrap_or(0) as u32;
+        let is_due = part >= COMPLETE_AT
+            && elapsed >= entry.window.mul_f64(COMPLETE_AT as f64 / 1_000.0) + head_start;
+        if has_evidence && is_due {
+            publish(cx, trial, entry, Phase::Completed);
+        }
+    }
+    let is_clean = trial
+        .clean
+        .is_some_and(|at| cx.now.since(at) < FINDING_LIFETIME);
+    let share = share(part, is_clean);
+    if share == entry.share {
+        return false;
+    }
+    cx.shared.counters.hit(Counter::StepsTaken);
+    let entries = cx.shared.orders.moves_mut();
+    if let Some(held) = entries.iter_mut().find(|held| held.order == entry.order) {
+        held.share = share;
+    }
+    cx.shared.orders.touch();
+    true
+}
+
+/// Tells and publishes that a move has ended.
+fn end(cx: &mut Context<'_>, trial: &mut Trial, entry: &Move) -> bool {
+    let ended = *trial.ended.get_or_insert(cx.now);
+    let Some(place) = seat(cx, entry.order) else {
+        return false;
+    };
+    if entry.phase == Phase::RolledBack && cx.now.since(trial.told) >= FINDING_INTERVAL {
+        trial.told = cx.now;
+        broadcast(cx, entry, true);
+    }
+    if cx.now.since(ended) >= HEAD_START * place as u32 {
+        publish(cx, trial, entry, entry.phase);
+    }
+    false
+}
+
+/// Share of the new version in thousandths.
+fn share(part: u128, is_clean: bool) -> u16 {
+    if !is_clean {
+        return SCHEDULE[0].1;
+    }
+    let reached = SCHEDULE.iter().rev().find(|(from, _)| part >= *from);
+    reached.map_or(0, |(_, share)| *share)
+}
+
+/// Tells every node what this judge finds.
+fn broadcast(cx: &mut Context<'_>, entry: &Move, is_fault: bool) {
+    let finding = Finding {
+        service: entry.service.clone(),
+        order: entry.order,
+        elapsed_ms: cx.now.since(entry.started).as_millis() as u64,
+        is_fault,
+    };
+    let own = cx.shared.identity.host.clone();
+    let live = cx.shared.view.live().filter(|member| member.host != own);
+    let peers: Vec<Member> = live.cloned().collect();
+    for peer in peers {
+        cx.send(&peer, vec![Message::Finding(finding.clone())]);
+    }
+}
+
+/// Publishes how a move ended, again until it is known to be published.
+fn publish(cx: &mut Context<'_>, trial: &mut Trial, entry: &Move, phase: Phase) {
+    if cx.now.since(trial.published) < PUBLISH_INTERVAL {
+        return;
+    }
+    trial.published = cx.now;
+    cx.shared.counters.hit(match phase {
+        Phase::Completed => Counter::MovesDone,
+        Phase::Running | Phase::RolledBack => Counter::MovesTakenBack,
+    });
+    cx.act(Action::Publish(Decision {
+        service: entry.service.clone(),
+        version: entry.version.clone(),
+        order: entry.order,
+        phase,
+    }));
+}
--- a/buckthorn/src/rollout/mod.rs
+++ b/buckthorn/src/rollout/mod.rs
@@ -1,6 +1,8 @@
 //! Moves of traffic between versions: schedule, evidence, verdict and quarantine.
 
+pub mod comparison;
 pub mod controller;
+pub mod cutover;
 pub mod evidence;
 pub mod gauge;
 pub mod judge;
--- a/buckthorn/src/rollout/plugin.rs
+++ b/buckthorn/src/rollout/plugin.rs
@@ -16,9 +16,9 @@
 use crate::counter::Counter;
 use crate::journal::record::{self, Body, Step};
 use crate::kernel::{Action, Context, Event, Plugin, Registry};
+use crate::log::Append;
 use crate::membership::member::Member;
 use crate::name::Name;
-use crate::platform::Append;
 use crate::rpc::message::Message;
 
 use super::controller::{self, Decision, Fleet};
--- a/buckthorn/src/routing/budget.rs
+++ b/buckthorn/src/routing/budget.rs
@@ -40,33 +40,52 @@
 /// Retries that a service may still make.
 #[derive(Debug)]
 pub struct Budget {
-    /// Thousandths of a retry.
+    /// Thousandths of a retry that may be spent.
     credit: AtomicU32,
+    /// Most that it may hold.
+    most: AtomicU32,
+    /// What a call adds.
+    earned: u32,
 }
 
 impl Budget {
     /// Full budget.
     pub const fn new() -> Self {
+        Self::sized(MAX_CREDIT, CALL_CREDIT)
+    }
+
+    /// Full budget that holds at most `most` and to which a call adds `earned`, in thousandths of
+    /// a retry.
+    pub const fn sized(most: u32, earned: u32) -> Self {
         Self {
-            credit: AtomicU32::new(MAX_CREDIT),
+            credit: AtomicU32::new(most),
+            most: AtomicU32::new(most),
+            earned,
         }
     }
 
-    /// Earns the credit of one call; counted once per call, not per attempt.
+    /// Credits one call.
     #[inline]
     pub fn earn(&self) {
         // A full budget is the common case and needs no write.
-        if self.credit.load(Ordering::Relaxed) >= MAX_CREDIT {
+        let most = self.most.load(Ordering::Relaxed);
+        if self.credit.load(Ordering::Relaxed) >= most {
             return;
         }
         let _ = self
             .credit
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |credit| {
-                (credit < MAX_CREDIT).then(|| (credit + CALL_CREDIT).min(MAX_CREDIT))
+                (credit < most).then(|| (credit + self.earned).min(most))
             });
     }
 
-    /// Takes the cost of one retry, if the budget holds it.
+    /// Changes the most that it may hold.
+    pub fn resize(&self, most: u32) {
+        self.most.store(most, Ordering::Relaxed);
+        self.credit.fetch_min(most, Ordering::Relaxed);
+    }
+
+    /// Takes one retry; returns false when none is left.
     pub fn spend(&self) -> bool {
         self.credit
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |credit| {
@@ -222,12 +241,18 @@
 
 /// Decides what follows a failed attempt.
 pub fn decide(budget: &Budget, attempt: &Attempt) -> Next {
+    match permit(attempt) {
+        Next::Retry(_) if !budget.spend() => Next::GiveUp(Denial::Budget),
+        next => next,
+    }
+}
+
+/// Decides whether a failed attempt is followed by another that costs the budget nothing, since
+/// the failed one reached no backend server.
+pub fn permit(attempt: &Attempt) -> Next {
     if let Some(denial) = denial(attempt) {
         return Next::GiveUp(denial);
     }
-    if !budget.spend() {
-        return Next::GiveUp(Denial::Budget);
-    }
     assert!(
         attempt.is_idempotent || attempt.ran == Ran::NotRun,
         "invariant: a non-idempotent request runs at most once"
--- a/buckthorn/src/routing/load.rs
+++ b/buckthorn/src/routing/load.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 
-use super::budget::Budget;
+use super::budget::{Budget, RETRY_COST};
 use crate::clock::Time;
 use crate::name::Name;
 
@@ -105,9 +105,55 @@
     entries: Vec<((Name, u64), Arc<Load>)>,
     /// Retry budgets sorted by service.
     budgets: Vec<(Name, Arc<Budget>)>,
+    /// Size of the retry budgets, where it differs from the default.
+    budget_size: Option<Size>,
+}
+
+/// Size of the retry budgets, in thousandths of a retry.
+#[derive(Debug)]
+struct Size {
+    /// Slack of all nodes together.
+    slack: u32,
+    /// This node's part of it.
+    share: u32,
+    /// What a call adds.
+    earned: u32,
+}
+
+/// A number of retries in thousandths.
+fn thousandths(retries: f64) -> u32 {
+    (retries * f64::from(RETRY_COST)) as u32
 }
 
 impl Registry {
+    /// Registry whose retry budgets share a slack, counted in retries, with the other nodes and
+    /// earn `ratio` retries for a call.
+    pub fn with_budgets(slack: f64, ratio: f64) -> Self {
+        let size = Size {
+            slack: thousandths(slack),
+            share: thousandths(slack),
+            earned: thousandths(ratio),
+        };
+        Self {
+            budget_size: Some(size),
+            ..Self::default()
+        }
+    }
+
+    /// Shares the slack of the retry budgets with the other nodes.
+    pub fn share_slack(&mut self, nodes: usize) {
+        let Some(size) = &mut self.budget_size else {
+            return;
+        };
+        let share = size.slack / u32::try_from(nodes).unwrap_or(u32::MAX).max(1);
+        if share != size.share {
+            size.share = share;
+            for (_, budget) in &self.budgets {
+                budget.resize(share.max(RETRY_COST));
+            }
+        }
+    }
+
     /// Load of a host's incarnation, made when it is new.
     pub fn load(&mut self, host: &Name, incarnation: u64) -> Arc<Load> {
         let key = (host.clone(), incarnation);
@@ -126,7 +172,11 @@
         match self.budgets.binary_search_by(|(name, _)| name.cmp(service)) {
             Ok(index) => self.budgets[index].1.clone(),
             Err(index) => {
-                let budget = Arc::new(Budget::new());
+                let budget = match &self.budget_size {
+                    Some(size) => Budget::sized(size.share.max(RETRY_COST), size.earned),
+                    None => Budget::new(),
+                };
+                let budget = Arc::new(budget);
                 self.budgets
                     .insert(index, (service.clone(), budget.clone()));
                 budget
--- a/buckthorn/src/routing/table.rs
+++ b/buckthorn/src/routing/table.rs
@@ -9,6 +9,8 @@
 use std::sync::Arc;
 
 use crate::config::intent::{FULL_SHARE, Move, Phase};
+use crate::config::order::{self, Orders};
+use crate::config::policy::Policy;
 use crate::journal::fold::State;
 use crate::membership::view::View;
 use crate::name::Name;
@@ -30,6 +32,8 @@
     pub failure_domain: Name,
     /// Region of this node.
     pub region: Name,
+    /// Policy that callers' requests are routed by, where operators publish one.
+    pub policy: Option<Arc<Policy>>,
 }
 
 /// A service's resolved routes.
@@ -148,6 +152,50 @@
             out,
             failure_domain: failure_domain.clone(),
             region: region.clone(),
+            policy: None,
+        };
+        table.check(view);
+        registry.sweep();
+        table
+    }
+
+    /// Resolves operators' orders against a view.
+    pub fn from_orders(
+        orders: &Orders,
+        view: &View,
+        registry: &mut Registry,
+        failure_domain: &Name,
+        region: &Name,
+    ) -> Self {
+        let out = orders.out();
+        let place = Place {
+            failure_domain,
+            region,
+        };
+        let mut resolver = Resolver {
+            view,
+            registry,
+            out: &out,
+        };
+        let policy = orders.policy().cloned();
+        let named = policy.iter().flat_map(|policy| &policy.services);
+        let services = named
+            .map(|service| Service {
+                name: service.name.clone(),
+                budget: resolver.registry.budget(&service.name),
+                routes: vec![Route {
+                    prefix: "".into(),
+                    shares: resolver.version_shares(&service.name, orders, &place),
+                }],
+            })
+            .collect();
+        let table = Self {
+            version: orders.revision(),
+            services,
+            out,
+            failure_domain: failure_domain.clone(),
+            region: region.clone(),
+            policy,
         };
         table.check(view);
         registry.sweep();
@@ -300,6 +348,24 @@
     }
 }
 
+/// Spreads a share over versions by their slots; versions that get nothing are left out.
+fn spread(versions: Vec<(Name, Vec<Endpoint>)>, given: u16) -> Vec<(Name, u16, Vec<Endpoint>)> {
+    let slots = |endpoints: &[Endpoint]| -> u32 { endpoints.iter().map(|e| e.slots).sum() };
+    let mut left_slots: u32 = versions.iter().map(|(_, endpoints)| slots(endpoints)).sum();
+    let mut left = given;
+    let mut shares = Vec::with_capacity(versions.len());
+    for (version, endpoints) in versions {
+        let own = slots(&endpoints);
+        let part = u32::from(left) * own / left_slots.max(1);
+        left_slots -= own;
+        left -= part as u16;
+        if part > 0 {
+            shares.push((version, part as u16, endpoints));
+        }
+    }
+    shares
+}
+
 /// What backend servers are looked up in.
 struct Resolver<'a> {
     /// Known members.
@@ -311,6 +377,50 @@
 }
 
 impl Resolver<'_> {
+    /// Shares of a service's versions: the one that it moves to has what the move gives it, the
+    /// others share the rest by their slots.
+    fn version_shares(&mut self, service: &Name, orders: &Orders, place: &Place<'_>) -> Vec<Share> {
+        let entry = orders.find(service);
+        let mut versions: Vec<Name> = self
+            .view
+            .live()
+            .filter_map(|member| member.backend_server.as_ref())
+            .filter(|server| server.service == *service)
+            .map(|server| server.version.clone())
+            .collect();
+        versions.sort_unstable();
+        versions.dedup();
+        let (new, old): (Vec<_>, Vec<_>) = versions
+            .into_iter()
+            .map(|version| {
+                let endpoints = self.endpoints(service, &version);
+                (version, endpoints)
+            })
+            .filter(|(_, endpoints)| !endpoints.is_empty())
+            .partition(|(version, _)| entry.is_some_and(|entry| entry.version == *version));
+        let given = entry.map_or(0, |entry| match entry.phase {
+            order::Phase::Running if old.is_empty() => FULL_SHARE,
+            order::Phase::Running => entry.share,
+            order::Phase::Completed => FULL_SHARE,
+            order::Phase::RolledBack => 0,
+        });
+        let given = if new.is_empty() { 0 } else { given };
+        let is_moving = |version: &Name| entry.is_some_and(|entry| entry.version == *version);
+        let mut shares = spread(old, FULL_SHARE - given);
+        shares.extend(spread(new, given));
+        if shares.is_empty() {
+            // Nobody serves it; the empty share makes the refusal say so.
+            shares.push(("".into(), FULL_SHARE, Vec::new()));
+        }
+        shares
+            .into_iter()
+            .map(|(version, permille, endpoints)| {
+                let move_id = is_moving(&version).then(|| service.clone());
+                share(&version, permille, move_id.as_ref(), endpoints, place)
+            })
+            .collect()
+    }
+
     /// Backend servers of a version that take new work, sorted by host.
     fn endpoints(&mut self, service: &Name, version: &Name) -> Vec<Endpoint> {
         self.view
--- a/buckthorn/src/rpc/message.rs
+++ b/buckthorn/src/rpc/message.rs
@@ -8,8 +8,8 @@
 use crate::journal::record::Record;
 use crate::membership::member::{Member, Status};
 use crate::name::Name;
-use crate::rollout::evidence;
 use crate::rollout::quarantine::Accusation;
+use crate::rollout::{cutover, evidence};
 
 /// Messages that one node sends another in one exchange; the answer is such a list too.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -67,6 +67,8 @@
     Accusations(Vec<Accusation>),
     /// Cumulative evidence of one owner, for the move controller.
     Evidence(evidence::Report),
+    /// What a judge of a service's move finds.
+    Finding(cutover::Finding),
     /// Tells the domain's reader which configuration version the sender has in force.
     Applied {
         /// Configuration version.
--- a/buckthorn/tests/admin_registration.rs
+++ b/buckthorn/tests/admin_registration.rs
@@ -20,6 +20,7 @@
         slots: 12,
         connections: 120,
         instance: None,
+        heartbeat: None,
     }
 }
 
@@ -157,6 +158,7 @@
                 Next::Gone => prop_assert_eq!(running, 0),
                 Next::Expired => prop_assert!(left.is_none_or(|at| now.since(at) >= LEAVE_HOLD)),
                 Next::Nothing => {}
+                Next::Refreshed => prop_assert!(false, "only heartbeats refresh"),
             }
         }
     }
--- a/buckthorn/tests/admin_server.rs
+++ b/buckthorn/tests/admin_server.rs
@@ -38,6 +38,11 @@
         self.told.lock().unwrap().push("leave".into());
     }
 
+    fn depart(&self, instance: &str) -> Result<(), Refusal> {
+        self.told.lock().unwrap().push(format!("depart {instance}"));
+        Ok(())
+    }
+
     fn status(&self) -> Option<Value> {
         Some(json!({ "version": 7 }))
     }
--- a/buckthorn/tests/input_batch.rs
+++ b/buckthorn/tests/input_batch.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use buckthorn::journal::record::Record;
-use buckthorn::platform::client::Client;
-use buckthorn::platform::{Append, Batch, Log};
+use buckthorn::log::client::Client;
+use buckthorn::log::{Append, Batch, Log};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
--- a/buckthorn/tests/input_snapshot.rs
+++ b/buckthorn/tests/input_snapshot.rs
@@ -17,9 +17,9 @@
 use buckthorn::journal::record::{self, Body, CHECKPOINT_STREAM, Claim, Record, Step};
 use buckthorn::journal::tail::{Install, Tail};
 use buckthorn::kernel::{Action, Event, Identity, Kernel, Registry};
+use buckthorn::log::Batch;
 use buckthorn::name::Name;
 use buckthorn::node;
-use buckthorn::platform::Batch;
 use buckthorn::rpc::message::Message;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
--- a/buckthorn/tests/platform_client.rs
+++ b/buckthorn/tests/log_client.rs
@@ -5,8 +5,8 @@
 use std::thread;
 use std::time::Duration;
 
-use buckthorn::platform::client::{Client, MAX_RESPONSE_BYTES};
-use buckthorn::platform::{Append, Log};
+use buckthorn::log::client::{Client, MAX_RESPONSE_BYTES};
+use buckthorn::log::{Append, Log};
 use expect_test::{Expect, expect};
 
 /// Client of a service that gives one raw answer to one request and closes.
--- a/buckthorn/tests/proxy_kit/mod.rs
+++ b/buckthorn/tests/proxy_kit/mod.rs
@@ -162,6 +162,7 @@
         out: Vec::new(),
         failure_domain: "fd-1".into(),
         region: "bc-lower".into(),
+        policy: None,
     }
 }
 
--- a/buckthorn/tests/rollout_fake/mod.rs
+++ b/buckthorn/tests/rollout_fake/mod.rs
@@ -13,9 +13,9 @@
 use buckthorn::kernel::{
     Action, Context, Event, Identity, Kernel, Plugin, Registry, TICK_INTERVAL,
 };
+use buckthorn::log::{Append, Batch};
 use buckthorn::membership::member::{BackendServer, Member, Status};
 use buckthorn::name::Name;
-use buckthorn::platform::{Append, Batch};
 use buckthorn::rollout::evidence::{Book, Outcome};
 use buckthorn::rollout::plugin;
 use buckthorn::rpc::message::Message;
--- a/buckthorn_lab/src/harness/log.rs
+++ b/buckthorn_lab/src/harness/log.rs
@@ -4,8 +4,8 @@
 
 use buckthorn::journal::record::Record;
 use buckthorn::kernel::{Event, LATEST};
+use buckthorn::log::{Append, Batch};
 use buckthorn::name::Name;
-use buckthorn::platform::{Append, Batch};
 use rand::Rng;
 
 use super::{Due, Mesh};
--- a/buckthorn_lab/src/harness/mod.rs
+++ b/buckthorn_lab/src/harness/mod.rs
@@ -409,7 +409,8 @@
                 payload,
             } => self.append_from(node, stream, id, &payload),
             Action::Rebuild => self.nodes[node].rebuilds += 1,
-            Action::Note { .. } => {}
+            // The harness plays the mesh's own log, whose decisions are appended.
+            Action::Publish(_) | Action::Note { .. } => {}
         }
     }
 
--- a/buckthorn_lab/src/load/latency.rs
+++ b/buckthorn_lab/src/load/latency.rs
@@ -215,6 +215,7 @@
         out: Vec::new(),
         failure_domain: "fd-1".into(),
         region: "lab".into(),
+        policy: None,
     }
 }
 
--- a/buckthorn_lab/src/log/server.rs
+++ b/buckthorn_lab/src/log/server.rs
@@ -10,7 +10,7 @@
 
 use anyhow::Context as _;
 use buckthorn::journal::record::Record;
-use buckthorn::platform::client::{MAX_PAYLOAD_BYTES, MAX_RECORDS, MAX_WAIT};
+use buckthorn::log::client::{MAX_PAYLOAD_BYTES, MAX_RECORDS, MAX_WAIT};
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt as _, Full, Limited};
--- a/buckthorn_lab/src/log/store.rs
+++ b/buckthorn_lab/src/log/store.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use buckthorn::journal::record::Record;
-use buckthorn::platform::Batch;
+use buckthorn::log::Batch;
 use tokio::sync::watch;
 
 /// Bytes of payload in one batch, unless a single record has more.
--- a/buckthorn_lab/src/scale/fleet.rs
+++ b/buckthorn_lab/src/scale/fleet.rs
@@ -11,8 +11,8 @@
 use buckthorn::config::change::{Change, Operation};
 use buckthorn::journal::fold::State;
 use buckthorn::journal::record::{self, Body, CONFIG_STREAM};
-use buckthorn::platform::client::Client;
-use buckthorn::platform::{Append, Log};
+use buckthorn::log::client::Client;
+use buckthorn::log::{Append, Log};
 
 use super::Point;
 use super::process::{Cost, InForce, Process, Spec};
--- a/buckthorn_lab/tests/log_service.rs
+++ b/buckthorn_lab/tests/log_service.rs
@@ -4,8 +4,8 @@
 use std::thread;
 use std::time::Duration;
 
-use buckthorn::platform::client::{Client, MAX_PAYLOAD_BYTES, MAX_RECORDS};
-use buckthorn::platform::{Append, Log};
+use buckthorn::log::client::{Client, MAX_PAYLOAD_BYTES, MAX_RECORDS};
+use buckthorn::log::{Append, Log};
 use buckthorn_lab::log::{Faults, Server};
 
 /// Stand-in and client of one test.
--- a/buckthornctl/src/report.rs
+++ b/buckthornctl/src/report.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use buckthorn::journal::record::REPORT_STREAM;
+use buckthorn::log::Log;
+use buckthorn::log::client::MAX_RECORDS;
 use buckthorn::membership::report::Report;
 use buckthorn::name::Name;
-use buckthorn::platform::Log;
-use buckthorn::platform::client::MAX_RECORDS;
 
 /// Reads of the stream, from its end backwards, of [`MAX_RECORDS`] each.
 pub const MAX_READS: usize = 16;
--- a/buckthornctl/src/session.rs
+++ b/buckthornctl/src/session.rs
@@ -12,7 +12,7 @@
 use buckthorn::journal::checkpoint;
 use buckthorn::journal::fold::{Outcome, Refusal, State};
 use buckthorn::journal::record::{self, Body, CHECKPOINT_STREAM, CONFIG_STREAM};
-use buckthorn::platform::{Append, Log};
+use buckthorn::log::{Append, Log};
 use rand::Rng;
 
 use crate::settings::Settings;
--- a/buckthornctl/src/settings.rs
+++ b/buckthornctl/src/settings.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use anyhow::{Context as _, ensure};
-use buckthorn::platform::Log;
-use buckthorn::platform::client::Client;
+use buckthorn::log::Log;
+use buckthorn::log::client::Client;
 
 use crate::flags::Buckthornctl;
 
--- a/buckthornctl/tests/commands.rs
+++ b/buckthornctl/tests/commands.rs
@@ -6,7 +6,7 @@
 
 use buckthorn::journal::record::{CHECKPOINT_STREAM, CONFIG_STREAM, REPORT_STREAM};
 use buckthorn::journal::{checkpoint, record};
-use buckthorn::platform::Log as _;
+use buckthorn::log::Log as _;
 use buckthorn_lab::log::Faults;
 use buckthornctl::flags::Buckthornctl;
 use buckthornctl::settings::{Environment, Settings};
--- a/buckthornctl/tests/session.rs
+++ b/buckthornctl/tests/session.rs
@@ -6,7 +6,7 @@
 use buckthorn::clock::Time;
 use buckthorn::config::change::{Change, Operation};
 use buckthorn::journal::record::Record;
-use buckthorn::platform::{Append, Batch, Log};
+use buckthorn::log::{Append, Batch, Log};
 use buckthornctl::session::{Published, Session};
 
 /// What a log does with an append.
