Keep one connection to the store and read what peers have read

Ruled out: reading through elected nodes, since a node that is cut off from its peers has to read for itself.

--- a/buckthorn/src/config/order.rs
+++ b/buckthorn/src/config/order.rs
@@ -56,6 +56,8 @@
     pub is_complete: bool,
     /// Offset up to which withdrawn keys are known to be missing.
     pub end: u64,
+    /// Whether the read before had failed, so that other nodes may not have these yet.
+    pub is_late: bool,
     /// Orders.
     pub entries: Vec<Entry>,
 }
@@ -118,6 +120,8 @@
     moves: Vec<Move>,
     domains: Vec<Domain>,
     decisions: Vec<Decision>,
+    /// Offset after the last order read.
+    next: u64,
     revision: u64,
 }
 
@@ -149,6 +153,11 @@
         out.map(|domain| domain.name.clone()).collect()
     }
 
+    /// Offset after the last order read.
+    pub fn next(&self) -> u64 {
+        self.next
+    }
+
     /// Number of changes so far.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -177,6 +186,7 @@
         if feed.is_complete {
             self.drop_missing(feed);
         }
+        self.next = self.next.max(feed.end);
         self.revision != before
     }
 
--- a/buckthorn/src/kernel/mod.rs
+++ b/buckthorn/src/kernel/mod.rs
@@ -131,6 +131,8 @@
     },
     /// The routing table has to be built anew: the state, view or quarantine changed.
     Rebuild,
+    /// Read the operators' orders anew.
+    Refresh,
     /// Publish a decision on a move.
     Publish(Decision),
     /// Write a line to the log of decisions.
--- a/buckthorn/src/membership/plugin.rs
+++ b/buckthorn/src/membership/plugin.rs
@@ -390,7 +390,8 @@
 /// How far this node's fold and view are.
 pub(super) fn digest(cx: &Context<'_>) -> Digest {
     Digest {
-        next: cx.shared.tail.state().next,
+        // One of the two stays zero: orders come from the log or from a topic of their own.
+        next: cx.shared.tail.state().next.max(cx.shared.orders.next()),
         view: cx.shared.view.digest(),
         quarantine: cx.shared.quarantine.digest(),
         is_synced: cx.shared.is_synced,
--- a/buckthorn/src/node/driver.rs
+++ b/buckthorn/src/node/driver.rs
@@ -262,6 +262,11 @@
                     payload,
                 } => self.append(stream, id, payload),
                 Action::Rebuild => is_stale = true,
+                Action::Refresh => {
+                    if let Some(outlet) = &self.edges.outlet {
+                        outlet.refresh();
+                    }
+                }
                 Action::Publish(decision) => match &self.edges.outlet {
                     Some(outlet) => outlet.publish(&decision),
                     None => warn!(self.edges.logger, "decision dropped: no outlet"),
--- a/buckthorn/src/node/mod.rs
+++ b/buckthorn/src/node/mod.rs
@@ -97,6 +97,9 @@
 pub trait Outlet: Send + Sync {
     /// Starts to publish a decision; never blocks.
     fn publish(&self, decision: &Decision);
+
+    /// Reads the operators' orders anew, since other nodes know newer ones.
+    fn refresh(&self);
 }
 
 /// What an adapter to a platform brings.
--- a/buckthorn/src/proxy/hop.rs
+++ b/buckthorn/src/proxy/hop.rs
@@ -23,6 +23,7 @@
 use super::body::{self, Body};
 use super::header::{DEADLINE, PART, Part, SECRET};
 use super::limit::Limits;
+use super::socket;
 use crate::counter::{Board, Counter};
 use crate::secret::Secrets;
 
@@ -237,8 +238,7 @@
             .await
             .ok()?
             .ok()?;
-        // Without this, small requests wait for acknowledgements; a socket that refuses works.
-        let _ = stream.set_nodelay(true);
+        socket::keep_alive(&stream);
         let (sender, driver) = http2::Builder::new(TokioExecutor::new())
             .timer(TokioTimer::new())
             .initial_stream_window_size(self.limits.hop_window_bytes)
--- a/buckthorn/src/proxy/pool.rs
+++ b/buckthorn/src/proxy/pool.rs
@@ -26,6 +26,7 @@
 
 use super::body::{Body, Fault};
 use super::limit::Limits;
+use super::socket;
 use crate::counter::{Board, Counter};
 
 /// Why no connection was lent.
@@ -161,8 +162,7 @@
             Ok(Ok(stream)) => stream,
             Ok(Err(_)) | Err(_) => return Err(Denied::Unreachable),
         };
-        // Without this, small requests wait for acknowledgements; a socket that refuses works.
-        let _ = stream.set_nodelay(true);
+        socket::keep_alive(&stream);
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(self.settings.header_bytes.max(8 * 1024))
             .max_headers(self.settings.headers)
--- a/buckthorn/src/proxy/socket.rs
+++ b/buckthorn/src/proxy/socket.rs
@@ -7,10 +7,33 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep};
 
+/// Silence after which the other end is asked for a sign of life, and interval of the questions.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Questions without an answer after which a connection is given up.
+const KEEPALIVE_RETRIES: u32 = 2;
+
+/// Time after which a connection is given up when what was sent is not acknowledged.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// Makes a connection that goes silent fail within seconds, and small messages leave at once.
+pub fn keep_alive(stream: &TcpStream) {
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_INTERVAL)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_RETRIES);
+    let socket = SockRef::from(stream);
+    // A socket that refuses an option works without it.
+    let _ = socket.set_tcp_keepalive(&keepalive);
+    let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
+    let _ = socket.set_tcp_nodelay(true);
+}
+
 /// What a connection has seen, shared with whoever serves it.
 #[derive(Debug, Default)]
 pub struct Meter {
--- a/buckthorn/src/rpc/message.rs
+++ b/buckthorn/src/rpc/message.rs
@@ -67,6 +67,11 @@
     Accusations(Vec<Accusation>),
     /// Cumulative evidence of one owner, for the move controller.
     Evidence(evidence::Report),
+    /// Operators' orders were read up to an offset, after reads had failed.
+    Ordered {
+        /// Offset of the next order.
+        next: u64,
+    },
     /// What a judge of a service's move finds.
     Finding(cutover::Finding),
     /// Tells the domain's reader which configuration version the sender has in force.
--- /dev/null
+++ b/buckthorn/tests/config_orders.rs
@@ -0,0 +1,195 @@
+//! Operators' policy and orders as a node holds them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use buckthorn::clock::Time;
+use buckthorn::config::order::{Decision, Entry, Feed, Order, Orders, Phase};
+use buckthorn::config::policy::{Kind, Part, Policy, Route};
+use proptest::prelude::*;
+
+const NOW: Time = Time::from_secs(1_000);
+
+fn part(service: &str, weight: u32) -> Part {
+    Part {
+        service: service.into(),
+        weight,
+    }
+}
+
+fn route(host: &str, prefix: &str, split: Vec<Part>) -> Route {
+    Route::new(prefix.into(), host, prefix.into(), Kind::Idempotent, split)
+}
+
+fn policy(version: u64) -> Order {
+    Order::Policy(Arc::new(Policy::new(version, Vec::new(), Vec::new())))
+}
+
+fn feed(entries: Vec<(u64, Order)>) -> Feed {
+    let end = entries.iter().map(|(offset, _)| offset + 1).max();
+    Feed {
+        is_complete: false,
+        end: end.unwrap_or(0),
+        is_late: false,
+        entries: entries
+            .into_iter()
+            .map(|(offset, order)| Entry { offset, order })
+            .collect(),
+    }
+}
+
+fn complete(end: u64, entries: Vec<(u64, Order)>) -> Feed {
+    Feed {
+        is_complete: true,
+        end,
+        ..feed(entries)
+    }
+}
+
+fn out(name: &str, is_out: bool) -> Order {
+    Order::Domain {
+        name: name.into(),
+        is_out,
+    }
+}
+
+fn to(version: &str) -> Order {
+    Order::Move {
+        service: "rungs".into(),
+        version: version.into(),
+        window: Duration::from_secs(12),
+    }
+}
+
+fn decision(order: u64, phase: Phase) -> Decision {
+    Decision {
+        service: "rungs".into(),
+        version: "v2".into(),
+        order,
+        phase,
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let routes = vec![
+        route("a.example", "/", vec![part("root", 1)]),
+        route("a.example", "/deep/er/", vec![part("deeper", 1)]),
+        route("a.example", "/deep/", vec![part("deep", 1)]),
+        route("B.example", "/deep/", vec![part("other", 1)]),
+    ];
+    let policy = Policy::new(1, routes, Vec::new());
+    let find = |host, path| Some(&**policy.route(host, path)?.next_service());
+    assert_eq!(find("a.example", "/deep/er/1"), Some("deeper"));
+    assert_eq!(find("a.example", "/deep/e"), Some("deep"));
+    assert_eq!(find("a.example", "/deeper"), Some("root"));
+    assert_eq!(find("b.example", "/deep/"), Some("other"));
+    assert_eq!(find("b.example", "/"), None);
+    assert_eq!(find("c.example", "/deep/"), None);
+}
+
+#[test]
+fn a_split_is_kept_to_over_any_span() {
+    let route = route(
+        "a.example",
+        "/",
+        vec![part("a", 90), part("b", 10), part("none", 0)],
+    );
+    for _ in 0..50 {
+        let span: Vec<&str> = (0..40).map(|_| &**route.next_service()).collect();
+        let count = span.iter().filter(|service| **service == "b").count();
+        assert!((3..=5).contains(&count), "{count} of 40");
+        assert!(!span.contains(&"none"));
+    }
+}
+
+#[test]
+fn a_policy_never_goes_back() {
+    let mut orders = Orders::default();
+    assert!(orders.apply(&feed(vec![(5, policy(12))]), NOW));
+    assert!(!orders.apply(&feed(vec![(4, policy(13))]), NOW));
+    assert!(!orders.apply(&feed(vec![(6, policy(11))]), NOW));
+    assert!(!orders.apply(&complete(6, vec![(5, policy(12))]), NOW));
+    assert_eq!(orders.policy().unwrap().version, 12);
+    assert!(orders.apply(&feed(vec![(7, policy(20))]), NOW));
+    assert_eq!(orders.policy().unwrap().version, 20);
+}
+
+#[test]
+fn a_domain_goes_out_and_returns_by_the_order_of_the_log() {
+    let mut orders = Orders::default();
+    orders.apply(&feed(vec![(1, out("b", true)), (2, out("a", true))]), NOW);
+    assert_eq!(orders.out(), vec!["a".into(), "b".into()]);
+    orders.apply(&feed(vec![(4, out("a", false))]), NOW);
+    orders.apply(&feed(vec![(3, out("a", true))]), NOW);
+    assert_eq!(orders.out(), vec!["b".into()]);
+}
+
+#[test]
+fn a_complete_read_withdraws_what_it_lacks_and_nothing_newer() {
+    let mut orders = Orders::default();
+    orders.apply(&feed(vec![(1, out("a", true)), (9, out("b", true))]), NOW);
+    orders.apply(&feed(vec![(2, to("v2"))]), NOW);
+    orders.apply(&complete(6, Vec::new()), NOW);
+    assert_eq!(orders.out(), vec!["b".into()]);
+    assert!(orders.find("rungs").is_none());
+}
+
+#[test]
+fn a_decision_ends_its_own_move_only() {
+    let mut orders = Orders::default();
+    orders.apply(&feed(vec![(3, to("v2"))]), NOW);
+    assert!(!orders.decide(&[decision(2, Phase::Completed)]));
+    assert_eq!(orders.find("rungs").unwrap().phase, Phase::Running);
+    assert!(orders.decide(&[decision(3, Phase::RolledBack)]));
+    assert_eq!(orders.find("rungs").unwrap().phase, Phase::RolledBack);
+    orders.apply(&feed(vec![(8, to("v3"))]), NOW);
+    assert_eq!(orders.find("rungs").unwrap().phase, Phase::Running);
+}
+
+#[test]
+fn a_decision_that_is_read_first_ends_the_move_when_it_comes() {
+    let mut orders = Orders::default();
+    orders.decide(&[decision(3, Phase::Completed)]);
+    orders.apply(&feed(vec![(3, to("v2"))]), NOW);
+    assert_eq!(orders.find("rungs").unwrap().phase, Phase::Completed);
+}
+
+#[test]
+fn a_move_that_ended_does_not_end_otherwise_by_word_of_mouth() {
+    let mut orders = Orders::default();
+    orders.apply(&feed(vec![(3, to("v2"))]), NOW);
+    assert!(!orders.end("rungs", 2, Phase::RolledBack));
+    assert!(orders.end("rungs", 3, Phase::RolledBack));
+    assert!(!orders.end("rungs", 3, Phase::Completed));
+    assert_eq!(orders.find("rungs").unwrap().phase, Phase::RolledBack);
+}
+
+proptest! {
+    /// Whatever order reads come in, the state is that of the newest order of each key.
+    #[test]
+    fn reads_in_any_order_end_in_the_same_state(
+        entries in prop::collection::vec((0_u64..40, 0_usize..3, any::<bool>()), 1..30),
+        seed in any::<u64>(),
+    ) {
+        let mut entries = entries;
+        entries.sort_by_key(|(offset, ..)| *offset);
+        entries.dedup_by_key(|(offset, ..)| *offset);
+        let names = ["a", "b", "c"];
+        let order = |&(offset, name, is_out): &(u64, usize, bool)| {
+            (offset, out(names[name], is_out))
+        };
+        let mut straight = Orders::default();
+        straight.apply(&feed(entries.iter().map(order).collect()), NOW);
+        let mut shuffled = Orders::default();
+        let mut rest = entries.clone();
+        let mut state = seed | 1;
+        while !rest.is_empty() {
+            state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+            let entry = rest.swap_remove((state >> 33) as usize % rest.len());
+            shuffled.apply(&feed(vec![order(&entry)]), NOW);
+            shuffled.apply(&feed(vec![order(&entry)]), NOW);
+        }
+        prop_assert_eq!(straight.out(), shuffled.out());
+    }
+}
--- /dev/null
+++ b/buckthorn/tests/proxy_contract.rs
@@ -0,0 +1,342 @@
+//! Calls under a contract: routed by the policy, answered only by signed and whole answers, and
+//! refused with a status that says whether they ran.
+
+mod proxy_kit;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use buckthorn::clock::Time;
+use buckthorn::config::policy::{Kind, Part, Policy, Route};
+use buckthorn::routing::table::{Endpoint, Table};
+use proxy_kit::{
+    Answer, COLD_RATE, Caller, Exchange, Node, SERVICE, contract, endpoint, limits, node_under,
+    scripted, table,
+};
+use tokio::time::Instant;
+
+/// Policy with an idempotent and a non-idempotent route to the tests' service.
+fn policy(attempts: u32, timeout: Duration) -> Policy {
+    let route = |prefix: &str, kind| {
+        let part = Part {
+            service: SERVICE.into(),
+            weight: 1,
+        };
+        let mut route = Route::new(
+            prefix.into(),
+            "shop.example",
+            prefix.into(),
+            kind,
+            vec![part],
+        );
+        route.attempts = attempts;
+        route.timeout = timeout;
+        route
+    };
+    let routes = vec![
+        route("/read/", Kind::Idempotent),
+        route("/order/", Kind::NonIdempotent),
+    ];
+    Policy::new(1, routes, Vec::new())
+}
+
+/// Table that routes by a policy.
+fn routed(policy: Policy, endpoints: &[Endpoint]) -> Table {
+    Table {
+        policy: Some(Arc::new(policy)),
+        ..table(endpoints)
+    }
+}
+
+/// An ingress in front of owners of scripted backend servers.
+async fn mesh(backends: &[std::net::SocketAddr], attempts: u32) -> (Node, Vec<Node>) {
+    let ingress = node_under(Some(contract()), "ingress", None, limits()).await;
+    let mut owners = Vec::new();
+    for (index, backend) in backends.iter().enumerate() {
+        let host = format!("owner-{index}");
+        owners.push(node_under(Some(contract()), &host, Some(*backend), limits()).await);
+    }
+    let endpoints: Vec<Endpoint> = owners.iter().map(Node::endpoint).collect();
+    for node in owners.iter().chain([&ingress]) {
+        let policy = policy(attempts, Duration::from_secs(2));
+        node.plane.table.store(Arc::new(routed(policy, &endpoints)));
+    }
+    (ingress, owners)
+}
+
+/// Sends a request with an identifier and reads its answer.
+async fn call(node: &Node, method: &str, path: &str, id: &str) -> Answer {
+    let mut caller = Caller::connect(node.callers).await;
+    let request = format!(
+        "{method} {path} HTTP/1.1\r\nhost: Shop.example:80\r\ntest-id: {id}\r\n\
+         test-caller: forged\r\ntest-deadline: 1500\r\ncontent-length: 0\r\n\r\n"
+    );
+    caller.send(request).await;
+    caller.answer(method).await
+}
+
+/// Value of a header of a request as the backend server got it.
+fn header<'a>(request: &'a str, name: &str) -> &'a str {
+    let mut lines = request.lines();
+    lines
+        .find_map(|line| line.strip_prefix(name)?.strip_prefix(": "))
+        .unwrap_or("")
+}
+
+/// Signed answer to a request.
+fn signed(request: &str, status: &str, body: &str) -> String {
+    format!(
+        "HTTP/1.1 {status}\r\ntest-id: {}\r\ntest-signature: s\r\ncontent-length: {}\r\n\r\n{body}",
+        header(request, "test-id"),
+        body.len()
+    )
+}
+
+/// Backend server that answers every request by a function of the request and its number, and the
+/// number of requests that it got.
+async fn backend(
+    answer: impl Fn(&str, u64) -> Option<String> + Send + Sync + 'static,
+) -> (std::net::SocketAddr, Arc<AtomicU64>) {
+    let count = Arc::new(AtomicU64::new(0));
+    let (counted, answer) = (count.clone(), Arc::new(answer));
+    let address = scripted(move |mut exchange: Exchange| {
+        let (counted, answer) = (counted.clone(), answer.clone());
+        async move {
+            while let Some(request) = exchange.request().await {
+                let number = counted.fetch_add(1, Ordering::SeqCst);
+                match answer(&request, number) {
+                    Some(text) if exchange.send(&text).await => {}
+                    _ => return,
+                }
+            }
+        }
+    })
+    .await;
+    (address, count)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_reaches_the_backend_server_as_it_was_sent() {
+    let (address, _) = backend(|request, _| Some(signed(request, "200 OK", request))).await;
+    let (ingress, _owners) = mesh(&[address], 2).await;
+    let answer = call(&ingress, "GET", "/read/7?x=1", "r-1").await;
+    let seen = String::from_utf8(answer.body).unwrap();
+    assert_eq!(answer.status, 200);
+    assert!(seen.starts_with("GET /read/7?x=1 HTTP/1.1\r\n"), "{seen}");
+    assert_eq!(header(&seen, "host"), "Shop.example:80");
+    assert_eq!(header(&seen, "test-id"), "r-1");
+    assert_eq!(header(&seen, "test-caller"), "print-shop");
+    assert_eq!(header(&seen, "test-instance"), "i-1");
+    let left: u64 = header(&seen, "test-deadline").parse().unwrap();
+    assert!((1_000..=1_500).contains(&left), "{left}");
+    assert!(!seen.contains("x-buckthorn"), "{seen}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_no_route_names_is_not_found_and_without_a_policy_nothing_is() {
+    let (address, _) = backend(|request, _| Some(signed(request, "200 OK", ""))).await;
+    let (ingress, _owners) = mesh(&[address], 2).await;
+    assert_eq!(call(&ingress, "GET", "/other/", "r-1").await.status, 404);
+    ingress.route_to(&[]);
+    let answer = call(&ingress, "GET", "/read/", "r-2").await;
+    assert_eq!((answer.status, answer.reason()), (503, "not-ready"));
+    assert_eq!(answer.header("retry-after"), Some("0.2"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_is_not_the_requests_own_is_never_passed_on() {
+    let bad: [fn(&str) -> String; 5] = [
+        |_| "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok".into(),
+        |request| signed(request, "200 OK", "ok").replace("r-1", "r-0"),
+        |request| {
+            signed(request, "200 OK", "ok")
+                .replace("\r\n\r\n", "\r\ncontent-encoding: gzip\r\n\r\n")
+        },
+        |request| signed(request, "200 OK", "longer").replace("length: 6", "length: 9"),
+        |_| "these bytes are no answer\r\n\r\n".into(),
+    ];
+    for answer in bad {
+        let count = Arc::new(AtomicU64::new(0));
+        let counted = count.clone();
+        // The connection ends after the answer.
+        let address = scripted(move |mut exchange: Exchange| {
+            let counted = counted.clone();
+            async move {
+                if let Some(request) = exchange.request().await {
+                    counted.fetch_add(1, Ordering::SeqCst);
+                    exchange.send(answer(&request)).await;
+                }
+            }
+        })
+        .await;
+        let (ingress, _owners) = mesh(&[address], 1).await;
+        let got = call(&ingress, "POST", "/order/1", "r-1").await;
+        assert_eq!(got.status, 502, "{got:?}");
+        assert_eq!(count.load(Ordering::SeqCst), 1, "{got:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_idempotent_request_is_sent_to_another_backend_server() {
+    let broken = |_: &str, _| Some("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nbr".to_owned());
+    let (bad, _) = backend(broken).await;
+    let (good, _) = backend(|request, _| Some(signed(request, "200 OK", "whole"))).await;
+    let (ingress, _owners) = mesh(&[bad, good], 2).await;
+    for id in ["r-1", "r-2", "r-3"] {
+        let answer = call(&ingress, "GET", "/read/1", id).await;
+        assert_eq!((answer.status, &*answer.body), (200, &b"whole"[..]));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn attempts_bound_the_backend_servers_that_a_request_reaches() {
+    let fail = |request: &str, _| Some(signed(request, "500 Internal Server Error", "no"));
+    let (a, count_a) = backend(fail).await;
+    let (b, count_b) = backend(fail).await;
+    let (c, count_c) = backend(fail).await;
+    let (ingress, _owners) = mesh(&[a, b, c], 2).await;
+    let answer = call(&ingress, "GET", "/read/1", "r-1").await;
+    // The last backend server's own answer, signature included.
+    assert_eq!(
+        (answer.status, answer.header("test-signature")),
+        (500, Some("s"))
+    );
+    let counts = [count_a, count_b, count_c].map(|count| count.load(Ordering::SeqCst));
+    assert_eq!(counts.iter().sum::<u64>(), 2, "{counts:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_by_the_backend_server_is_a_true_refusal() {
+    let shed = |_: &str, _| {
+        let text =
+            "HTTP/1.1 503 Service Unavailable\r\ntest-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+        Some(text.to_owned())
+    };
+    let (address, _) = backend(shed).await;
+    let (ingress, _owners) = mesh(&[address], 2).await;
+    let answer = call(&ingress, "POST", "/order/1", "r-1").await;
+    assert_eq!((answer.status, answer.ran()), (503, "not-run"));
+    assert_eq!(answer.header("retry-after"), Some("0.2"));
+    // Another backend server may still run it, since this one did not.
+    let (good, count) = backend(|request, _| Some(signed(request, "200 OK", "ok"))).await;
+    let (ingress, _owners) = mesh(&[address, good], 2).await;
+    for number in 0..6 {
+        let id = format!("r-{number}");
+        assert_eq!(call(&ingress, "POST", "/order/1", &id).await.status, 200);
+    }
+    assert_eq!(count.load(Ordering::SeqCst), 6);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_final_answer_speaks_of_every_attempt() {
+    // The only backend server that can be reached runs the request and breaks off.
+    let (address, count) = backend(|_, _| None).await;
+    let (ingress, owners) = mesh(&[address], 3).await;
+    let unreachable = proxy_kit::listener().await.local_addr().unwrap();
+    let endpoints = [owners[0].endpoint(), endpoint("gone", unreachable)];
+    let policy = policy(3, Duration::from_secs(2));
+    ingress
+        .plane
+        .table
+        .store(Arc::new(routed(policy, &endpoints)));
+    for number in 0..20 {
+        let before = count.load(Ordering::SeqCst);
+        let answer = call(&ingress, "GET", "/read/1", &format!("r-{number}")).await;
+        let has_run = count.load(Ordering::SeqCst) > before;
+        let says_not_run = answer.status == 503 || answer.ran() == "not-run";
+        assert!(!(has_run && says_not_run), "{answer:?}");
+    }
+    assert!(count.load(Ordering::SeqCst) > 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_routes_timeout_bounds_the_wait() {
+    let listener = proxy_kit::listener().await;
+    let silent = listener.local_addr().unwrap();
+    let (ingress, owners) = mesh(&[silent], 1).await;
+    let endpoints = [owners[0].endpoint()];
+    for node in [&ingress, &owners[0]] {
+        let policy = policy(1, Duration::from_millis(200));
+        node.plane.table.store(Arc::new(routed(policy, &endpoints)));
+    }
+    let started = Instant::now();
+    let answer = call(&ingress, "GET", "/read/1", "r-1").await;
+    assert_eq!(answer.status, 504, "{answer:?}");
+    assert!(started.elapsed() >= Duration::from_millis(190));
+    assert!(started.elapsed() < Duration::from_millis(1_400));
+    drop(listener);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_ends_with_its_connection_is_whole_unless_it_was_reset() {
+    let address = scripted(|mut exchange: Exchange| async move {
+        let Some(request) = exchange.request().await else {
+            return;
+        };
+        let head = signed(&request, "200 OK", "").replace("content-length: 0\r\n", "");
+        exchange.send(format!("{head}to the end")).await;
+        if header(&request, "test-id") == "reset" {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            exchange.reset();
+        }
+    })
+    .await;
+    let (ingress, _owners) = mesh(&[address], 1).await;
+    let whole = call(&ingress, "GET", "/read/1", "close").await;
+    assert_eq!((whole.status, &*whole.body), (200, &b"to the end"[..]));
+    let broken = call(&ingress, "GET", "/read/1", "reset").await;
+    assert_eq!(broken.status, 502, "{broken:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cold_backend_server_gets_no_more_than_it_bears() {
+    let (address, count) = backend(|request, _| Some(signed(request, "200 OK", ""))).await;
+    let (ingress, owners) = mesh(&[address], 1).await;
+    let owner = owners[0].plane.owner.load_full().unwrap();
+    owner
+        .warmth
+        .told(owners[0].plane.clock.now(), Duration::from_secs(30));
+    let mut refused = 0;
+    for number in 0..20 {
+        let answer = call(&ingress, "GET", "/read/1", &format!("r-{number}")).await;
+        refused += u64::from(answer.status == 503 && answer.reason() == "cold");
+    }
+    assert_eq!(count.load(Ordering::SeqCst), COLD_RATE as u64);
+    assert_eq!(refused, 20 - COLD_RATE as u64);
+    owner.warmth.told(Time::default(), Duration::ZERO);
+    assert_eq!(call(&ingress, "GET", "/read/1", "warm").await.status, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_takes_its_request_back() {
+    let (started, seen) = tokio::sync::watch::channel(0);
+    let (ended, gone) = tokio::sync::watch::channel(0);
+    let (started, ended) = (Arc::new(started), Arc::new(ended));
+    let address = scripted(move |mut exchange: Exchange| {
+        let (started, ended) = (started.clone(), ended.clone());
+        async move {
+            if exchange.request().await.is_some() {
+                started.send_modify(|n| *n += 1);
+                // The connection closes once the caller has left.
+                if exchange.request().await.is_none() {
+                    ended.send_modify(|n| *n += 1);
+                }
+            }
+        }
+    })
+    .await;
+    let (ingress, _owners) = mesh(&[address], 2).await;
+    let mut caller = Caller::connect(ingress.callers).await;
+    caller
+        .send("GET /read/1 HTTP/1.1\r\nhost: shop.example\r\ntest-id: r-1\r\n\r\n")
+        .await;
+    let (mut seen, mut gone) = (seen, gone);
+    seen.wait_for(|n| *n == 1).await.unwrap();
+    drop(caller);
+    let left = tokio::time::timeout(Duration::from_secs(5), gone.wait_for(|n| *n == 1)).await;
+    assert!(
+        left.is_ok(),
+        "the backend server still works on the request"
+    );
+}
--- a/buckthorn/tests/proxy_kit/mod.rs
+++ b/buckthorn/tests/proxy_kit/mod.rs
@@ -17,6 +17,7 @@
 use buckthorn::clock::Clock;
 use buckthorn::counter::{Board, Counter};
 use buckthorn::name::Name;
+use buckthorn::proxy::contract::{Contract, Headers};
 use buckthorn::proxy::limit::Limits;
 use buckthorn::proxy::owner::Owner;
 use buckthorn::proxy::{self, Handle, Plane};
@@ -24,6 +25,7 @@
 use buckthorn::routing::load::Load;
 use buckthorn::routing::table::{Endpoint, Route, Service, Share, Table};
 use buckthorn::secret::Secrets;
+use http::{HeaderName, HeaderValue};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -31,6 +33,8 @@
 
 /// Service of the tests.
 pub const SERVICE: &str = "card-desk";
+/// Calls a second that the tests' backend servers bear while cold.
+pub const COLD_RATE: f64 = 5.0;
 /// Guard against a test that hangs.
 pub const GUARD: Duration = Duration::from_secs(30);
 
@@ -58,6 +62,33 @@
 
 /// Starts a node, with a backend server when `backend` is given.
 pub async fn node(host: &str, backend: Option<SocketAddr>, limits: Limits) -> Node {
+    node_under(None, host, backend, limits).await
+}
+
+/// Contract of the tests, with headers of its own.
+pub fn contract() -> Contract {
+    Contract {
+        headers: Headers {
+            request_id: HeaderName::from_static("test-id"),
+            deadline_ms: HeaderName::from_static("test-deadline"),
+            signature: HeaderName::from_static("test-signature"),
+            not_executed: HeaderName::from_static("test-not-executed"),
+            expected_instance: HeaderName::from_static("test-instance"),
+            caller_service: HeaderName::from_static("test-caller"),
+        },
+        caller_service: "print-shop".into(),
+        whole_answer_bytes: 64 * 1024,
+        retry_after: HeaderValue::from_static("0.2"),
+    }
+}
+
+/// Starts a node under a contract, or under the mesh's own headers.
+pub async fn node_under(
+    contract: Option<Contract>,
+    host: &str,
+    backend: Option<SocketAddr>,
+    limits: Limits,
+) -> Node {
     let clock = Clock::new();
     let counters = Arc::new(Board::new());
     let owner = backend.map(|address| {
@@ -65,17 +96,20 @@
         let gate = Gate::warm(16, clock.now());
         let door = Door::with_gate(clock.clone(), counters.clone(), gate);
         let book = Arc::new(Book::new());
-        Arc::new(Owner::new(SERVICE, "v1", address, 16, 32, door, book))
+        let owner = Owner::new(SERVICE, "v1", address, 16, 32, door, book);
+        Arc::new(owner.with_instance(Some("i-1".into()), Some(COLD_RATE)))
     });
     let secrets = Secrets::new("correct horse", None);
-    let plane = Plane::builder(host, "fd-1", secrets)
+    let mut builder = Plane::builder(host, "fd-1", secrets)
         .table(Arc::new(ArcSwap::default()))
         .owner(Arc::new(ArcSwapOption::from(owner)))
         .counters(counters)
         .clock(clock)
-        .limits(limits)
-        .build();
-    let plane = Arc::new(plane);
+        .limits(limits);
+    if let Some(contract) = contract {
+        builder = builder.contract(contract);
+    }
+    let plane = Arc::new(builder.build());
     let callers = listener().await;
     let hop = listener().await;
     Node {
