--- a/buckthorn/src/config/order.rs
+++ b/buckthorn/src/config/order.rs
@@ -7,6 +7,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::clock::Time;
 use crate::name::Name;
 
@@ -63,7 +65,8 @@
 }
 
 /// How far a move is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Phase {
     /// Under way.
     Running,
--- a/buckthorn/src/kernel/mod.rs
+++ b/buckthorn/src/kernel/mod.rs
@@ -133,6 +133,8 @@
     Rebuild,
     /// Read the operators' orders anew.
     Refresh,
+    /// Read published decisions, or go on waiting for them.
+    ReadDecisions,
     /// Publish a decision on a move.
     Publish(Decision),
     /// Write a line to the log of decisions.
--- a/buckthorn/src/node/driver.rs
+++ b/buckthorn/src/node/driver.rs
@@ -81,6 +81,8 @@
     pub(super) counters: Arc<Board>,
     /// Clock.
     pub(super) clock: Clock,
+    /// Nodes known to be alive, this one included.
+    pub(super) nodes: Arc<AtomicUsize>,
 }
 
 /// Edges through which actions are carried out.
@@ -267,6 +269,11 @@
                         outlet.refresh();
                     }
                 }
+                Action::ReadDecisions => {
+                    if let Some(outlet) = &self.edges.outlet {
+                        outlet.read_decisions();
+                    }
+                }
                 Action::Publish(decision) => match &self.edges.outlet {
                     Some(outlet) => outlet.publish(&decision),
                     None => warn!(self.edges.logger, "decision dropped: no outlet"),
@@ -285,7 +292,9 @@
         if !shared.is_synced {
             return;
         }
-        self.edges.loads.share_slack(shared.view.live().count());
+        let nodes = shared.view.live().count();
+        self.path.nodes.store(nodes, Ordering::Relaxed);
+        self.edges.loads.share_slack(nodes);
         let table = if shared.orders.policy().is_some() {
             Table::from_orders(
                 &shared.orders,
--- a/buckthorn/src/node/mod.rs
+++ b/buckthorn/src/node/mod.rs
@@ -12,6 +12,7 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
@@ -100,6 +101,9 @@
 
     /// Reads the operators' orders anew, since other nodes know newer ones.
     fn refresh(&self);
+
+    /// Reads published decisions once, unless a read is under way.
+    fn read_decisions(&self);
 }
 
 /// What an adapter to a platform brings.
@@ -162,6 +166,11 @@
         sent.map_err(|_| anyhow::anyhow!("the node has stopped"))
     }
 
+    /// Whether the node knows others.
+    pub fn has_peers(&self) -> bool {
+        self.path.nodes.load(Ordering::Relaxed) > 1
+    }
+
     /// Whether the node can route calls.
     pub fn is_synced(&self) -> bool {
         self.path.table.load().version > 0
@@ -203,6 +212,7 @@
             owner: Arc::new(ArcSwapOption::empty()),
             counters: counters.clone(),
             clock: clock.clone(),
+            nodes: Arc::default(),
         };
         let runtime = runtime::Builder::new_multi_thread()
             .worker_threads(settings.threads)
--- a/buckthorn/src/rollout/cutover.rs
+++ b/buckthorn/src/rollout/cutover.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Time;
-use crate::config::order::{Decision, Move, Phase};
+use crate::config::order::{Decision, Move, Orders, Phase};
 use crate::counter::Counter;
 use crate::kernel::{Action, Context, Event, Plugin, Publication, Registry};
 use crate::membership::member::Member;
@@ -35,6 +35,14 @@
 /// Head start of the first judge in publishing a decision.
 const HEAD_START: Duration = Duration::from_millis(500);
 
+/// Time for which the judges go on telling that a move has ended, for nodes that do not hear of it
+/// otherwise.
+const ENDED_RETENTION: Duration = Duration::from_secs(5);
+
+/// Interval at which published decisions are asked for while a move is open; a read waits for them
+/// far longer.
+const READ_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Part of the window, in thousandths, and the share of the new version from there on.
 const SCHEDULE: [(u128, u16); 5] = [(0, 30), (650, 80), (750, 250), (820, 500), (880, 1_000)];
 
@@ -62,15 +70,17 @@
     /// Time since the order in milliseconds, as the judge knows it.
     #[serde(rename = "t")]
     pub elapsed_ms: u64,
-    /// Whether the new version is at fault.
-    #[serde(rename = "f")]
-    pub is_fault: bool,
+    /// How far the move is; a running one is told only while nothing is wrong with it.
+    #[serde(rename = "p")]
+    pub phase: Phase,
 }
 
 /// Moves that this node follows.
 #[derive(Debug, Default)]
 pub struct Cutover {
     trials: Vec<Trial>,
+    /// When published decisions were last asked for.
+    asked: Time,
 }
 
 /// One move as this node sees it.
@@ -135,6 +145,11 @@
 impl Cutover {
     fn tick(&mut self, cx: &mut Context<'_>) {
         self.follow(cx);
+        let has_open = self.trials.iter().any(|trial| trial.ended.is_none());
+        if has_open && cx.now.since(self.asked) >= READ_INTERVAL {
+            self.asked = cx.now;
+            cx.act(Action::ReadDecisions);
+        }
         let mut is_stale = false;
         for trial in &mut self.trials {
             let Some(entry) = cx.shared.orders.find(&trial.service).cloned() else {
@@ -153,15 +168,15 @@
     /// Keeps a trial for each move whose end is not published.
     fn follow(&mut self, cx: &Context<'_>) {
         let orders = &cx.shared.orders;
-        let is_open = |entry: &Move| {
-            let decision = orders.decision(&entry.service);
-            !decision.is_some_and(|d| d.order == entry.order && d.phase != Phase::Running)
-        };
         self.trials.retain(|trial| {
             let entry = orders.find(&trial.service);
-            entry.is_some_and(|entry| entry.order == trial.order && is_open(entry))
+            let entry = entry.filter(|entry| entry.order == trial.order);
+            let is_recent = trial
+                .ended
+                .is_some_and(|at| cx.now.since(at) < ENDED_RETENTION);
+            entry.is_some_and(|entry| is_open(orders, entry) || is_recent)
         });
-        for entry in orders.moves().iter().filter(|entry| is_open(entry)) {
+        for entry in orders.moves().iter().filter(|m| is_open(orders, m)) {
             if !self.trials.iter().any(|trial| trial.order == entry.order) {
                 self.trials.push(Trial::new(entry));
             }
@@ -205,12 +220,14 @@
         let Some(trial) = self.trials.iter_mut().find(is_same) else {
             return;
         };
-        if finding.is_fault {
-            let phase = Phase::RolledBack;
-            if cx.shared.orders.end(&finding.service, finding.order, phase) {
-                cx.shared.counters.hit(Counter::Quarantines);
+        if finding.phase != Phase::Running {
+            let (service, phase) = (&finding.service, finding.phase);
+            if cx.shared.orders.end(service, finding.order, phase) {
+                if phase == Phase::RolledBack {
+                    cx.shared.counters.hit(Counter::Quarantines);
+                }
                 cx.act(Action::Note {
-                    text: format!("{}: new version taken back by a judge", finding.service),
+                    text: format!("{service}: a judge tells that the move has ended: {phase:?}"),
                 });
                 cx.act(Action::Rebuild);
             }
@@ -225,6 +242,12 @@
     }
 }
 
+/// Whether the end of a move is not published yet.
+fn is_open(orders: &Orders, entry: &Move) -> bool {
+    let decision = orders.decision(&entry.service);
+    !decision.is_some_and(|d| d.order == entry.order && d.phase != Phase::Running)
+}
+
 /// Judges of a move.
 fn seats<'a>(cx: &'a Context<'_>, order: u64) -> impl Iterator<Item = &'a Member> {
     judge::seats(&cx.shared.view, &format!("move-{order}")).into_iter()
@@ -262,7 +285,7 @@
         trial.clean = Some(cx.now);
         if cx.now.since(trial.told) >= FINDING_INTERVAL {
             trial.told = cx.now;
-            broadcast(cx, entry, false);
+            broadcast(cx, entry);
         }
         let has_evidence = trial.comparison.new_calls() >= MIN_CALLS;
         let head_start = HEAD_START * place.unwrap_or(0) as u32;
@@ -294,11 +317,11 @@
     let Some(place) = seat(cx, entry.order) else {
         return false;
     };
-    if entry.phase == Phase::RolledBack && cx.now.since(trial.told) >= FINDING_INTERVAL {
+    if cx.now.since(trial.told) >= FINDING_INTERVAL {
         trial.told = cx.now;
-        broadcast(cx, entry, true);
+        broadcast(cx, entry);
     }
-    if cx.now.since(ended) >= HEAD_START * place as u32 {
+    if is_open(&cx.shared.orders, entry) && cx.now.since(ended) >= HEAD_START * place as u32 {
         publish(cx, trial, entry, entry.phase);
     }
     false
@@ -314,12 +337,12 @@
 }
 
 /// Tells every node what this judge finds.
-fn broadcast(cx: &mut Context<'_>, entry: &Move, is_fault: bool) {
+fn broadcast(cx: &mut Context<'_>, entry: &Move) {
     let finding = Finding {
         service: entry.service.clone(),
         order: entry.order,
         elapsed_ms: cx.now.since(entry.started).as_millis() as u64,
-        is_fault,
+        phase: entry.phase,
     };
     let own = cx.shared.identity.host.clone();
     let live = cx.shared.view.live().filter(|member| member.host != own);
--- /dev/null
+++ b/buckthorn/tests/rollout_cutover.rs
@@ -0,0 +1,330 @@
+//! Moves with windows of seconds, in virtual time: a few nodes with lossless links.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use buckthorn::clock::Time;
+use buckthorn::config::intake;
+use buckthorn::config::order::{Decision, Entry, Feed, Order, Phase};
+use buckthorn::config::policy::Policy;
+use buckthorn::counter::Board;
+use buckthorn::kernel::{
+    Action, Context, Event, Identity, Kernel, Plugin, Publication, Registry, TICK_INTERVAL,
+};
+use buckthorn::membership::member::{BackendServer, Member, Status};
+use buckthorn::name::Name;
+use buckthorn::rollout::cutover;
+use buckthorn::rollout::evidence::{Book, Outcome};
+use buckthorn::rpc::message::Message;
+
+const SERVICE: &str = "card-desk";
+const START: Time = Time::from_secs(1_000);
+const WINDOW: Duration = Duration::from_secs(12);
+const ORDER: u64 = 7;
+
+/// Merges members that the test hands over.
+struct Feeder(Vec<Member>);
+
+impl Plugin for Feeder {
+    fn name(&self) -> &'static str {
+        "feeder"
+    }
+
+    fn handle(&mut self, cx: &mut Context<'_>, _: &Event) {
+        for member in self.0.drain(..) {
+            cx.shared.view.merge(&member, cx.now);
+        }
+    }
+}
+
+/// How the new version behaves.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Version {
+    Good,
+    /// Half of its calls on one route fail.
+    FailsOnOneRoute,
+    /// Eight times slower.
+    Slow,
+    /// Fails once it has more than a tenth of the traffic.
+    FailsUnderLoad,
+}
+
+struct Mesh {
+    now: Time,
+    members: Vec<Member>,
+    kernels: Vec<Kernel>,
+    books: Vec<Book>,
+    /// Nodes that the others and the store do not reach.
+    cut: Vec<usize>,
+    is_store_down: bool,
+    published: Vec<Decision>,
+    /// Calls of each version, and when the new one first failed and was last called.
+    calls: [u64; 2],
+    debt: f64,
+}
+
+fn member(index: usize) -> Member {
+    let address = ([127, 0, 0, 1], 1_000 + index as u16).into();
+    Member {
+        host: format!("h{index}").into(),
+        incarnation: 1,
+        sequence: 1,
+        region: "region".into(),
+        failure_domain: ["a", "b", "c"][index % 3].into(),
+        rpc: address,
+        hop: address,
+        status: Status::Alive,
+        backend_server: Some(BackendServer {
+            service: SERVICE.into(),
+            version: if index < 4 { "v1" } else { "v2" }.into(),
+            slots: 9,
+            connections: 18,
+            is_draining: false,
+        }),
+    }
+}
+
+impl Mesh {
+    /// Four nodes with the old version and four with the new one, and a move that was ordered.
+    fn new() -> Self {
+        let members: Vec<Member> = (0..8).map(member).collect();
+        let kernels = members
+            .iter()
+            .enumerate()
+            .map(|(index, member)| {
+                let mut registry = Registry::default();
+                registry.add(Feeder(members.clone()));
+                intake::register(&mut registry);
+                cutover::register(&mut registry);
+                let identity = Identity {
+                    host: member.host.clone(),
+                    incarnation: 1,
+                    region: member.region.clone(),
+                    failure_domain: member.failure_domain.clone(),
+                    rpc: member.rpc,
+                    hop: member.hop,
+                    seeds: Vec::new(),
+                };
+                Kernel::new(
+                    identity,
+                    Arc::new(Board::new()),
+                    index as u64,
+                    START,
+                    registry,
+                )
+            })
+            .collect();
+        let mut mesh = Self {
+            now: START,
+            books: members.iter().map(|_| Book::new()).collect(),
+            members,
+            kernels,
+            cut: Vec::new(),
+            is_store_down: false,
+            published: Vec::new(),
+            calls: [0, 0],
+            debt: 0.0,
+        };
+        let policy = Policy::new(1, Vec::new(), Vec::new());
+        let orders = [
+            Order::Policy(Arc::new(policy)),
+            Order::Move {
+                service: SERVICE.into(),
+                version: "v2".into(),
+                window: WINDOW,
+            },
+        ];
+        let entries = orders.into_iter().zip(ORDER - 1..);
+        let feed = Feed {
+            is_complete: true,
+            end: ORDER + 1,
+            is_late: false,
+            entries: entries
+                .map(|(order, offset)| Entry { offset, order })
+                .collect(),
+        };
+        for index in 0..mesh.kernels.len() {
+            mesh.handle(index, &Event::Ordered(feed.clone()));
+        }
+        mesh
+    }
+
+    fn handle(&mut self, index: usize, event: &Event) {
+        for action in self.kernels[index].handle(self.now, event) {
+            match action {
+                Action::Send { host, messages, .. } => self.deliver(index, &host, messages),
+                Action::Publish(decision) => self.publish(index, decision),
+                _ => {}
+            }
+        }
+    }
+
+    fn deliver(&mut self, from: usize, host: &Name, messages: Vec<Message>) {
+        let to = self.members.iter().position(|m| m.host == *host).unwrap();
+        if self.cut.contains(&from) || self.cut.contains(&to) {
+            return;
+        }
+        let from = self.members[from].host.clone();
+        self.handle(to, &Event::Received { from, messages });
+    }
+
+    fn publish(&mut self, index: usize, decision: Decision) {
+        if self.is_store_down || self.cut.contains(&index) {
+            let failed = Publication::Failed("down".into());
+            return self.handle(index, &Event::Published(failed));
+        }
+        // The store takes an append only where the writer has read all that came before.
+        let is_first = self.published.is_empty();
+        if is_first {
+            self.published.push(decision.clone());
+            self.handle(index, &Event::Published(Publication::Done(decision)));
+        } else {
+            self.handle(index, &Event::Published(Publication::Conflict));
+        }
+        let published = self.published.clone();
+        for index in (0..self.kernels.len())
+            .filter(|index| !self.cut.contains(index))
+            .collect::<Vec<_>>()
+        {
+            self.handle(index, &Event::Decided(published.clone()));
+        }
+    }
+
+    /// Share of the new version at a node, in thousandths.
+    fn share(&self, index: usize) -> u16 {
+        let entry = self.kernels[index].shared().orders.find(SERVICE).unwrap();
+        match entry.phase {
+            Phase::Running => entry.share,
+            Phase::Completed => 1_000,
+            Phase::RolledBack => 0,
+        }
+    }
+
+    /// Lets a tenth of a second pass with 200 calls a second.
+    fn step(&mut self, version: Version) {
+        self.now = self.now + TICK_INTERVAL;
+        let share = f64::from(self.share(0)) / 1_000.0;
+        for number in 0..20_u64 {
+            self.debt += share;
+            let is_new = self.debt >= 1.0;
+            if is_new {
+                self.debt -= 1.0;
+            }
+            let side = usize::from(is_new);
+            self.calls[side] += 1;
+            let owner = 4 * side + (self.calls[side] % 4) as usize;
+            let route = if number % 3 == 0 { "/a" } else { "/b" };
+            let is_slow = is_new && version == Version::Slow;
+            let spread = 60 + 13 * (number % 10);
+            let latency = Duration::from_millis(if is_slow { 8 * spread } else { spread });
+            let is_failed = is_new
+                && match version {
+                    Version::Good | Version::Slow => false,
+                    Version::FailsOnOneRoute => route == "/a" && self.calls[1] % 2 == 0,
+                    Version::FailsUnderLoad => share > 0.1 && self.calls[1] % 2 == 0,
+                };
+            // One in 250 calls of any version fails.
+            let is_failed = is_failed || (self.calls[0] + self.calls[1]) % 250 == 0;
+            let outcome = if is_failed {
+                Outcome::Error
+            } else {
+                Outcome::Ok
+            };
+            self.books[owner].record(route, outcome, latency);
+        }
+        for index in 0..self.kernels.len() {
+            let server = self.members[index].backend_server.clone().unwrap();
+            let host = self.members[index].host.clone();
+            let report = self.books[index].report(&host, 1, &server.service, &server.version);
+            self.handle(index, &Event::Observed(report));
+            self.handle(index, &Event::Tick);
+        }
+    }
+
+    /// Lets time pass and returns the share of calls that the new version got.
+    fn run(&mut self, version: Version, span: Duration) -> f64 {
+        let end = self.now + span;
+        while self.now < end {
+            self.step(version);
+        }
+        self.calls[1] as f64 / (self.calls[0] + self.calls[1]) as f64
+    }
+
+    fn phase(&self) -> Option<Phase> {
+        self.published.first().map(|decision| decision.phase)
+    }
+}
+
+#[test]
+fn a_good_version_is_completed_within_the_window() {
+    let mut mesh = Mesh::new();
+    mesh.run(Version::Good, WINDOW);
+    assert_eq!(mesh.phase(), Some(Phase::Completed));
+    assert!((0..8).all(|index| mesh.share(index) == 1_000));
+    assert_eq!(mesh.published[0].order, ORDER);
+}
+
+#[test]
+fn most_of_the_window_passes_at_a_small_share() {
+    let mut mesh = Mesh::new();
+    let share = mesh.run(Version::Good, WINDOW.mul_f64(0.8));
+    assert!(share <= 0.1, "{share}");
+    assert_eq!(mesh.phase(), None);
+}
+
+#[test]
+fn a_bad_version_gets_a_tenth_of_the_calls_at_most() {
+    for version in [
+        Version::FailsOnOneRoute,
+        Version::Slow,
+        Version::FailsUnderLoad,
+    ] {
+        let mut mesh = Mesh::new();
+        let share = mesh.run(version, WINDOW + Duration::from_secs(5));
+        assert_eq!(mesh.phase(), Some(Phase::RolledBack));
+        assert!(share <= 0.1, "{share}");
+        assert!((0..8).all(|index| mesh.share(index) == 0));
+    }
+}
+
+#[test]
+fn a_bad_version_is_dropped_while_the_store_is_down_and_published_later() {
+    let mut mesh = Mesh::new();
+    mesh.is_store_down = true;
+    mesh.run(Version::FailsOnOneRoute, WINDOW);
+    assert!((0..8).all(|index| mesh.share(index) == 0));
+    assert_eq!(mesh.phase(), None);
+    mesh.is_store_down = false;
+    mesh.run(Version::FailsOnOneRoute, Duration::from_secs(2));
+    assert_eq!(mesh.phase(), Some(Phase::RolledBack));
+}
+
+#[test]
+fn a_node_that_hears_of_no_judge_stays_at_the_first_share() {
+    let mut mesh = Mesh::new();
+    // Any node of the mesh but the judges can be cut off; try each.
+    for index in 0..8 {
+        let mut mesh = Mesh::new();
+        mesh.cut.push(index);
+        mesh.run(Version::Good, WINDOW.mul_f64(0.85));
+        let others: Vec<u16> = (0..8)
+            .filter(|i| *i != index)
+            .map(|i| mesh.share(i))
+            .collect();
+        assert!(others.iter().all(|share| *share >= 250), "{others:?}");
+    }
+    mesh.cut = (0..8).collect();
+    mesh.run(Version::Good, WINDOW.mul_f64(0.85));
+    let raised = (0..8).filter(|index| mesh.share(*index) > 30).count();
+    assert!(
+        raised <= 2,
+        "{raised} nodes raised the share, judges are two"
+    );
+}
+
+#[test]
+fn a_decision_is_published_once_however_many_judges_there_are() {
+    let mut mesh = Mesh::new();
+    mesh.run(Version::Good, WINDOW + Duration::from_secs(10));
+    assert_eq!(mesh.published.len(), 1);
+}
