Log a line for each decision on a call and serve metrics to scrapers

Why: on-call engineers have standard output and the metrics address only. Change: a catalogue of log lines (logline); a line for each attempt and answer of a call that failed or was tried again, and of one in 128 others, at most 250 lines a second with a count of those left out; kernel notes carry a line, a subject and what decided it; latency histograms of four stages; counters and histograms as OpenMetrics text by prometheus-client, on /metrics of the operators' page and on port 9464 on the platform. Logs go to standard output.

--- a/buckthorn/src/admin/server.rs
+++ b/buckthorn/src/admin/server.rs
@@ -23,6 +23,7 @@
 
 use super::{Announcement, Handler, Refusal, announcement};
 use crate::counter::{Board, Counter};
+use crate::metrics;
 use crate::secret::Secrets;
 
 /// Connections at once; more wait until one ends.
@@ -169,11 +170,13 @@
         }
         (Method::GET, "/v1/status") => status(handler).await,
         (Method::GET, "/v1/counters") => counters(handler.counters()),
+        (Method::GET, "/metrics") => scrape(handler.counters()),
         (Method::GET, "/v1/ready") => ready(handler.is_ready()),
         (Method::GET, "/v1/live") => reply(StatusCode::OK, &json!({"live": true})),
         (
             _,
-            "/v1/announce" | "/v1/leave" | "/v1/status" | "/v1/counters" | "/v1/ready" | "/v1/live",
+            "/v1/announce" | "/v1/leave" | "/v1/status" | "/v1/counters" | "/v1/ready" | "/v1/live"
+            | "/metrics",
         ) => refuse(
             StatusCode::METHOD_NOT_ALLOWED,
             "another method is needed for this path",
@@ -247,6 +250,18 @@
     reply(StatusCode::OK, &Value::Object(list))
 }
 
+/// Answer to a scraper.
+fn scrape(board: &Arc<Board>) -> Reply {
+    let Ok(text) = metrics::text(board) else {
+        let what = "the metrics could not be encoded";
+        return refuse(StatusCode::INTERNAL_SERVER_ERROR, what);
+    };
+    let mut response = Response::new(Full::from(text));
+    let value = http::HeaderValue::from_static(metrics::CONTENT_TYPE);
+    response.headers_mut().insert(CONTENT_TYPE, value);
+    response
+}
+
 /// Tells whether the node takes traffic.
 fn ready(is_ready: bool) -> Reply {
     let status = if is_ready {
--- a/buckthorn/src/counter.rs
+++ b/buckthorn/src/counter.rs
@@ -5,6 +5,8 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use crate::metrics::Stages;
+
 macro_rules! counters {
     ($($variant:ident $name:literal $help:literal,)*) => {
         /// What a counter counts.
@@ -125,6 +127,8 @@
 pub struct Board {
     /// Values in the order of [`Counter::ALL`].
     values: Vec<AtomicU64>,
+    /// Durations of the stages of calls.
+    pub stages: Stages,
 }
 
 impl Board {
@@ -132,6 +136,7 @@
     pub fn new() -> Self {
         Self {
             values: Counter::ALL.iter().map(|_| AtomicU64::new(0)).collect(),
+            stages: Stages::default(),
         }
     }
 
--- a/buckthorn/src/journal/plugin.rs
+++ b/buckthorn/src/journal/plugin.rs
@@ -21,6 +21,7 @@
 use crate::counter::Counter;
 use crate::kernel::{Action, Context, Event, LATEST, Plugin, Registry};
 use crate::log::{Append, Batch};
+use crate::logline::Line;
 use crate::membership;
 use crate::membership::member::Member;
 use crate::name::{self, Name};
@@ -359,8 +360,8 @@
         if result != Install::Done {
             cx.shared.counters.hit(Counter::SnapshotsRefused);
             if let Install::Invalid(what) = result {
-                let text = format!("snapshot of {from} refused: {what}");
-                cx.act(Action::Note { text });
+                let subject = format!("snapshot of {from}");
+                cx.note(Line::ConfigRefused, subject, what);
             }
             return;
         }
@@ -389,8 +390,8 @@
                 Outcome::Duplicate => cx.shared.counters.hit(Counter::RecordsDuplicate),
                 Outcome::Refused(refusal) => {
                     cx.shared.counters.hit(Counter::RecordsRefused);
-                    let text = format!("record {} refused: {refusal}", record.offset);
-                    cx.act(Action::Note { text });
+                    let subject = format!("record {}", record.offset);
+                    cx.note(Line::ConfigRefused, subject, refusal);
                 }
             }
             if cx.shared.tail.state().next > next {
--- a/buckthorn/src/kernel/mod.rs
+++ b/buckthorn/src/kernel/mod.rs
@@ -17,6 +17,7 @@
 use crate::journal::lease::Keeper;
 use crate::journal::tail::Tail;
 use crate::log::{Append, Batch};
+use crate::logline::{Line, Note};
 use crate::membership::member::{BackendServer, Member};
 use crate::membership::view::View;
 use crate::name::Name;
@@ -137,11 +138,8 @@
     ReadDecisions,
     /// Publish a decision on a move.
     Publish(Decision),
-    /// Write a line to the log of decisions.
-    Note {
-        /// What was decided.
-        text: String,
-    },
+    /// Log a decision or a change of what the node believes.
+    Note(Note),
 }
 
 /// Messages that one envelope may hold; one with more is refused whole.
@@ -216,6 +214,11 @@
         self.actions.push(action);
     }
 
+    /// Logs a decision or a change of what the node believes.
+    pub fn note(&mut self, line: Line, subject: impl ToString, detail: impl ToString) {
+        self.act(Action::Note(Note::new(line, subject, detail)));
+    }
+
     /// Sends messages to a member.
     pub fn send(&mut self, member: &Member, messages: Vec<Message>) {
         let (host, address) = (member.host.clone(), member.rpc);
--- /dev/null
+++ b/buckthorn/src/metrics.rs
@@ -0,0 +1,160 @@
+//! Latency histograms, and the text that scrapers read.
+//!
+//! The path of a call only adds to atomics; the text is made by `prometheus-client` when it is
+//! asked for.
+
+use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use prometheus_client::collector::Collector;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::{DescriptorEncoder, EncodeMetric, MetricEncoder, NoLabelSet};
+use prometheus_client::metrics::MetricType;
+use prometheus_client::metrics::counter::ConstCounter;
+use prometheus_client::registry::{Registry, Unit};
+
+use crate::counter::Board;
+
+/// Prefix of every metric.
+const PREFIX: &str = "buckthorn";
+
+/// Microseconds in a second.
+const MICROS_PER_SECOND: f64 = 1e6;
+
+/// Media type of the text.
+pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Upper edges of the buckets in microseconds: doubling steps from a quarter of a millisecond, the
+/// time that a hop adds, to 8 s, beyond the longest timeouts.
+const EDGES_US: [u64; 16] = [
+    250, 500, 1_000, 2_000, 4_000, 8_000, 16_000, 32_000, 64_000, 125_000, 250_000, 500_000,
+    1_000_000, 2_000_000, 4_000_000, 8_000_000,
+];
+
+/// Stage of the path of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// From a caller's request to its answer's head, at the ingress.
+    Call,
+    /// One attempt, from ingress to owner and back.
+    Attempt,
+    /// Waiting at the owner.
+    Queue,
+    /// At the backend server, to its answer's head.
+    Backend,
+}
+
+impl Stage {
+    /// Every stage.
+    pub const ALL: [Self; 4] = [Self::Call, Self::Attempt, Self::Queue, Self::Backend];
+
+    /// Name of the histogram, without prefix and unit.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Call => "call_duration",
+            Self::Attempt => "attempt_duration",
+            Self::Queue => "owner_queue_duration",
+            Self::Backend => "backend_duration",
+        }
+    }
+
+    /// One-line description.
+    pub const fn help(self) -> &'static str {
+        match self {
+            Self::Call => "Time from a caller's request to the head of its answer",
+            Self::Attempt => "Time of one attempt, from ingress to owner and back",
+            Self::Queue => "Time that a call waited at the owner",
+            Self::Backend => "Time to the head of the backend server's answer",
+        }
+    }
+}
+
+/// Histogram of one stage.
+#[derive(Debug, Default)]
+pub struct Histogram {
+    buckets: [AtomicU64; EDGES_US.len() + 1],
+    sum_us: AtomicU64,
+}
+
+impl Histogram {
+    /// Adds a duration.
+    #[inline]
+    pub fn observe(&self, duration: Duration) {
+        let us = duration.as_micros() as u64;
+        let index = EDGES_US.partition_point(|edge| *edge < us);
+        self.buckets[index].fetch_add(1, Ordering::Relaxed);
+        self.sum_us.fetch_add(us, Ordering::Relaxed);
+    }
+
+    /// Durations added so far.
+    pub fn count(&self) -> u64 {
+        let buckets = self.buckets.iter();
+        buckets.map(|bucket| bucket.load(Ordering::Relaxed)).sum()
+    }
+}
+
+/// Durations of every stage.
+#[derive(Debug, Default)]
+pub struct Stages([Histogram; Stage::ALL.len()]);
+
+impl Stages {
+    /// Histogram of a stage.
+    #[inline]
+    pub fn get(&self, stage: Stage) -> &Histogram {
+        &self.0[stage as usize]
+    }
+}
+
+/// A board as a scraper reads it.
+#[derive(Debug)]
+struct Page(Arc<Board>);
+
+impl Collector for Page {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> Result<(), fmt::Error> {
+        for (counter, value) in self.0.list() {
+            let name = counter.name().replace('.', "_");
+            let help = counter.help().trim_end_matches('.');
+            let metric = encoder.encode_descriptor(&name, help, None, MetricType::Counter)?;
+            ConstCounter::new(value).encode(metric)?;
+        }
+        for stage in Stage::ALL {
+            let unit = Unit::Seconds;
+            let metric = encoder.encode_descriptor(
+                stage.name(),
+                stage.help(),
+                Some(&unit),
+                MetricType::Histogram,
+            )?;
+            encode_histogram(self.0.stages.get(stage), metric)?;
+        }
+        Ok(())
+    }
+}
+
+/// Encodes one histogram; the library counts the buckets up.
+fn encode_histogram(
+    histogram: &Histogram,
+    mut metric: MetricEncoder<'_>,
+) -> Result<(), fmt::Error> {
+    let counts = histogram.buckets.iter().map(|b| b.load(Ordering::Relaxed));
+    let edges = EDGES_US.iter().map(|us| *us as f64 / MICROS_PER_SECOND);
+    let buckets: Vec<(f64, u64)> = edges.chain([f64::MAX]).zip(counts).collect();
+    let sum = histogram.sum_us.load(Ordering::Relaxed) as f64 / MICROS_PER_SECOND;
+    let count = buckets.iter().map(|(_, count)| count).sum();
+    metric.encode_histogram::<NoLabelSet>(sum, count, &buckets, None)
+}
+
+/// Every counter and histogram as text in the OpenMetrics format.
+///
+/// # Errors
+///
+/// Fails when the library cannot encode a metric.
+pub fn text(board: &Arc<Board>) -> Result<String, fmt::Error> {
+    let mut registry = Registry::with_prefix(PREFIX);
+    registry.register_collector(Box::new(Page(board.clone())));
+    let mut text = String::new();
+    encode(&mut text, &registry)?;
+    Ok(text)
+}
--- a/buckthorn/src/node/driver.rs
+++ b/buckthorn/src/node/driver.rs
@@ -22,6 +22,7 @@
 use crate::counter::{Board, Counter};
 use crate::kernel::{Action, Event, Kernel, TICK_INTERVAL};
 use crate::log::Append;
+use crate::logline::Line;
 use crate::name::Name;
 use crate::proxy::owner::Owner;
 use crate::rollout::evidence::Book;
@@ -278,7 +279,8 @@
                     Some(outlet) => outlet.publish(&decision),
                     None => warn!(self.edges.logger, "decision dropped: no outlet"),
                 },
-                Action::Note { text } => info!(self.edges.logger, "{}", text),
+                Action::Note(note) => info!(self.edges.logger, "{}", note.line.name();
+                    "subject" => note.subject, "detail" => note.detail),
             }
         }
         if is_stale {
@@ -319,7 +321,7 @@
             "invariant: the routing table never goes back"
         );
         if table.version > in_force {
-            info!(self.edges.logger, "configuration in force"; "version" => table.version);
+            info!(self.edges.logger, "{}", Line::ConfigApplied.name(); "version" => table.version);
         }
         self.path.table.store(Arc::new(table));
         if let Some(owner) = self.path.owner.load_full() {
@@ -383,7 +385,8 @@
             }
             _ => return Ok(()),
         }
-        info!(self.edges.logger, "backend server announced";
+        info!(self.edges.logger, "{}", Line::BackendAnnounced.name();
+            "instance" => announcement.instance.as_deref().unwrap_or(""),
             "service" => %announcement.service, "version" => %announcement.version);
         let server = announcement.backend_server(false);
         let last = announcement.clone();
@@ -441,7 +444,7 @@
         let Some(last) = self.registration.current() else {
             return;
         };
-        info!(self.edges.logger, "backend server leaves"; "service" => %last.service);
+        info!(self.edges.logger, "{}", Line::BackendLeaves.name(); "service" => %last.service);
         let server = last.backend_server(true);
         self.handle(&Event::Announced(Some(server)));
     }
@@ -463,7 +466,8 @@
             }
             Next::Gone => self.forget(),
             Next::Expired => {
-                warn!(self.edges.logger, "backend server expired");
+                warn!(self.edges.logger, "{}", Line::BackendExpired.name();
+                    "service" => self.path.owner.load().as_ref().map(|owner| owner.service.to_string()));
                 self.path.counters.hit(Counter::AnnouncementsExpired);
                 self.forget();
             }
--- a/buckthorn/src/node/mod.rs
+++ b/buckthorn/src/node/mod.rs
@@ -34,6 +34,7 @@
 use crate::counter::Board;
 use crate::kernel::{Event, Identity, Kernel, Registry};
 use crate::log::client::Client;
+use crate::logline::Line;
 use crate::proxy::contract::Contract;
 use crate::proxy::limit::Limits;
 use crate::proxy::{Drained, Plane};
@@ -239,7 +240,7 @@
             seeds: settings.seeds.clone(),
         };
         let (proxy, rpc, client) = runtime.block_on(async {
-            let plane = plane(settings, &path, source.edge());
+            let plane = plane(settings, &path, source.edge(), logger.clone());
             let callers = tokio::net::TcpListener::from_std(callers)?;
             let hop = tokio::net::TcpListener::from_std(hop)?;
             let secrets = secrets(settings);
@@ -296,7 +297,7 @@
             let access = admin::Access::of(addresses.admin, secrets(settings));
             admin::serve(page, access, handler)?
         };
-        info!(logger, "node started";
+        info!(logger, "{}", Line::NodeStarted.name();
             "callers" => %addresses.callers, "hop" => %addresses.hop,
             "rpc" => %addresses.rpc, "admin" => %addresses.admin);
         Ok(Self {
@@ -357,7 +358,7 @@
 
     /// Shuts down gracefully: tells the peers, refuses new work, finishes what is in flight.
     pub fn shutdown(mut self) -> Drained {
-        info!(self.logger, "shutting down");
+        info!(self.logger, "{}", Line::NodeStopping.name());
         let _ = self.inputs.send(Input::Left);
         let _ = self.inputs.send(Input::Event(Event::Shutdown));
         thread::sleep(self.leave_grace);
@@ -366,7 +367,7 @@
             _ => Drained::Clean,
         };
         self.stop();
-        info!(self.logger, "stopped"; "is_clean" => drained == Drained::Clean);
+        info!(self.logger, "{}", Line::NodeStopped.name(); "is_clean" => drained == Drained::Clean);
         drained
     }
 
@@ -413,7 +414,7 @@
 }
 
 /// Path of a call as the settings want it.
-fn plane(settings: &Settings, path: &Path, edge: Option<&Edge>) -> Arc<Plane> {
+fn plane(settings: &Settings, path: &Path, edge: Option<&Edge>, logger: Logger) -> Arc<Plane> {
     let limits = edge.map_or_else(Limits::default, |edge| edge.limits.clone());
     let limits = Limits {
         body_bytes: settings.max_body_bytes,
@@ -429,7 +430,8 @@
     .owner(path.owner.clone())
     .counters(path.counters.clone())
     .clock(path.clock.clone())
-    .limits(limits);
+    .limits(limits)
+    .logger(logger);
     if let Some(edge) = edge {
         builder = builder.contract(edge.contract.clone());
     }
--- a/buckthorn/src/node/telemetry.rs
+++ b/buckthorn/src/node/telemetry.rs
@@ -14,10 +14,16 @@
 /// Prefix of every metric.
 const METRIC_PREFIX: &str = "buckthorn";
 
-/// Logger that writes JSON lines to standard error without blocking the caller.
+/// Lines that may wait to be written; more are dropped and counted in a line.
+const LOG_QUEUE: usize = 1_024;
+
+/// Logger that writes JSON lines to standard output without blocking the caller.
 pub fn logger(level: slog::Level, host: &Name) -> Logger {
-    let json = slog_json::Json::default(io::stderr()).fuse();
-    let drain = slog_async::Async::new(json).build().fuse();
+    let json = slog_json::Json::default(io::stdout()).fuse();
+    let drain = slog_async::Async::new(json)
+        .chan_size(LOG_QUEUE)
+        .build()
+        .fuse();
     let drain = slog::LevelFilter::new(drain, level).fuse();
     Logger::root(drain, o!("host" => host.to_string()))
 }
--- a/buckthorn/src/proxy/dispatch.rs
+++ b/buckthorn/src/proxy/dispatch.rs
@@ -9,6 +9,7 @@
 use http::request::Parts;
 use http::{HeaderValue, Request, Response, StatusCode, Uri, header as names};
 use http_body_util::BodyExt;
+use slog::info;
 use tokio::time::Instant;
 
 use super::answer::{self, Ran, Reason};
@@ -16,9 +17,11 @@
 use super::header::{self, ATTEMPTS, Call, LOAD, Part};
 use super::hop::{Failure, Outgoing};
 use super::payload::Payload;
+use super::trail::Trail;
 use super::{Plane, owner, resume};
 use crate::admission::gate::Refusal;
 use crate::counter::Counter;
+use crate::logline::Line;
 use crate::name::Name;
 use crate::rollout::evidence::Outcome;
 use crate::routing::budget::{self, Budget, Inward, Layer, MAX_ATTEMPTS, Next};
@@ -68,21 +71,28 @@
         return answer::refuse(&plane.counters, reason, Ran::NotRun);
     };
     budget.earn();
+    let mut trail = Trail::new(plane, call, plane.request_id(&parts.headers));
     prepare(plane, &mut parts, call);
     let mut attempts = Attempts::new(call);
     loop {
         let endpoint = match pick(plane, call, &attempts.tried) {
             Ok(endpoint) => endpoint,
             Err(reason) => {
-                return attempts
+                let response = attempts
                     .last_word()
                     .unwrap_or_else(|| answer::refuse(&plane.counters, reason, Ran::NotRun));
+                trail.end(&response);
+                return response;
             }
         };
+        trail.begin();
         let body = payload.take().unwrap_or_else(body::empty);
         let request = Request::from_parts(parts.clone(), body);
         let failed = match attempt(plane, call, &endpoint, request).await {
             Attempt::Answered(response) => {
+                let left = call.deadline.since(plane.clock.now());
+                trail.note(&endpoint.host, &response, "answer", left);
+                trail.end(&response);
                 return resume::protect(plane, call, &parts, endpoint.host, response);
             }
             Attempt::Failed(failed) => failed,
@@ -104,12 +114,21 @@
             budget::decide(&budget, &failure)
         };
         plane.counters.hit(next.counter());
+        let left = failure.time_left.unwrap_or_default();
+        trail.note(
+            &endpoint.host,
+            &failed.response,
+            next.counter().name(),
+            left,
+        );
         let is_over = matches!(next, Next::GiveUp(_));
         attempts.note(endpoint.host, failed);
         if is_over {
-            return attempts
+            let response = attempts
                 .last_word()
                 .unwrap_or_else(|| answer::refuse(&plane.counters, Reason::Reset, Ran::Unknown));
+            trail.end(&response);
+            return response;
         }
     }
 }
@@ -337,6 +356,10 @@
     if let Some(counter) = verdict.counter() {
         plane.counters.hit(counter);
     }
+    if verdict == outlier::Verdict::Ejected {
+        info!(plane.logger, "{}", Line::EndpointEjected.name(); "target" => host,
+            "service" => &call.service, "outcome" => format!("{outcome:?}"));
+    }
 }
 
 /// What a failure on the hop says of the host.
--- a/buckthorn/src/proxy/header.rs
+++ b/buckthorn/src/proxy/header.rs
@@ -38,6 +38,8 @@
 pub const CALLER_HOST: &str = "x-buckthorn-host";
 /// Priority of a call (RFC 9218).
 pub const PRIORITY: &str = "priority";
+/// Identifier of a request, where a caller gives it one.
+pub const REQUEST_ID: &str = "x-request-id";
 /// Key under which a call runs at most once.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 /// Prefix of every header that is the system's own.
--- a/buckthorn/src/proxy/ingress.rs
+++ b/buckthorn/src/proxy/ingress.rs
@@ -5,15 +5,19 @@
 use http::request::Parts;
 use http::{Request, Response};
 use hyper::body::Incoming;
+use slog::info;
+use tokio::time::Instant;
 
 use super::answer::{self, Ran, Reason};
 use super::body::{Body, Monitor};
 use super::header::{CALLER_HOST, Call, LOAD, PART, SECRET, URGENCY, Unrouted};
 use super::payload::{Payload, Upload};
-use super::{Plane, dispatch, keyed};
+use super::{Plane, dispatch, keyed, trail};
 use crate::admission::gate::Refusal;
 use crate::clock::Time;
 use crate::counter::Counter;
+use crate::logline::Line;
+use crate::metrics::Stage;
 
 /// Carries a caller's call.
 pub async fn carry(plane: &Arc<Plane>, request: Request<Monitor<Incoming>>) -> Response<Body> {
@@ -28,7 +32,9 @@
         Ok(call) => call,
         Err((reason, detail)) => {
             let refusal = answer::refuse_with(&plane.counters, reason, Ran::NotRun, detail);
-            return finish(plane, refusal);
+            let response = finish(plane, refusal);
+            log_refusal(plane, &parts, &response, reason);
+            return response;
         }
     };
     // These speak between nodes only.
@@ -36,6 +42,7 @@
         parts.headers.remove(name);
     }
     let upload = parts.extensions.remove::<Upload>().unwrap_or_default();
+    let started = Instant::now();
     let mut departure = Departure(Some(plane.clone()));
     let response = match Payload::read(plane, &parts, body).await {
         Ok(payload) if call.is_keyed() => keyed::carry(plane, call, parts, payload).await,
@@ -43,9 +50,21 @@
         Err(reason) => answer::refuse(&plane.counters, reason, Ran::NotRun),
     };
     departure.0 = None;
+    let stages = &plane.counters.stages;
+    stages.get(Stage::Call).observe(started.elapsed());
     finish(plane, blame_upload(plane, &upload, response))
 }
 
+/// Logs a refusal before a backend server was chosen.
+fn log_refusal(plane: &Plane, parts: &Parts, response: &Response<Body>, reason: Reason) {
+    if trail::may_write(plane) {
+        info!(plane.logger, "{}", Line::CallRefused.name();
+            "request" => plane.request_id(&parts.headers),
+            "status" => response.status().as_u16(), "reason" => reason.word(),
+            "version" => plane.table.load().version);
+    }
+}
+
 /// Finds what a caller's request asks for.
 fn route(plane: &Plane, parts: &Parts, now: Time) -> Result<Call, (Reason, &'static str)> {
     let call_timeout = plane.limits.call_timeout;
--- a/buckthorn/src/proxy/mod.rs
+++ b/buckthorn/src/proxy/mod.rs
@@ -30,12 +30,14 @@
 pub mod pool;
 pub mod resume;
 pub mod socket;
+pub mod trail;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use slog::Logger;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -43,6 +45,7 @@
 use crate::clock::Clock;
 use crate::counter::Board;
 use crate::name::Name;
+use crate::node::telemetry;
 use crate::routing::table::Table;
 
 use self::contract::Contract;
@@ -71,6 +74,10 @@
     pub limits: Limits,
     /// Contract with callers and backend servers, where the platform has headers of its own.
     pub contract: Option<Contract>,
+    /// Log of decisions on calls.
+    pub logger: Logger,
+    /// Bound on the rate of its lines.
+    pub(crate) meter: trail::Meter,
     /// Connections to other nodes.
     pub(crate) peers: hop::Peers,
     /// Idempotency keys held here.
@@ -96,9 +103,20 @@
             secrets,
             limits: Limits::default(),
             contract: None,
+            logger: telemetry::silent(),
         }
     }
 
+    /// Identifier of a request, empty where it has none.
+    pub(crate) fn request_id(&self, headers: &http::HeaderMap) -> String {
+        let value = match &self.contract {
+            Some(contract) => headers.get(&contract.headers.request_id),
+            None => headers.get(header::REQUEST_ID),
+        };
+        let text = value.and_then(|value| value.to_str().ok());
+        text.unwrap_or_default().to_owned()
+    }
+
     /// Whether the node refuses new work.
     pub fn is_draining(&self) -> bool {
         self.is_draining.load(Ordering::Acquire)
@@ -126,6 +144,8 @@
     limits: Limits,
     /// Contract.
     contract: Option<Contract>,
+    /// Log of decisions on calls.
+    logger: Logger,
 }
 
 impl Builder {
@@ -165,6 +185,12 @@
         self
     }
 
+    /// Log of decisions on calls.
+    pub fn logger(mut self, logger: Logger) -> Self {
+        self.logger = logger;
+        self
+    }
+
     /// Builds the plane.
     pub fn build(self) -> Plane {
         Plane {
@@ -179,6 +205,8 @@
             secrets: self.secrets,
             limits: self.limits,
             contract: self.contract,
+            logger: self.logger,
+            meter: trail::Meter::default(),
             is_draining: AtomicBool::new(false),
         }
     }
--- a/buckthorn/src/proxy/owner.rs
+++ b/buckthorn/src/proxy/owner.rs
@@ -7,19 +7,22 @@
 
 use http::{HeaderValue, Request, Response, StatusCode, Uri, Version, header as names};
 use http_body_util::BodyExt;
+use slog::info;
 use tokio::time::Instant;
 
-use super::Plane;
 use super::answer::{self, Ran, Reason};
 use super::body::{self, Body, Bounds, Ending, Fault, Monitor};
 use super::contract::Finding;
 use super::header::{self, Call, DEADLINE, LOAD};
 use super::limit::Limits;
 use super::pool::{Denied, Failure, Pool, Reply};
+use super::{Plane, trail};
 use crate::admission::door::{Door, Permit};
 use crate::admission::gate::Refusal;
 use crate::admission::warmth::Warmth;
 use crate::counter::{Board, Counter};
+use crate::logline::Line;
+use crate::metrics::Stage;
 use crate::name::Name;
 use crate::rollout::evidence::{self, Book, Outcome};
 
@@ -99,8 +102,17 @@
         return answer::refuse(&plane.counters, reason, Ran::NotRun);
     };
     let mut response = match admit(plane, &owner, call).await {
-        Ok(entry) => forward(plane, &owner, call, entry, request).await,
-        Err(reason) => answer::refuse(&plane.counters, reason, Ran::NotRun),
+        Ok(entry) => {
+            let id = plane.request_id(request.headers());
+            let started = Instant::now();
+            let response = forward(plane, &owner, call, entry, request).await;
+            log_failure(plane, &owner, &id, started, &response);
+            response
+        }
+        Err(reason) => {
+            log_refusal(plane, &owner, &plane.request_id(request.headers()), reason);
+            answer::refuse(&plane.counters, reason, Ran::NotRun)
+        }
     };
     let load = HeaderValue::from(owner.door.load_permille());
     response.headers_mut().insert(LOAD, load);
@@ -121,11 +133,14 @@
         return Err(Reason::Refused(Refusal::Draining));
     }
     let route = check(plane, owner, call)?;
+    let started = Instant::now();
     let permit = owner
         .door
         .enter(call.offer())
         .await
         .map_err(Reason::Refused)?;
+    let stages = &plane.counters.stages;
+    stages.get(Stage::Queue).observe(started.elapsed());
     if !owner.warmth.admit(plane.clock.now()) {
         return Err(Reason::Refused(Refusal::Cold));
     }
@@ -211,6 +226,7 @@
         return answer::refuse(&plane.counters, Reason::Reset, Ran::Unknown);
     };
     let latency = run.started.elapsed();
+    plane.counters.stages.get(Stage::Backend).observe(latency);
     match sent {
         Ok(response) => match inspect(plane, request_id.as_ref(), &response) {
             Finding::Sound => pass_on(plane, run, &method, response),
@@ -238,6 +254,41 @@
     }
 }
 
+/// Logs a refusal with what decided it.
+fn log_refusal(plane: &Plane, owner: &Owner, id: &str, reason: Reason) {
+    if trail::may_write(plane) {
+        info!(plane.logger, "{}", Line::OwnerRefused.name(); "request" => id,
+            "service" => owner.service.as_ref(), "reason" => reason.word(),
+            "running" => owner.door.running(), "queued" => owner.door.queued(),
+            "limit" => owner.door.limit(), "version" => plane.table.load().version);
+    }
+}
+
+/// Logs that the backend server gave no answer that could be passed on.
+fn log_failure(
+    plane: &Plane,
+    owner: &Owner,
+    id: &str,
+    started: Instant,
+    response: &Response<Body>,
+) {
+    let Some(reason) = response.headers().get(header::REASON) else {
+        return;
+    };
+    if trail::may_write(plane) {
+        let ran = if answer::is_not_run(response) {
+            Ran::NotRun
+        } else {
+            Ran::Unknown
+        };
+        info!(plane.logger, "{}", Line::OwnerFailed.name(); "request" => id,
+            "service" => owner.service.as_ref(),
+            "instance" => owner.instance.as_deref().unwrap_or(""),
+            "reason" => reason.to_str().unwrap_or(""), "ran" => ran.word(),
+            "took_ms" => started.elapsed().as_millis() as u64);
+    }
+}
+
 /// Identifier of a request under a contract.
 fn request_id(plane: &Plane, request: &Request<Body>) -> Option<HeaderValue> {
     let contract = plane.contract.as_ref()?;
--- a/buckthorn/src/rollout/cutover.rs
+++ b/buckthorn/src/rollout/cutover.rs
@@ -15,6 +15,7 @@
 use crate::config::order::{Decision, Move, Orders, Phase};
 use crate::counter::Counter;
 use crate::kernel::{Action, Context, Event, Plugin, Publication, Registry};
+use crate::logline::Line;
 use crate::membership::member::Member;
 use crate::name::Name;
 use crate::rpc::message::Message;
@@ -134,9 +135,9 @@
                 cx.shared.orders.decide(std::slice::from_ref(decision));
                 cx.act(Action::Rebuild);
             }
-            Event::Published(Publication::Failed(reason)) => cx.act(Action::Note {
-                text: format!("decision not published: {reason}"),
-            }),
+            Event::Published(Publication::Failed(reason)) => {
+                cx.note(Line::DecisionFailed, "", reason);
+            }
             _ => {}
         }
     }
@@ -226,9 +227,11 @@
                 if phase == Phase::RolledBack {
                     cx.shared.counters.hit(Counter::Quarantines);
                 }
-                cx.act(Action::Note {
-                    text: format!("{service}: a judge tells that the move has ended: {phase:?}"),
-                });
+                cx.note(
+                    Line::MoveEnded,
+                    service,
+                    format!("{phase:?}, as a judge tells"),
+                );
                 cx.act(Action::Rebuild);
             }
             return;
@@ -274,9 +277,8 @@
     if place.is_some() {
         if let Some(fault) = trial.comparison.fault() {
             cx.shared.counters.hit(Counter::Accusations);
-            cx.act(Action::Note {
-                text: format!("{}: {} taken back: {fault}", entry.service, entry.version),
-            });
+            let detail = format!("{} taken back: {fault}", entry.version);
+            cx.note(Line::MoveFault, &entry.service, detail);
             cx.shared
                 .orders
                 .end(&entry.service, entry.order, Phase::RolledBack);
@@ -303,6 +305,11 @@
         return false;
     }
     cx.shared.counters.hit(Counter::StepsTaken);
+    let detail = format!(
+        "{} gets {share} in 1000, order {}",
+        entry.version, entry.order
+    );
+    cx.note(Line::MoveStep, &entry.service, detail);
     let entries = cx.shared.orders.moves_mut();
     if let Some(held) = entries.iter_mut().find(|held| held.order == entry.order) {
         held.share = share;
@@ -313,6 +320,13 @@
 
 /// Tells and publishes that a move has ended.
 fn end(cx: &mut Context<'_>, trial: &mut Trial, entry: &Move) -> bool {
+    if trial.ended.is_none() {
+        let detail = format!(
+            "{}: {:?}, order {}",
+            entry.version, entry.phase, entry.order
+        );
+        cx.note(Line::MoveEnded, &entry.service, detail);
+    }
     let ended = *trial.ended.get_or_insert(cx.now);
     let Some(place) = seat(cx, entry.order) else {
         return false;
--- a/buckthorn/src/rollout/plugin.rs
+++ b/buckthorn/src/rollout/plugin.rs
@@ -17,6 +17,7 @@
 use crate::journal::record::{self, Body, Step};
 use crate::kernel::{Action, Context, Event, Plugin, Registry};
 use crate::log::Append;
+use crate::logline::Line;
 use crate::membership::member::Member;
 use crate::name::Name;
 use crate::rpc::message::Message;
@@ -229,12 +230,8 @@
             Phase::TakenBack => Counter::MovesTakenBack,
             _ => Counter::StepsTaken,
         });
-        cx.act(Action::Note {
-            text: format!(
-                "move {}: {} at {}: {}",
-                step.id, step.phase, step.share, step.reason
-            ),
-        });
+        let detail = format!("{} at {}: {}", step.phase, step.share, step.reason);
+        cx.note(Line::MoveStep, &step.id, detail);
         self.pending.push(Pending {
             move_id: step.id.clone(),
             record: id.clone(),
@@ -362,16 +359,12 @@
     let counters = &cx.shared.counters;
     counters.add(Counter::MessagesRefused, merge.refused);
     for id in &merge.lowered {
-        cx.act(Action::Note {
-            text: format!("move {id}: share lowered to compare the versions"),
-        });
+        cx.note(Line::MoveFault, id, "share lowered to compare the versions");
         cx.act(Action::Rebuild);
     }
     for id in &merge.entered {
         cx.shared.counters.hit(Counter::Quarantines);
-        cx.act(Action::Note {
-            text: format!("move {id}: new version quarantined"),
-        });
+        cx.note(Line::MoveFault, id, "new version quarantined");
         cx.act(Action::Rebuild);
     }
     if merge.fresh.is_empty() {
--- a/buckthorn/tests/input_snapshot.rs
+++ b/buckthorn/tests/input_snapshot.rs
@@ -206,7 +206,7 @@
         assert_eq!(*kernel.shared().tail.state(), before, "{what}");
         assert_eq!(counters.get(Counter::SnapshotsRefused), 1, "{what}");
         assert!(!kernel.shared().is_synced, "{what}");
-        let is_noted = |action: &Action| matches!(action, Action::Note { .. });
+        let is_noted = |action: &Action| matches!(action, Action::Note(_));
         assert!(actions.iter().any(is_noted), "{what}");
     }
 }
