--- a/buckthorn/src/node/driver.rs
+++ b/buckthorn/src/node/driver.rs
@@ -40,9 +40,9 @@
 /// Exchanges with peers under way at once.
 const MAX_EXCHANGES: usize = 256;
 
-/// Part of the rate that a cold backend server bears that is used; the rest is for calls that
-/// arrive bunched.
-const COLD_RATE_FACTOR: f64 = 1.0;
+/// Rate given to a cold backend server as a part of the one that it bears for long: it bears half as
+/// many again for a second.
+const COLD_RATE_FACTOR: f64 = 1.25;
 
 /// Something for the kernel's thread.
 #[derive(Debug)]
--- a/buckthorn/src/node/mod.rs
+++ b/buckthorn/src/node/mod.rs
@@ -75,7 +75,7 @@
     runtime: Option<Runtime>,
     /// Longest wait for calls in flight at shutdown.
     drain_timeout: Duration,
-    /// Time between telling that the node leaves and refusing calls.
+    /// Time for callers to look elsewhere before the node leaves.
     leave_grace: Duration,
     /// Log of decisions.
     logger: Logger,
@@ -116,7 +116,8 @@
     pub outlet: Arc<dyn Outlet>,
     /// Limits on what comes from outside; the settings' own go first.
     pub limits: Limits,
-    /// Time for callers and peers to look elsewhere before a node that stops refuses calls.
+    /// Time for callers to look elsewhere before a node that stops tells its peers and refuses
+    /// calls.
     pub leave_grace: Duration,
     /// Retries of a service for each of its calls.
     pub retry_ratio: f64,
@@ -260,7 +261,9 @@
             anyhow::Ok((proxy::serve(plane, callers, hop), rpc, client))
         })?;
 
-        let leave_grace = source.edge().map_or(LEAVE_GRACE, |edge| edge.leave_grace);
+        let leave_grace = source
+            .edge()
+            .map_or(Duration::ZERO, |edge| edge.leave_grace);
         let edges = Edges {
             follower: source.log().map(|log| Follower::start(log, &inputs)),
             outlet: source.edge().map(|edge| edge.outlet.clone()),
@@ -359,9 +362,11 @@
     /// Shuts down gracefully: tells the peers, refuses new work, finishes what is in flight.
     pub fn shutdown(mut self) -> Drained {
         info!(self.logger, "{}", Line::NodeStopping.name());
+        // Callers look elsewhere meanwhile; the backend server goes on being used.
+        thread::sleep(self.leave_grace);
         let _ = self.inputs.send(Input::Left);
         let _ = self.inputs.send(Input::Event(Event::Shutdown));
-        thread::sleep(self.leave_grace);
+        thread::sleep(LEAVE_GRACE);
         let drained = match (&self.runtime, self.proxy.take()) {
             (Some(runtime), Some(proxy)) => runtime.block_on(proxy.drain(self.drain_timeout)),
             _ => Drained::Clean,
--- a/buckthorn/src/proxy/dispatch.rs
+++ b/buckthorn/src/proxy/dispatch.rs
@@ -294,11 +294,15 @@
         match send(plane, call, endpoint, left, request).await {
             Ok(response) => response,
             Err(failure) => {
+                if is_host_lost(&failure) {
+                    endpoint.load.lose(plane.clock.now());
+                }
                 observe(plane, call, &endpoint.host, failure_outcome(&failure));
                 return failed(plane, failure);
             }
         }
     };
+    endpoint.load.regain();
     if let Some(permille) = told(&response) {
         endpoint.load.tell(permille);
     }
@@ -362,6 +366,14 @@
     }
 }
 
+/// Whether a failure on the hop says that the host cannot be reached now.
+const fn is_host_lost(failure: &Failure) -> bool {
+    matches!(
+        failure,
+        Failure::NotRun(Reason::Unreachable | Reason::Timeout) | Failure::Unknown(Reason::Reset)
+    )
+}
+
 /// What a failure on the hop says of the host.
 const fn failure_outcome(failure: &Failure) -> Outcome {
     match failure {
--- a/buckthorn/src/proxy/hop.rs
+++ b/buckthorn/src/proxy/hop.rs
@@ -30,6 +30,9 @@
 /// Peers remembered; beyond this, those without a connection are forgotten.
 const MAX_PEERS: usize = 1_024;
 
+/// Time after a failed attempt to open a connection in which no other is made.
+const REOPEN_PAUSE: Duration = Duration::from_millis(250);
+
 /// Why a call got no answer from another node.
 #[derive(Debug)]
 pub enum Failure {
@@ -72,6 +75,8 @@
     link: ArcSwapOption<Link>,
     /// Held by whoever opens a connection.
     opening: Mutex<()>,
+    /// When a connection could not be opened last, in microseconds since the origin.
+    failed: AtomicU64,
 }
 
 /// One open connection.
@@ -181,7 +186,16 @@
         if let Some(link) = self.usable(peer).filter(|link| !self.is_stale(link)) {
             return Some(link);
         }
-        let link = Arc::new(self.open(address).await?);
+        // Calls that waited for an attempt that failed do not make one each.
+        let failed = Duration::from_micros(peer.failed.load(Ordering::Relaxed));
+        if !failed.is_zero() && self.origin.elapsed().saturating_sub(failed) < REOPEN_PAUSE {
+            return None;
+        }
+        let Some(link) = self.open(address).await else {
+            peer.failed.store(self.elapsed().max(1), Ordering::Relaxed);
+            return None;
+        };
+        let link = Arc::new(link);
         peer.link.store(Some(link.clone()));
         Some(link)
     }
--- a/buckthorn/src/rollout/comparison.rs
+++ b/buckthorn/src/rollout/comparison.rs
@@ -20,6 +20,12 @@
 /// Share of failures that is taken for usual where the old versions show fewer, in thousandths.
 const USUAL_FAILED_PERMILLE: u64 = 5;
 
+/// Calls without which an owner does not speak for the version.
+const MIN_WELL_CALLS: u64 = 10;
+
+/// Owners that have to serve the version well for a fault to be put on one of them.
+const MIN_WELL_OWNERS: usize = 2;
+
 /// Good answers of the new version that a comparison of latencies needs.
 const MIN_ANSWERS: u64 = 16;
 
@@ -84,6 +90,9 @@
             let new = self.total(true, route);
             let old = self.total(false, route);
             let fault = failures(&new, &old).or_else(|| slowness(&new, &old))?;
+            if self.is_one_owners(route) {
+                return None;
+            }
             Some(match route {
                 Some(route) => format!("{fault} on {route}"),
                 None => fault,
@@ -91,6 +100,26 @@
         })
     }
 
+    /// Whether nearly all that is wrong with the new version is wrong at one owner, while others
+    /// serve it well: then it is that backend server, which routing leaves out.
+    fn is_one_owners(&self, route: Option<&Name>) -> bool {
+        let wanted = |tally: &&Tally| route.is_none_or(|route| tally.route == *route);
+        let sum = |owner: &Owner| {
+            let tallies = owner.last.iter().filter(wanted);
+            tallies.fold((0, 0), |(failed, calls), tally| {
+                (failed + tally.failed(), calls + tally.calls())
+            })
+        };
+        let sums: Vec<(u64, u64)> = self.owners.iter().filter(|o| o.is_new).map(sum).collect();
+        let failed: u64 = sums.iter().map(|(failed, _)| failed).sum();
+        let most = sums.iter().map(|(failed, _)| *failed).max().unwrap_or(0);
+        let well = sums
+            .iter()
+            .filter(|(failed, calls)| *failed < most && *calls >= MIN_WELL_CALLS)
+            .count();
+        failed >= MIN_FAILURES && well >= MIN_WELL_OWNERS && (failed - most) * 10 <= failed
+    }
+
     /// Routes that the new version has served.
     fn routes(&self) -> Vec<Name> {
         let owners = self.owners.iter().filter(|owner| owner.is_new);
--- a/buckthorn/src/routing/choice.rs
+++ b/buckthorn/src/routing/choice.rs
@@ -40,6 +40,7 @@
 }
 
 /// What every candidate of one choice is held against.
+#[derive(Clone, Copy)]
 struct Filter<'a> {
     /// Present time.
     now: Time,
@@ -47,6 +48,8 @@
     tried: &'a [Name],
     /// Whether ejections are ignored.
     is_panic: bool,
+    /// Whether hosts that could not be reached a moment ago are candidates.
+    is_last_resort: bool,
 }
 
 /// Chooses a backend server for a call, leaving out hosts already tried.
@@ -104,17 +107,20 @@
         now,
         tried,
         is_panic: is_panic(share, now),
+        is_last_resort: false,
     };
-    let found = pick_by_distance(share, &filter, rng);
-    if found.is_some() || filter.is_panic {
-        return found;
-    }
-    // Those left are ejected or returning; one of them is better than none.
-    let filter = Filter {
+    // Those left out are ejected, returning or unreachable; one of them is better than none.
+    let wider = Filter {
         is_panic: true,
         ..filter
     };
+    let widest = Filter {
+        is_last_resort: true,
+        ..wider
+    };
     pick_by_distance(share, &filter, rng)
+        .or_else(|| pick_by_distance(share, &wider, rng))
+        .or_else(|| pick_by_distance(share, &widest, rng))
 }
 
 /// Picks the nearest backend server that has room, or else the least loaded one seen.
@@ -183,7 +189,8 @@
 impl Filter<'_> {
     /// Whether a backend server is a candidate now.
     fn admits(&self, endpoint: &Endpoint, rng: &mut impl Rng) -> bool {
-        if self.tried.contains(&endpoint.host) {
+        let is_unreachable = endpoint.load.is_unreachable(self.now);
+        if self.tried.contains(&endpoint.host) || is_unreachable && !self.is_last_resort {
             return false;
         }
         match endpoint.load.standing(self.now) {
--- a/buckthorn/src/routing/load.rs
+++ b/buckthorn/src/routing/load.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::time::Duration;
 
 use super::budget::{Budget, RETRY_COST};
 use crate::clock::Time;
@@ -11,6 +12,10 @@
 /// one told long ago does not keep it out for ever.
 const FORGET_DIVISOR: u32 = 8;
 
+/// Time for which a host that could not be reached is left out, unless there is no other. The
+/// next call then tries it; one try costs at most the time of a connection attempt.
+const UNREACHABLE_PAUSE: Duration = Duration::from_millis(1_000);
+
 /// Load of one backend server as seen from here.
 #[derive(Debug, Default)]
 pub struct Load {
@@ -21,6 +26,8 @@
     /// Time until which the server is ejected, in microseconds since the Unix epoch.
     pub ejected_until: AtomicU64,
     /// Failures since the last good answer.
+    /// End of the time for which the host is taken for unreachable from here, in microseconds.
+    unreachable_until: AtomicU64,
     pub(super) failures: AtomicU32,
     /// Good answers still needed before the server counts as recovered; zero when it does.
     pub(super) probation: AtomicU32,
@@ -85,6 +92,26 @@
         self.told.load(Ordering::Relaxed)
     }
 
+    /// Notes that the host could not be reached.
+    pub fn lose(&self, now: Time) {
+        let until = now + UNREACHABLE_PAUSE;
+        self.unreachable_until.store(until.0, Ordering::Relaxed);
+    }
+
+    /// Notes that the host answered.
+    #[inline]
+    pub fn regain(&self) {
+        if self.unreachable_until.load(Ordering::Relaxed) > 0 {
+            self.unreachable_until.store(0, Ordering::Relaxed);
+        }
+    }
+
+    /// Whether the host is taken for unreachable.
+    #[inline]
+    pub fn is_unreachable(&self, now: Time) -> bool {
+        now.0 < self.unreachable_until.load(Ordering::Relaxed)
+    }
+
     /// Whether the server may be chosen.
     #[inline]
     pub fn standing(&self, now: Time) -> Standing {
