--- a/buckthorn/src/config/intake.rs
+++ b/buckthorn/src/config/intake.rs
@@ -8,6 +8,7 @@
 
 use crate::clock::Time;
 use crate::kernel::{Action, Context, Event, Plugin, Registry};
+use crate::logline::Line;
 use crate::membership::member::Member;
 use crate::rpc::message::Message;
 
@@ -56,7 +57,13 @@
     /// Takes orders; a node serves from the first policy on.
     fn take(&mut self, cx: &mut Context<'_>, feed: &Feed) -> bool {
         self.behind = None;
+        let out = cx.shared.orders.out();
         let has_changed = cx.shared.orders.apply(feed, cx.now);
+        let now_out = cx.shared.orders.out();
+        if now_out != out {
+            let detail = format!("read up to offset {}", cx.shared.orders.next());
+            cx.note(Line::DomainsOut, now_out.join(","), detail);
+        }
         cx.shared.is_synced = cx.shared.orders.policy().is_some();
         if has_changed && feed.is_late {
             let next = cx.shared.orders.next();
--- a/buckthorn/src/membership/plugin.rs
+++ b/buckthorn/src/membership/plugin.rs
@@ -11,6 +11,7 @@
 use crate::journal::record::JOIN_STREAM;
 use crate::kernel::{Action, Context, Event, Plugin, Registry};
 use crate::log::Append;
+use crate::logline::Line;
 use crate::name::Name;
 use crate::rpc::message::{Digest, Message};
 
@@ -250,6 +251,7 @@
                     .is_some()
                 {
                     cx.shared.counters.hit(Counter::Suspicions);
+                    cx.note(Line::MemberChanged, &host, "suspected, no answer to probes");
                     self.changed = cx.now;
                     self.queue.push(&host, Kind::Suspicion);
                 }
@@ -299,6 +301,7 @@
             .collect();
         for host in dead {
             cx.shared.view.set_status(&host, Status::Dead, cx.now);
+            cx.note(Line::MemberChanged, &host, "dead after suspicion");
             self.changed = cx.now;
             self.is_routing_stale = true;
         }
--- a/buckthorn/src/membership/word.rs
+++ b/buckthorn/src/membership/word.rs
@@ -8,6 +8,7 @@
 use crate::counter::Counter;
 use crate::journal::fold::MAX_NAME_BYTES;
 use crate::kernel::Context;
+use crate::logline::Line;
 use crate::rpc::message::Verdict;
 
 use super::gossip::Kind;
@@ -50,7 +51,12 @@
         };
         self.is_routing_stale |=
             kind == Kind::Member || held.is_some_and(|held| held.is_usable() != member.is_usable());
+        let is_news =
+            kind == Kind::Member || held.is_some_and(|h| h.is_usable() != member.is_usable());
         if cx.shared.view.merge(&member, cx.now) == Merge::Changed {
+            if is_news {
+                cx.note(Line::MemberChanged, &member.host, detail(&member));
+            }
             self.changed = cx.now;
             let is_suspicion = kind == Kind::Verdict && member.status == Status::Suspect;
             let kind = if is_suspicion { Kind::Suspicion } else { kind };
@@ -160,6 +166,18 @@
     }
 }
 
+/// What a member says of itself, for the log.
+fn detail(member: &Member) -> String {
+    let status = format!("{:?}, incarnation {}", member.status, member.incarnation);
+    match &member.backend_server {
+        Some(server) if server.is_draining => {
+            format!("{status}, {} {} draining", server.service, server.version)
+        }
+        Some(server) => format!("{status}, serves {} {}", server.service, server.version),
+        None => status,
+    }
+}
+
 /// Whether an entry may be true.
 fn is_plausible(member: &Member, now: Time) -> bool {
     let names = [&member.host, &member.region, &member.failure_domain];
--- /dev/null
+++ b/buckthorn/tests/log_page.rs
@@ -0,0 +1,56 @@
+//! The page of log lines says what the code logs.
+
+use std::fmt::Write as _;
+
+use buckthorn::logline::Line;
+use buckthorn::proxy::trail::{MAX_LINES_PER_SECOND, SAMPLE};
+use expect_test::expect_file;
+
+#[test]
+fn the_page_lists_every_line() {
+    let mut page = format!(
+        "# Log lines\n\n\
+         A node writes JSON lines to standard output and never waits for them to be read. Every \
+         line has `ts` (RFC 3339), `level`, `host` and `msg`, which is one of the names below. \
+         `request` is the request's identifier, `version` the configuration in force, `*_ms` are \
+         milliseconds, `reason` and `outcome` are the words of docs/PROTOCOLS.md, `ran` is `run`, \
+         `not-run` or `unknown`, and `next` is the counter of what follows.\n\n\
+         Calls that failed or were tried again are logged always, of the others one in {SAMPLE}, \
+         chosen by the identifier so that all nodes log the same ones. At most \
+         {MAX_LINES_PER_SECOND} lines of calls are written in a second; a `log.dropped` line counts \
+         those left out. This page is checked against the code by a test; `UPDATE_EXPECT=1 cargo \
+         test -p buckthorn --test log_page` writes it anew.\n\n\
+         | msg | fields | tells |\n|---|---|---|\n",
+    );
+    for line in Line::ALL {
+        writeln!(
+            page,
+            "| `{}` | {} | {} |",
+            line.name(),
+            line.fields(),
+            line.help()
+        )
+        .unwrap();
+    }
+    expect_file!["../../docs/LOGS.md"].assert_eq(&page);
+}
+
+#[test]
+fn every_line_is_written_somewhere() {
+    let mut source = String::new();
+    let mut folders = vec![std::path::PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("src")];
+    while let Some(folder) = folders.pop() {
+        for entry in std::fs::read_dir(folder).unwrap() {
+            let path = entry.unwrap().path();
+            if path.is_dir() {
+                folders.push(path);
+            } else if !path.ends_with("logline.rs") {
+                source.push_str(&std::fs::read_to_string(path).unwrap());
+            }
+        }
+    }
+    for line in Line::ALL {
+        let name = format!("Line::{line:?}");
+        assert!(source.contains(&name), "{name} is never written");
+    }
+}
--- a/buckthorn/tests/rollout_cutover.rs
+++ b/buckthorn/tests/rollout_cutover.rs
@@ -220,11 +220,11 @@
             let is_failed = is_new
                 && match version {
                     Version::Good | Version::Slow => false,
-                    Version::FailsOnOneRoute => route == "/a" && self.calls[1] % 2 == 0,
-                    Version::FailsUnderLoad => share > 0.1 && self.calls[1] % 2 == 0,
+                    Version::FailsOnOneRoute => route == "/a" && self.calls[1].is_multiple_of(2),
+                    Version::FailsUnderLoad => share > 0.1 && self.calls[1].is_multiple_of(2),
                 };
             // One in 250 calls of any version fails.
-            let is_failed = is_failed || (self.calls[0] + self.calls[1]) % 250 == 0;
+            let is_failed = is_failed || (self.calls[0] + self.calls[1]).is_multiple_of(250);
             let outcome = if is_failed {
                 Outcome::Error
             } else {
--- a/buckthornctl/src/command.rs
+++ b/buckthornctl/src/command.rs
@@ -12,6 +12,7 @@
 use serde_json::{Value, json};
 
 use crate::Exit;
+use crate::explain;
 use crate::flags::BuckthornctlCmd;
 use crate::output::Output;
 use crate::report;
@@ -48,6 +49,7 @@
         BuckthornctlCmd::Status(_) => show_status(settings, output),
         BuckthornctlCmd::Watch(flags) => watch(settings, output, &flags.id),
         BuckthornctlCmd::History(_) => show_history(settings, output),
+        BuckthornctlCmd::Explain(flags) => explain::run(&flags.request, &flags.log, output),
     }
 }
 
--- /dev/null
+++ b/buckthornctl/src/explain.rs
@@ -0,0 +1,202 @@
+//! What happened to one request, from the logs of the nodes.
+//!
+//! The lines that name the request are put in order and the last decision is said in a sentence.
+//! Lines that cannot be read are passed over, since logs are cut anywhere.
+
+use std::fmt::Write as _;
+use std::io::{BufRead, BufReader, Read};
+use std::path::PathBuf;
+
+use anyhow::Context as _;
+use buckthorn::logline::Line;
+use serde_json::{Map, Value, json};
+
+use crate::Exit;
+use crate::output::Output;
+
+/// Fields that every line has; the others are shown.
+const COMMON_FIELDS: [&str; 5] = ["ts", "level", "host", "msg", "request"];
+
+/// Line of a log that names the request.
+#[derive(Clone, Debug)]
+struct Entry(Map<String, Value>);
+
+impl Entry {
+    /// Entry of a line, if it is one of the request's.
+    fn parse(line: &str, request: &str) -> Option<Self> {
+        // Logs are often prefixed by whoever gathers them.
+        let start = line.find('{')?;
+        let fields: Map<String, Value> = serde_json::from_str(&line[start..]).ok()?;
+        let is_its = fields.get("request").and_then(Value::as_str) == Some(request);
+        is_its.then_some(Self(fields))
+    }
+
+    /// Text of a field, empty where it is missing.
+    fn text(&self, name: &str) -> &str {
+        self.0.get(name).and_then(Value::as_str).unwrap_or("")
+    }
+
+    /// Number of a field.
+    fn number(&self, name: &str) -> u64 {
+        self.0.get(name).and_then(Value::as_u64).unwrap_or(0)
+    }
+
+    fn is(&self, line: Line) -> bool {
+        self.text("msg") == line.name()
+    }
+
+    /// One line for people.
+    fn line(&self) -> String {
+        let (at, host, what) = (self.text("ts"), self.text("host"), self.text("msg"));
+        let mut text = format!("{at} {host} {what}");
+        for (name, value) in &self.0 {
+            if !COMMON_FIELDS.contains(&name.as_str()) {
+                // Writing to a string cannot fail.
+                let _ = write!(text, " {name}={value}");
+            }
+        }
+        text
+    }
+}
+
+/// Explains a request by the given logs, or by standard input where none is given.
+pub fn run(request: &str, logs: &[PathBuf], output: &mut Output<'_>) -> Exit {
+    let entries = match gather(request, logs) {
+        Ok(entries) => entries,
+        Err(error) => return output.bad_input(&error),
+    };
+    if entries.is_empty() {
+        let what = format!(
+            "no line names {request}: either it went well and is not one of the calls that are \
+             logged, or lines are missing; look for {} lines",
+            Line::LinesDropped.name()
+        );
+        return output.fail(Exit::Failed, what);
+    }
+    let cause = cause(&entries);
+    let mut text = String::new();
+    for entry in &entries {
+        let _ = writeln!(text, "{}", entry.line());
+    }
+    text.push_str(&cause);
+    let lines: Vec<&Map<String, Value>> = entries.iter().map(|entry| &entry.0).collect();
+    output.result(
+        &json!({"request": request, "cause": cause, "lines": lines}),
+        text,
+    );
+    Exit::Done
+}
+
+/// Lines of a request in the order of their times.
+fn gather(request: &str, logs: &[PathBuf]) -> anyhow::Result<Vec<Entry>> {
+    let mut entries = Vec::new();
+    if logs.is_empty() {
+        read(std::io::stdin().lock(), request, &mut entries)?;
+    }
+    for path in logs {
+        let file = std::fs::File::open(path)
+            .with_context(|| format!("cannot read the log {}", path.display()))?;
+        read(file, request, &mut entries)
+            .with_context(|| format!("cannot read the log {}", path.display()))?;
+    }
+    // Lines written at once keep the order in which they were read.
+    entries.sort_by(|a: &Entry, b| a.text("ts").cmp(b.text("ts")));
+    Ok(entries)
+}
+
+/// Takes a log's lines of a request.
+fn read(log: impl Read, request: &str, entries: &mut Vec<Entry>) -> anyhow::Result<()> {
+    let mut log = BufReader::new(log);
+    let mut bytes = Vec::new();
+    while log.read_until(b'\n', &mut bytes)? > 0 {
+        let line = String::from_utf8_lossy(&bytes);
+        entries.extend(Entry::parse(&line, request));
+        bytes.clear();
+    }
+    Ok(())
+}
+
+/// The cause in a sentence.
+fn cause(entries: &[Entry]) -> String {
+    let attempts: Vec<&Entry> = entries.iter().filter(|e| e.is(Line::CallAttempt)).collect();
+    if let Some(refused) = entries.iter().find(|e| e.is(Line::CallRefused)) {
+        return format!(
+            "Refused with {} before a backend server was chosen: {} under configuration {}.",
+            refused.number("status"),
+            meaning(refused.text("reason")),
+            refused.number("version")
+        );
+    }
+    if let Some(left) = entries.iter().find(|e| e.is(Line::CallAbandoned)) {
+        let took = left.number("took_ms");
+        return format!("The caller left after {took} ms, before its answer.");
+    }
+    let Some(answered) = entries.iter().rfind(|e| e.is(Line::CallAnswered)) else {
+        return "The line of the answer is missing; the node's log is needed in which the call \
+                began."
+            .to_owned();
+    };
+    let status = answered.number("status");
+    let missing = answered.number("attempts") as usize > attempts.len();
+    let mut text = if status < 400 {
+        format!("Answered with {status}")
+    } else if answered.text("reason").is_empty() {
+        match attempts.last() {
+            Some(attempt) => {
+                let target = attempt.text("target");
+                format!("The backend server of {target} itself answered {status}")
+            }
+            None => format!("A backend server itself answered {status}"),
+        }
+    } else {
+        format!("Failed with {status}: {}", meaning(answered.text("reason")))
+    };
+    for attempt in &attempts {
+        let _ = write!(
+            text,
+            "; attempt {} at {}: {} after {} ms, then {}",
+            attempt.number("attempt"),
+            attempt.text("target"),
+            attempt.text("outcome"),
+            attempt.number("took_ms"),
+            attempt.text("next")
+        );
+    }
+    if let Some(owner) = entries.iter().rfind(|e| e.is(Line::OwnerRefused)) {
+        let _ = write!(
+            text,
+            "; its owner {} had {} calls running of {} and {} waiting",
+            owner.text("host"),
+            owner.number("running"),
+            owner.number("limit"),
+            owner.number("queued")
+        );
+    }
+    if missing {
+        text.push_str("; lines of some attempts are missing");
+    }
+    text.push('.');
+    text
+}
+
+/// What a reason means.
+fn meaning(reason: &str) -> &str {
+    match reason {
+        "no-route" => "no route matches",
+        "not-ready" => "the node had no configuration yet",
+        "draining" => "the node was stopping",
+        "no-backend-server" => "no usable backend server was known",
+        "queue-full" => "every queue that was asked was full",
+        "shed" => "calls of higher priority took its place",
+        "deadline" => "its deadline could not be met",
+        "cold" => "the backend servers were cold and had their share",
+        "out-of-service" => "the failure domain was out of service",
+        "quarantined" => "the version gets no traffic",
+        "backend-refused" => "the backend server refused it without running it",
+        "unreachable" => "the host could not be reached",
+        "reset" => "the connection broke off while it may have run",
+        "timeout" => "there was no answer in time",
+        "broken-answer" => "the answer was broken, unsigned or another request's",
+        other => other,
+    }
+}
--- a/buckthornctl/src/flags.rs
+++ b/buckthornctl/src/flags.rs
@@ -53,6 +53,13 @@
             /// Identifier of the move, as plan and status show it.
             required id: String
         }
+        /// Says what happened to a request, from the logs of the nodes; needs no log service.
+        cmd explain {
+            /// Identifier of the request.
+            required request: String
+            /// Logs of the nodes; standard input where none is given.
+            repeated log: PathBuf
+        }
         /// Shows the last changes and refusals, oldest first.
         cmd history {
         }
--- a/buckthornctl/src/lib.rs
+++ b/buckthornctl/src/lib.rs
@@ -5,6 +5,7 @@
 //! so the command line needs no node to be reachable.
 
 pub mod command;
+pub mod explain;
 pub mod flags;
 pub mod output;
 pub mod report;
