Bound the wait at owners by the latency target

Cause, from the incident's logs: calls waited a second at a full owner and were refused then, too late for the caller to do anything with it; one failed call wrote 13 lines, so that in a flood of refusals the lines of answers were left out and two of six requests that were looked up could not be explained; the status logged was that before its translation for the caller. Change: a call waits at owners for half of its route's latency target in all; answers, attempts and owners have allowances of lines of their own; the status logged is the one told.

--- a/buckthorn/src/admission/gate.rs
+++ b/buckthorn/src/admission/gate.rs
@@ -35,6 +35,8 @@
     pub urgency: Urgency,
     /// Time by which the caller needs the answer.
     pub deadline: Option<Time>,
+    /// Longest wait, where it is shorter than that of all calls.
+    pub max_wait: Option<Duration>,
 }
 
 /// Why a call was not run.
@@ -203,8 +205,9 @@
             return Entry::Refuse(Refusal::Draining);
         }
         self.limit.decay(now);
-        let (until, expiry) = self.give_up(now, offer.deadline);
-        if until <= now {
+        let (until, expiry) = self.give_up(now, &offer);
+        let has_room = self.queue.is_empty() && self.running < self.limit();
+        if until <= now && !(has_room && expiry == Refusal::QueueFull) {
             return Entry::Refuse(expiry);
         }
         if self.running >= self.limit() {
@@ -320,9 +323,12 @@
     /// Time until which a call may wait, and the reason under which it is refused then.
     ///
     /// Half of a typical latency is taken as the least that an answer needs.
-    fn give_up(&self, now: Time, deadline: Option<Time>) -> (Time, Refusal) {
-        let longest = now + MAX_WAIT;
-        match deadline.map(|deadline| deadline - self.limit.typical() / 2) {
+    fn give_up(&self, now: Time, offer: &Offer) -> (Time, Refusal) {
+        let longest = now + offer.max_wait.unwrap_or(MAX_WAIT).min(MAX_WAIT);
+        match offer
+            .deadline
+            .map(|deadline| deadline - self.limit.typical() / 2)
+        {
             Some(last) if last <= longest => (last, Refusal::Deadline),
             Some(_) | None => (longest, Refusal::QueueFull),
         }
--- a/buckthorn/src/logline.rs
+++ b/buckthorn/src/logline.rs
@@ -42,7 +42,7 @@
     // The path of a call, at the owner.
     OwnerRefused "owner.refused" "request, service, reason, running, queued, limit, version" "The owner refused a call as not run.",
     OwnerFailed "owner.failed" "request, service, instance, reason, ran, took_ms" "The backend server gave no answer that could be passed on.",
-    LinesDropped "log.dropped" "lines" "Lines of calls left out to bound their rate, since the last such line.",
+    LinesDropped "log.dropped" "class, lines" "Lines of calls left out to bound their rate, since the last such line.",
     // What the node believes.
     ConfigApplied "config.applied" "version" "A configuration is in force.",
     ConfigRefused "config.refused" "subject, detail" "A record, snapshot or order was refused as a whole.",
--- a/buckthorn/src/proxy/dispatch.rs
+++ b/buckthorn/src/proxy/dispatch.rs
@@ -14,7 +14,7 @@
 
 use super::answer::{self, Ran, Reason};
 use super::body::{self, Body, Bounds, Ending, Fault, Monitor, Prefixed};
-use super::header::{self, ATTEMPTS, Call, LOAD, Part};
+use super::header::{self, ATTEMPTS, Call, LOAD, PATIENCE, Part};
 use super::hop::{Failure, Outgoing};
 use super::payload::Payload;
 use super::trail::Trail;
@@ -81,6 +81,7 @@
                 let response = attempts
                     .last_word()
                     .unwrap_or_else(|| answer::refuse(&plane.counters, reason, Ran::NotRun));
+                let response = plane.as_told(response);
                 trail.end(&response);
                 return response;
             }
@@ -127,6 +128,7 @@
             let response = attempts
                 .last_word()
                 .unwrap_or_else(|| answer::refuse(&plane.counters, Reason::Reset, Ran::Unknown));
+            let response = plane.as_told(response);
             trail.end(&response);
             return response;
         }
@@ -277,7 +279,7 @@
     plane: &Arc<Plane>,
     call: &Call,
     endpoint: &Endpoint,
-    request: Request<Body>,
+    mut request: Request<Body>,
 ) -> Attempt {
     let left = match budget::inward(Some(call.deadline), plane.clock.now()) {
         Inward::Left(left) => left,
@@ -286,8 +288,14 @@
     };
     let in_flight = InFlight::start(&endpoint.load);
     let method = request.method().clone();
+    let patience = call.patience_left(plane.clock.now());
+    if let Some(patience) = patience {
+        let millis = HeaderValue::from(patience.as_millis() as u64);
+        request.headers_mut().insert(PATIENCE, millis);
+    }
     let response = if endpoint.host == plane.host {
         let mut call = call.clone();
+        call.patience = patience;
         call.deadline = plane.clock.now() + left;
         owner::run(plane, &call, request).await
     } else {
--- a/buckthorn/src/proxy/header.rs
+++ b/buckthorn/src/proxy/header.rs
@@ -34,6 +34,8 @@
 pub const KEY_STATUS: &str = "x-buckthorn-key-status";
 /// Urgency that a policy's route gives a call, from ingress to owner.
 pub const URGENCY: &str = "x-buckthorn-urgency";
+/// Longest wait at an owner, in milliseconds, from ingress to owner.
+pub const PATIENCE: &str = "x-buckthorn-patience-ms";
 /// Host that the caller named, where it differs from the service's name.
 pub const CALLER_HOST: &str = "x-buckthorn-host";
 /// Priority of a call (RFC 9218).
@@ -118,8 +120,16 @@
     pub key: Option<String>,
     /// Backend servers that the call may reach, where a policy's route says so.
     pub arrivals: Option<u32>,
+    /// When the call came.
+    pub started: Time,
+    /// Longest time that it may wait at owners, where its latency target says so.
+    pub patience: Option<Duration>,
 }
 
+/// Part of a route's latency target that a call may wait at owners: what is left is about the time
+/// that a backend server takes. A refusal that comes later helps the caller less.
+const PATIENCE_PART: f64 = 0.5;
+
 /// Why a call cannot be routed by a policy.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Unrouted {
@@ -169,6 +179,8 @@
             attempts: None,
             key: None,
             arrivals: Some(route.attempts.max(1)),
+            started: now,
+            patience: Some(route.latency_target.min(wait).mul_f64(PATIENCE_PART)),
         })
     }
 
@@ -205,6 +217,8 @@
             attempts: number(&parts.headers, ATTEMPTS)?.map(|n| n.min(u64::from(u32::MAX)) as u32),
             key,
             arrivals: None,
+            started: now,
+            patience: number(&parts.headers, PATIENCE)?.map(Duration::from_millis),
         })
     }
 
@@ -213,11 +227,18 @@
         self.key.is_some() && !self.is_idempotent
     }
 
+    /// Time that the call may still wait at owners.
+    pub fn patience_left(&self, now: Time) -> Option<Duration> {
+        let patience = self.patience?;
+        Some(patience.saturating_sub(now.since(self.started)))
+    }
+
     /// What the owner's admission is told.
     pub fn offer(&self) -> Offer {
         Offer {
             urgency: self.urgency,
             deadline: Some(self.deadline),
+            max_wait: self.patience,
         }
     }
 }
--- a/buckthorn/src/proxy/ingress.rs
+++ b/buckthorn/src/proxy/ingress.rs
@@ -10,7 +10,7 @@
 
 use super::answer::{self, Ran, Reason};
 use super::body::{Body, Monitor};
-use super::header::{CALLER_HOST, Call, LOAD, PART, SECRET, URGENCY, Unrouted};
+use super::header::{CALLER_HOST, Call, LOAD, PART, PATIENCE, SECRET, URGENCY, Unrouted};
 use super::payload::{Payload, Upload};
 use super::{Plane, dispatch, keyed, trail};
 use crate::admission::gate::Refusal;
@@ -38,7 +38,7 @@
         }
     };
     // These speak between nodes only.
-    for name in [SECRET, PART, URGENCY, CALLER_HOST] {
+    for name in [SECRET, PART, URGENCY, CALLER_HOST, PATIENCE] {
         parts.headers.remove(name);
     }
     let upload = parts.extensions.remove::<Upload>().unwrap_or_default();
@@ -57,7 +57,7 @@
 
 /// Logs a refusal before a backend server was chosen.
 fn log_refusal(plane: &Plane, parts: &Parts, response: &Response<Body>, reason: Reason) {
-    if trail::may_write(plane) {
+    if trail::may_write(plane, trail::Class::Answer) {
         info!(plane.logger, "{}", Line::CallRefused.name();
             "request" => plane.request_id(&parts.headers),
             "status" => response.status().as_u16(), "reason" => reason.word(),
@@ -111,8 +111,5 @@
         plane.counters.hit(Counter::CallsUnknown);
     }
     response.headers_mut().remove(LOAD);
-    if let Some(contract) = &plane.contract {
-        answer::plain(&mut response, &contract.retry_after);
-    }
-    response
+    plane.as_told(response)
 }
--- a/buckthorn/src/proxy/mod.rs
+++ b/buckthorn/src/proxy/mod.rs
@@ -76,8 +76,8 @@
     pub contract: Option<Contract>,
     /// Log of decisions on calls.
     pub logger: Logger,
-    /// Bound on the rate of its lines.
-    pub(crate) meter: trail::Meter,
+    /// Bounds on the rates of its lines.
+    pub(crate) meters: trail::Meters,
     /// Connections to other nodes.
     pub(crate) peers: hop::Peers,
     /// Idempotency keys held here.
@@ -107,6 +107,17 @@
         }
     }
 
+    /// An answer as the caller is told it.
+    pub(crate) fn as_told(
+        &self,
+        mut response: http::Response<body::Body>,
+    ) -> http::Response<body::Body> {
+        if let Some(contract) = &self.contract {
+            answer::plain(&mut response, &contract.retry_after);
+        }
+        response
+    }
+
     /// Identifier of a request, empty where it has none.
     pub(crate) fn request_id(&self, headers: &http::HeaderMap) -> String {
         let value = match &self.contract {
@@ -206,7 +217,7 @@
             limits: self.limits,
             contract: self.contract,
             logger: self.logger,
-            meter: trail::Meter::default(),
+            meters: trail::Meters::default(),
             is_draining: AtomicBool::new(false),
         }
     }
--- a/buckthorn/src/proxy/owner.rs
+++ b/buckthorn/src/proxy/owner.rs
@@ -272,7 +272,7 @@
 
 /// Logs a refusal with what decided it.
 fn log_refusal(plane: &Plane, owner: &Owner, id: &str, reason: Reason) {
-    if trail::may_write(plane) {
+    if trail::may_write(plane, trail::Class::Owner) {
         info!(plane.logger, "{}", Line::OwnerRefused.name(); "request" => id,
             "service" => owner.service.as_ref(), "reason" => reason.word(),
             "running" => owner.door.running(), "queued" => owner.door.queued(),
@@ -291,7 +291,7 @@
     let Some(reason) = response.headers().get(header::REASON) else {
         return;
     };
-    if trail::may_write(plane) {
+    if trail::may_write(plane, trail::Class::Owner) {
         let ran = if answer::is_not_run(response) {
             Ran::NotRun
         } else {
--- a/buckthorn/src/proxy/trail.rs
+++ b/buckthorn/src/proxy/trail.rs
@@ -22,12 +22,38 @@
 /// the same ones.
 pub const SAMPLE: u64 = 128;
 
-/// Lines of calls in a second, a quarter of what the writer's queue takes at once.
+/// Lines of one class in a second, a quarter of what the writer's queue takes at once.
 pub const MAX_LINES_PER_SECOND: u64 = 250;
 
 /// Bits that hold the lines of the present second.
 const COUNT_BITS: u32 = 24;
 
+/// Class of lines with an allowance of its own, so that a flood of one hides no other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Class {
+    /// Final answers.
+    Answer,
+    /// Attempts.
+    Attempt,
+    /// What owners refuse or fail.
+    Owner,
+}
+
+impl Class {
+    /// Name in the line that counts what was left out.
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Answer => "answer",
+            Self::Attempt => "attempt",
+            Self::Owner => "owner",
+        }
+    }
+}
+
+/// Bounds of the rates of all classes.
+#[derive(Debug, Default)]
+pub struct Meters([Meter; 3]);
+
 /// Bounds the rate of lines.
 #[derive(Debug, Default)]
 pub struct Meter {
@@ -68,12 +94,13 @@
 }
 
 /// Whether a line of a call may be written; tells first of those that were left out.
-pub(super) fn may_write(plane: &Plane) -> bool {
-    match plane.meter.take(plane.clock.now()) {
+pub(super) fn may_write(plane: &Plane, class: Class) -> bool {
+    match plane.meters.0[class as usize].take(plane.clock.now()) {
         Verdict::Drop => false,
         Verdict::Write(0) => true,
         Verdict::Write(dropped) => {
-            info!(plane.logger, "{}", Line::LinesDropped.name(); "lines" => dropped);
+            info!(plane.logger, "{}", Line::LinesDropped.name(); "class" => class.name(),
+                "lines" => dropped);
             true
         }
     }
@@ -155,7 +182,7 @@
             return;
         }
         self.write_attempts();
-        if may_write(self.plane) {
+        if may_write(self.plane, Class::Answer) {
             info!(self.logger, "{}", Line::CallAnswered.name();
                 "request" => &self.request, "service" => self.service,
                 "status" => status.as_u16(), "reason" => reason(response),
@@ -170,7 +197,7 @@
 
     fn write_attempts(&self) {
         for (index, attempt) in self.attempts.iter().enumerate() {
-            if !may_write(self.plane) {
+            if !may_write(self.plane, Class::Attempt) {
                 return;
             }
             info!(self.logger, "{}", Line::CallAttempt.name();
@@ -189,7 +216,7 @@
             return;
         }
         self.write_attempts();
-        if may_write(self.plane) {
+        if may_write(self.plane, Class::Answer) {
             info!(self.logger, "{}", Line::CallAbandoned.name();
                 "request" => &self.request, "service" => self.service,
                 "attempts" => self.attempts.len(), "version" => self.version,
--- a/buckthorn/tests/admission_door.rs
+++ b/buckthorn/tests/admission_door.rs
@@ -17,6 +17,7 @@
 const CALL: Offer = Offer {
     urgency: 3,
     deadline: None,
+    max_wait: None,
 };
 
 /// Door with this many slots.
--- a/buckthorn/tests/admission_gate.rs
+++ b/buckthorn/tests/admission_gate.rs
@@ -24,6 +24,7 @@
     Offer {
         urgency,
         deadline: None,
+        max_wait: None,
     }
 }
 
@@ -73,7 +74,14 @@
                         .random_bool(0.7)
                         .then(|| now + Duration::from_micros(rng.random_range(0..300_000)));
                     let urgency = rng.random_range(0..8);
-                    match gate.offer(now, Offer { urgency, deadline }) {
+                    match gate.offer(
+                        now,
+                        Offer {
+                            urgency,
+                            deadline,
+                            max_wait: None,
+                        },
+                    ) {
                         Entry::Run => running += 1,
                         Entry::Wait(ticket, until, _) => {
                             assert!(until > now, "seed {seed}");
@@ -226,6 +234,7 @@
     let offer = |left: Duration, now: Time| Offer {
         urgency: DEFAULT_URGENCY,
         deadline: Some(now + left),
+        max_wait: None,
     };
     let entry = gate.offer(now, offer(Duration::from_millis(5), now));
     assert_eq!(entry, Entry::Refuse(Refusal::Deadline));
@@ -246,6 +255,7 @@
     let at = |urgency, millis| Offer {
         urgency,
         deadline: Some(now + Duration::from_millis(millis)),
+        max_wait: None,
     };
     assert_eq!(gate.offer(now, at(3, 900)), Entry::Run);
     let ticket = |entry| match entry {
--- a/buckthorn/tests/log_page.rs
+++ b/buckthorn/tests/log_page.rs
@@ -17,8 +17,8 @@
          `not-run` or `unknown`, and `next` is the counter of what follows.\n\n\
          Calls that failed or were tried again are logged always, of the others one in {SAMPLE}, \
          chosen by the identifier so that all nodes log the same ones. At most \
-         {MAX_LINES_PER_SECOND} lines of calls are written in a second; a `log.dropped` line counts \
-         those left out. This page is checked against the code by a test; `UPDATE_EXPECT=1 cargo \
+         {MAX_LINES_PER_SECOND} lines each of answers, attempts and owners are written in a second; a \
+         `log.dropped` line counts those left out. This page is checked against the code by a test; `UPDATE_EXPECT=1 cargo \
          test -p buckthorn --test log_page` writes it anew.\n\n\
          | msg | fields | tells |\n|---|---|---|\n",
     );
--- a/buckthorn_lab/src/experiment/mesh.rs
+++ b/buckthorn_lab/src/experiment/mesh.rs
@@ -489,6 +489,7 @@
             let offer = Offer {
                 urgency,
                 deadline: Some(deadline),
+                max_wait: None,
             };
             match node.gate.offer(self.now, offer) {
                 Entry::Run => self.begin(index, id),
