--- a/buckthorn/src/node/driver.rs
+++ b/buckthorn/src/node/driver.rs
@@ -10,10 +10,10 @@
 use slog::{Logger, info, warn};
 use tokio::runtime;
 
-use super::Outlet;
 use super::log::Follower;
 use super::status::{self, Status};
 use super::telemetry::Statsd;
+use super::{Outlet, Peer};
 use crate::admin::registration::{Next, Registration};
 use crate::admin::{Announcement, Refusal};
 use crate::admission::door::Door;
@@ -83,7 +83,7 @@
     /// Clock.
     pub(super) clock: Clock,
     /// Nodes known to be alive, this one included.
-    pub(super) nodes: Arc<AtomicUsize>,
+    pub(super) peers: Arc<ArcSwap<Vec<Peer>>>,
 }
 
 /// Edges through which actions are carried out.
@@ -294,9 +294,9 @@
         if !shared.is_synced {
             return;
         }
-        let nodes = shared.view.live().count();
-        self.path.nodes.store(nodes, Ordering::Relaxed);
-        self.edges.loads.share_slack(nodes);
+        let peers: Vec<Peer> = shared.view.live().map(Peer::of).collect();
+        self.edges.loads.share_slack(peers.len());
+        self.path.peers.store(Arc::new(peers));
         let table = if shared.orders.policy().is_some() {
             Table::from_orders(
                 &shared.orders,
--- a/buckthorn/src/node/mod.rs
+++ b/buckthorn/src/node/mod.rs
@@ -12,7 +12,6 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
@@ -35,6 +34,8 @@
 use crate::kernel::{Event, Identity, Kernel, Registry};
 use crate::log::client::Client;
 use crate::logline::Line;
+use crate::membership::member::Member;
+use crate::name::Name;
 use crate::proxy::contract::Contract;
 use crate::proxy::limit::Limits;
 use crate::proxy::{Drained, Plane};
@@ -149,6 +150,28 @@
     }
 }
 
+/// A node that is known to be alive.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Host.
+    pub host: Name,
+    /// Failure domain.
+    pub failure_domain: Name,
+    /// Control address.
+    pub rpc: SocketAddr,
+}
+
+impl Peer {
+    /// What is known of a member.
+    fn of(member: &Member) -> Self {
+        Self {
+            host: member.host.clone(),
+            failure_domain: member.failure_domain.clone(),
+            rpc: member.rpc,
+        }
+    }
+}
+
 /// Hands a node what an adapter learns.
 #[derive(Clone)]
 pub struct Remote {
@@ -168,9 +191,14 @@
         sent.map_err(|_| anyhow::anyhow!("the node has stopped"))
     }
 
+    /// Nodes known to be alive, this one included once it routes calls.
+    pub fn peers(&self) -> Arc<Vec<Peer>> {
+        self.path.peers.load_full()
+    }
+
     /// Whether the node knows others.
     pub fn has_peers(&self) -> bool {
-        self.path.nodes.load(Ordering::Relaxed) > 1
+        self.path.peers.load().len() > 1
     }
 
     /// Whether the node can route calls.
@@ -214,7 +242,7 @@
             owner: Arc::new(ArcSwapOption::empty()),
             counters: counters.clone(),
             clock: clock.clone(),
-            nodes: Arc::default(),
+            peers: Arc::default(),
         };
         let runtime = runtime::Builder::new_multi_thread()
             .worker_threads(settings.threads)
