Give an address to the host that started last

Ruled out: the directory (the dead host was not listed), routing (the table pointed where the view said). Change: of two hosts with one control address the one that started later has it, the other is dead.

--- a/buckthorn/src/membership/word.rs
+++ b/buckthorn/src/membership/word.rs
@@ -9,6 +9,7 @@
 use crate::journal::fold::MAX_NAME_BYTES;
 use crate::kernel::Context;
 use crate::logline::Line;
+use crate::name::Name;
 use crate::rpc::message::Verdict;
 
 use super::gossip::Kind;
@@ -17,6 +18,15 @@
 use super::sync;
 use super::view::Merge;
 
+/// Whose a member's address is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Address {
+    /// Its own.
+    Own,
+    /// That of a host that started later.
+    Taken,
+}
+
 impl Membership {
     /// Merges what a peer says of a member.
     pub(super) fn absorb(&mut self, cx: &mut Context<'_>, member: &Member) {
@@ -28,6 +38,9 @@
             cx.shared.counters.hit(Counter::MessagesRefused);
             return;
         }
+        if member.is_usable() && self.settle_address(cx, member) == Address::Taken {
+            return;
+        }
         let mut member = member.clone();
         let held = cx.shared.view.get(&member.host);
         let kind = match held {
@@ -64,6 +77,30 @@
         }
     }
 
+    /// Lets the later of two hosts with one address have it. Probes of the earlier one would be
+    /// answered by the later, so that nothing else would show that it is gone.
+    fn settle_address(&mut self, cx: &mut Context<'_>, member: &Member) -> Address {
+        let same = |other: &&Member| other.rpc == member.rpc && other.host != member.host;
+        let others: Vec<(Name, u64)> = cx
+            .shared
+            .view
+            .live()
+            .filter(same)
+            .map(|other| (other.host.clone(), other.incarnation))
+            .collect();
+        for (host, incarnation) in others {
+            if incarnation > member.incarnation || host == cx.shared.member.host {
+                return Address::Taken;
+            }
+            cx.shared.view.set_status(&host, Status::Dead, cx.now);
+            let detail = format!("dead, its address is that of {}", member.host);
+            cx.note(Line::MemberChanged, &host, detail);
+            self.changed = cx.now;
+            self.is_routing_stale = true;
+        }
+        Address::Own
+    }
+
     /// Merges a verdict; the member is asked for whole when its facts are not held.
     pub(super) fn judge(&mut self, cx: &mut Context<'_>, verdict: &Verdict) {
         let rank = (verdict.incarnation, verdict.sequence, verdict.status);
