Count short waits for nothing when a backend server is silent, and split what grew

Change: a call counts as unanswered only after 250 ms, whoever gave up. Moved without a change: what an adapter brings to a node (node/edge), the attempts of a call (proxy/attempts). A policy's connection limit now bounds the pool; its cold start, unused, is gone.

--- a/buckthorn/src/admission/pulse.rs
+++ b/buckthorn/src/admission/pulse.rs
@@ -11,9 +11,9 @@
 /// Calls without an answer in a row from which on a backend server is taken for silent.
 const MAX_UNANSWERED: u32 = 4;
 
-/// Time after which a call that its caller gave up counts as unanswered; callers that leave sooner
-/// say nothing about the backend server.
-const MIN_PATIENCE: Duration = Duration::from_millis(500);
+/// Wait without an answer that counts. Callers that leave or whose deadline passes sooner say nothing
+/// about the backend server: most answers take longer than some deadlines.
+const MIN_PATIENCE: Duration = Duration::from_millis(250);
 
 /// Calls left without an answer.
 #[derive(Debug, Default)]
@@ -29,15 +29,10 @@
         }
     }
 
-    /// Notes a call that ran into its deadline.
-    pub fn timed_out(&self) {
-        self.unanswered.fetch_add(1, Ordering::Relaxed);
-    }
-
-    /// Notes a call that was given up after a wait.
-    pub fn abandoned(&self, wait: Duration) {
+    /// Notes a call that got no answer until its caller left or its deadline passed.
+    pub fn unanswered(&self, wait: Duration) {
         if wait >= MIN_PATIENCE {
-            self.timed_out();
+            self.unanswered.fetch_add(1, Ordering::Relaxed);
         }
     }
 
--- a/buckthorn/src/config/policy.rs
+++ b/buckthorn/src/config/policy.rs
@@ -77,8 +77,6 @@
     pub connections: u32,
     /// Requests a second that a cold backend server bears; none when it is never cold.
     pub cold_rate: Option<f64>,
-    /// Time that a newly started backend server stays cold.
-    pub cold_start: Duration,
 }
 
 impl Route {
--- a/buckthorn/src/node/driver.rs
+++ b/buckthorn/src/node/driver.rs
@@ -391,6 +391,9 @@
         let server = announcement.backend_server(false);
         let last = announcement.clone();
         let (clock, counters) = (self.path.clock.clone(), self.path.counters.clone());
+        let policy = self.kernel.shared().orders.policy();
+        let service = policy.and_then(|policy| policy.service(&announcement.service));
+        let most_connections = service.map_or(u32::MAX, |service| service.connections);
         let door = match announcement.heartbeat {
             // Its slots are exact: the contract says what happens beyond them.
             Some(_) => Door::with_gate(clock, counters, Gate::fixed(announcement.slots, now)),
@@ -404,7 +407,7 @@
             announcement.version,
             announcement.address,
             announcement.slots,
-            announcement.connections,
+            announcement.connections.min(most_connections),
             door,
             Arc::new(Book::new()),
         )
--- a/buckthorn/src/node/mod.rs
+++ b/buckthorn/src/node/mod.rs
@@ -5,6 +5,7 @@
 //! owner by one atomic pointer each.
 
 mod driver;
+mod edge;
 mod log;
 pub mod settings;
 pub mod status;
@@ -22,6 +23,8 @@
 use tokio::runtime::{self, Runtime};
 
 use self::driver::{Driver, Edges, Input, Path};
+use self::edge::Source;
+pub use self::edge::{Edge, Outlet, Peer, Remote};
 use self::log::Follower;
 use self::settings::Settings;
 use self::status::Status;
@@ -29,14 +32,10 @@
 use crate::admin;
 use crate::admin::announcement::Announcement;
 use crate::clock::Clock;
-use crate::config::order::Decision;
 use crate::counter::Board;
 use crate::kernel::{Event, Identity, Kernel, Registry};
 use crate::log::client::Client;
 use crate::logline::Line;
-use crate::membership::member::Member;
-use crate::name::Name;
-use crate::proxy::contract::Contract;
 use crate::proxy::limit::Limits;
 use crate::proxy::{Drained, Plane};
 use crate::routing::load::Registry as Loads;
@@ -95,118 +94,6 @@
     pub admin: SocketAddr,
 }
 
-/// Where the decisions of this node on moves are published; the outcome comes back as
-/// [`Event::Published`].
-pub trait Outlet: Send + Sync {
-    /// Starts to publish a decision; never blocks.
-    fn publish(&self, decision: &Decision);
-
-    /// Reads the operators' orders anew, since other nodes know newer ones.
-    fn refresh(&self);
-
-    /// Reads published decisions once, unless a read is under way.
-    fn read_decisions(&self);
-}
-
-/// What an adapter to a platform brings.
-#[derive(Clone)]
-pub struct Edge {
-    /// Contract with callers and backend servers.
-    pub contract: Contract,
-    /// Where decisions on moves are published.
-    pub outlet: Arc<dyn Outlet>,
-    /// Limits on what comes from outside; the settings' own go first.
-    pub limits: Limits,
-    /// Time for callers to look elsewhere before a node that stops tells its peers and refuses
-    /// calls.
-    pub leave_grace: Duration,
-    /// Retries of a service for each of its calls.
-    pub retry_ratio: f64,
-    /// Retries of a service beyond that, on all nodes together.
-    pub retry_slack: f64,
-}
-
-/// Where a node's orders come from.
-enum Source {
-    /// The log of the mesh's own records.
-    Log(Arc<dyn crate::log::Log>),
-    /// An adapter.
-    Edge(Box<Edge>),
-}
-
-impl Source {
-    fn edge(&self) -> Option<&Edge> {
-        match self {
-            Self::Log(_) => None,
-            Self::Edge(edge) => Some(edge),
-        }
-    }
-
-    fn log(&self) -> Option<&Arc<dyn crate::log::Log>> {
-        match self {
-            Self::Log(log) => Some(log),
-            Self::Edge(_) => None,
-        }
-    }
-}
-
-/// A node that is known to be alive.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Peer {
-    /// Host.
-    pub host: Name,
-    /// Failure domain.
-    pub failure_domain: Name,
-    /// Control address.
-    pub rpc: SocketAddr,
-}
-
-impl Peer {
-    /// What is known of a member.
-    fn of(member: &Member) -> Self {
-        Self {
-            host: member.host.clone(),
-            failure_domain: member.failure_domain.clone(),
-            rpc: member.rpc,
-        }
-    }
-}
-
-/// Hands a node what an adapter learns.
-#[derive(Clone)]
-pub struct Remote {
-    path: Path,
-    inputs: Sender<Input>,
-}
-
-impl Remote {
-    /// Hands in an event.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the node has stopped.
-    pub fn deliver(&self, event: Event) -> anyhow::Result<()> {
-        let input = Input::Event(event);
-        let sent = self.inputs.send(input);
-        sent.map_err(|_| anyhow::anyhow!("the node has stopped"))
-    }
-
-    /// Nodes known to be alive, this one included once it routes calls.
-    pub fn peers(&self) -> Arc<Vec<Peer>> {
-        self.path.peers.load_full()
-    }
-
-    /// Whether the node knows others.
-    pub fn has_peers(&self) -> bool {
-        self.path.peers.load().len() > 1
-    }
-
-    /// Whether the node can route calls.
-    pub fn is_synced(&self) -> bool {
-        self.path.table.load().version > 0
-    }
-}
-
 impl Node {
     /// Starts a node.
     ///
@@ -348,10 +235,7 @@
 
     /// Handle for an adapter.
     pub fn remote(&self) -> Remote {
-        Remote {
-            path: self.path.clone(),
-            inputs: self.inputs.clone(),
-        }
+        Remote::new(self.path.clone(), self.inputs.clone())
     }
 
     /// Entry for announcements of the own backend server.
--- /dev/null
+++ b/buckthorn/src/proxy/attempts.rs
@@ -0,0 +1,87 @@
+//! Attempts of a call so far, how many are left, and what the caller is told in the end.
+
+use http::Response;
+
+use super::body::Body;
+use super::header::Call;
+use crate::name::Name;
+use crate::routing::budget::{self, MAX_ATTEMPTS};
+
+/// Attempts under a policy's route, most of which end at owners without reaching a backend server.
+const MAX_TRIES: u32 = 6;
+
+/// An attempt without a good answer.
+pub(super) struct Failed {
+    /// What the caller is told if it was the last.
+    pub(super) response: Response<Body>,
+    /// Whether it ran.
+    pub(super) ran: budget::Ran,
+    /// How it failed.
+    pub(super) failure: budget::Failure,
+    /// Whether the request may have reached a backend server.
+    pub(super) has_arrived: bool,
+    /// Whether the owner refused since it is out of service, whatever its load. Asking another
+    /// one puts no load on a backend server that has none to spare.
+    pub(super) is_elsewhere: bool,
+}
+
+/// Attempts of a call so far.
+pub(super) struct Attempts {
+    /// Attempts left.
+    tries: u32,
+    /// Backend servers that the call may still reach, where its route says so.
+    arrivals: Option<u32>,
+    /// Hosts that were tried.
+    pub(super) tried: Vec<Name>,
+    /// What came of the last attempt that may have run.
+    unknown: Option<Response<Body>>,
+    /// What came of the last attempt.
+    last: Option<Response<Body>>,
+}
+
+impl Attempts {
+    /// None made yet.
+    pub(super) fn new(call: &Call) -> Self {
+        Self {
+            tries: if call.arrivals.is_some() {
+                MAX_TRIES
+            } else {
+                MAX_ATTEMPTS
+            },
+            arrivals: call.arrivals,
+            tried: Vec::new(),
+            unknown: None,
+            last: None,
+        }
+    }
+
+    /// Counts a failed attempt.
+    pub(super) fn count(&mut self, failed: &Failed) {
+        self.tries -= 1;
+        if failed.has_arrived {
+            self.arrivals = self.arrivals.map(|left| left.saturating_sub(1));
+        }
+    }
+
+    /// Attempts left.
+    pub(super) fn left(&self) -> u32 {
+        match self.arrivals {
+            Some(0) => 0,
+            Some(_) | None => self.tries,
+        }
+    }
+
+    /// Keeps what came of an attempt.
+    pub(super) fn note(&mut self, host: Name, failed: Failed) {
+        self.tried.push(host);
+        match failed.ran {
+            budget::Ran::Unknown => self.unknown = Some(failed.response),
+            budget::Ran::NotRun => self.last = Some(failed.response),
+        }
+    }
+
+    /// What the caller is told: an attempt that may have run outweighs later ones that did not.
+    pub(super) fn last_word(&mut self) -> Option<Response<Body>> {
+        self.unknown.take().or_else(|| self.last.take())
+    }
+}
--- a/buckthorn/src/proxy/dispatch.rs
+++ b/buckthorn/src/proxy/dispatch.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use super::answer::{self, Ran, Reason};
+use super::attempts::{Attempts, Failed};
 use super::body::{self, Body, Bounds, Ending, Fault, Monitor, Prefixed};
 use super::header::{self, ATTEMPTS, Call, LOAD, PATIENCE, Part};
 use super::hop::{Failure, Outgoing};
@@ -24,7 +25,7 @@
 use crate::logline::Line;
 use crate::name::Name;
 use crate::rollout::evidence::Outcome;
-use crate::routing::budget::{self, Budget, Inward, Layer, MAX_ATTEMPTS, Next};
+use crate::routing::budget::{self, Budget, Inward, Layer, Next};
 use crate::routing::choice::{self, Choice, choose};
 use crate::routing::load::Load;
 use crate::routing::outlier;
@@ -38,24 +39,6 @@
     Failed(Failed),
 }
 
-/// An attempt without a good answer.
-pub(super) struct Failed {
-    /// What the caller is told if it was the last.
-    response: Response<Body>,
-    /// Whether it ran.
-    ran: budget::Ran,
-    /// How it failed.
-    failure: budget::Failure,
-    /// Whether the request may have reached a backend server.
-    has_arrived: bool,
-    /// Whether the owner refused since it is out of service, whatever its load. Asking another
-    /// one puts no load on a backend server that has none to spare.
-    is_elsewhere: bool,
-}
-
-/// Attempts under a policy's route, most of which end at owners without reaching a backend server.
-const MAX_TRIES: u32 = 6;
-
 /// Sends a call to a backend server, and to another where that is safe.
 pub async fn dispatch(
     plane: &Arc<Plane>,
@@ -135,67 +118,6 @@
     }
 }
 
-/// Attempts of a call so far.
-struct Attempts {
-    /// Attempts left.
-    tries: u32,
-    /// Backend servers that the call may still reach, where its route says so.
-    arrivals: Option<u32>,
-    /// Hosts that were tried.
-    tried: Vec<Name>,
-    /// What came of the last attempt that may have run.
-    unknown: Option<Response<Body>>,
-    /// What came of the last attempt.
-    last: Option<Response<Body>>,
-}
-
-impl Attempts {
-    /// None made yet.
-    fn new(call: &Call) -> Self {
-        Self {
-            tries: if call.arrivals.is_some() {
-                MAX_TRIES
-            } else {
-                MAX_ATTEMPTS
-            },
-            arrivals: call.arrivals,
-            tried: Vec::new(),
-            unknown: None,
-            last: None,
-        }
-    }
-
-    /// Counts a failed attempt.
-    fn count(&mut self, failed: &Failed) {
-        self.tries -= 1;
-        if failed.has_arrived {
-            self.arrivals = self.arrivals.map(|left| left.saturating_sub(1));
-        }
-    }
-
-    /// Attempts left.
-    fn left(&self) -> u32 {
-        match self.arrivals {
-            Some(0) => 0,
-            Some(_) | None => self.tries,
-        }
-    }
-
-    /// Keeps what came of an attempt.
-    fn note(&mut self, host: Name, failed: Failed) {
-        self.tried.push(host);
-        match failed.ran {
-            budget::Ran::Unknown => self.unknown = Some(failed.response),
-            budget::Ran::NotRun => self.last = Some(failed.response),
-        }
-    }
-
-    /// What the caller is told: an attempt that may have run outweighs later ones that did not.
-    fn last_word(&mut self) -> Option<Response<Body>> {
-        self.unknown.take().or_else(|| self.last.take())
-    }
-}
-
 /// Retry budget of a call's service.
 pub(super) fn service_budget(plane: &Plane, call: &Call) -> Option<Arc<Budget>> {
     let table = plane.table.load();
--- a/buckthorn/src/proxy/mod.rs
+++ b/buckthorn/src/proxy/mod.rs
@@ -15,6 +15,7 @@
 //! - bodies are streamed with back-pressure; what is buffered is bounded by [`limit::Limits`].
 
 pub mod answer;
+mod attempts;
 pub mod body;
 pub mod contract;
 pub mod dispatch;
--- a/buckthorn/src/proxy/owner.rs
+++ b/buckthorn/src/proxy/owner.rs
@@ -259,7 +259,7 @@
         Err(Unanswered::Unknown(reason)) => {
             let outcome = match reason {
                 Reason::Timeout => {
-                    owner.pulse.timed_out();
+                    owner.pulse.unanswered(latency);
                     Outcome::Timeout
                 }
                 _ => Outcome::Reset,
@@ -370,7 +370,7 @@
     fn drop(&mut self) {
         if let Some(run) = self.0.take() {
             let latency = run.started.elapsed();
-            run.pulse.abandoned(latency);
+            run.pulse.unanswered(latency);
             run.finish(Outcome::Cancelled, latency);
         }
     }
--- a/buckthorn/src/routing/table.rs
+++ b/buckthorn/src/routing/table.rs
@@ -154,9 +154,14 @@
             region: region.clone(),
             policy: None,
         };
-        table.check(view);
+        table.finish(view, registry)
+    }
+
+    /// Checks a new table and forgets the loads that it does not name.
+    fn finish(self, view: &View, registry: &mut Registry) -> Self {
+        self.check(view);
         registry.sweep();
-        table
+        self
     }
 
     /// Resolves operators' orders against a view.
@@ -197,9 +202,7 @@
             region: region.clone(),
             policy,
         };
-        table.check(view);
-        registry.sweep();
-        table
+        table.finish(view, registry)
     }
 
     /// Service by name.
