--- a/buckthorn/src/admission/pulse.rs
+++ b/buckthorn/src/admission/pulse.rs
@@ -18,6 +18,7 @@
 /// Calls left without an answer.
 #[derive(Debug, Default)]
 pub struct Pulse {
+    /// Such calls in a row.
     unanswered: AtomicU32,
 }
 
--- a/buckthorn/src/admission/warmth.rs
+++ b/buckthorn/src/admission/warmth.rs
@@ -20,6 +20,7 @@
 /// Rate limit of a backend server while it is cold.
 #[derive(Debug)]
 pub struct Warmth {
+    /// State, locked for a few steps of arithmetic.
     inner: Mutex<Inner>,
 }
 
@@ -89,12 +90,14 @@
         true
     }
 
+    /// State; a panic elsewhere does not spoil it.
     fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl Inner {
+    /// Whether the limit is in force.
     fn is_cold(&self, now: Time) -> bool {
         now < self.until || now < self.doubt
     }
--- a/buckthorn/src/config/order.rs
+++ b/buckthorn/src/config/order.rs
@@ -111,20 +111,28 @@
 /// Failure domain that operators have named.
 #[derive(Clone, Debug)]
 struct Domain {
+    /// Name.
     name: Name,
+    /// Offset of the order that said so last.
     offset: u64,
+    /// Whether it is out.
     is_out: bool,
 }
 
 /// Orders and decisions that are in force.
 #[derive(Debug, Default)]
 pub struct Orders {
+    /// Policy with the offset of its order.
     policy: Option<(u64, Arc<Policy>)>,
+    /// Moves, sorted by service.
     moves: Vec<Move>,
+    /// Failure domains, sorted by name.
     domains: Vec<Domain>,
+    /// Published decisions, sorted by service.
     decisions: Vec<Decision>,
     /// Offset after the last order read.
     next: u64,
+    /// Number of changes.
     revision: u64,
 }
 
@@ -221,10 +229,12 @@
         true
     }
 
+    /// Place of a service's move.
     fn index(&self, service: &str) -> Result<usize, usize> {
         self.moves.binary_search_by(|m| (*m.service).cmp(service))
     }
 
+    /// Takes a policy that is newer by its offset and its version.
     fn put_policy(&mut self, offset: u64, policy: &Arc<Policy>) {
         let is_newer = self
             .policy
@@ -236,6 +246,7 @@
         }
     }
 
+    /// Takes a move that was ordered later than the one held.
     fn put_move(&mut self, offset: u64, order: (&Name, &Name, Duration), now: Time) {
         let (service, version, window) = order;
         let entry = Move {
@@ -256,6 +267,7 @@
         self.settle(service);
     }
 
+    /// Forgets a move that was ordered earlier.
     fn withdraw(&mut self, offset: u64, service: &Name) {
         if let Ok(index) = self.index(service)
             && self.moves[index].order < offset
@@ -265,6 +277,7 @@
         }
     }
 
+    /// Takes the later word on a failure domain.
     fn put_domain(&mut self, offset: u64, name: &Name, is_out: bool) {
         let domain = Domain {
             name: name.clone(),
--- a/buckthorn/src/metrics.rs
+++ b/buckthorn/src/metrics.rs
@@ -74,7 +74,9 @@
 /// Histogram of one stage.
 #[derive(Debug, Default)]
 pub struct Histogram {
+    /// Durations in each bucket; the last one has no edge.
     buckets: [AtomicU64; EDGES_US.len() + 1],
+    /// Sum of the durations in microseconds.
     sum_us: AtomicU64,
 }
 
--- a/buckthorn/src/node/edge.rs
+++ b/buckthorn/src/node/edge.rs
@@ -55,6 +55,7 @@
 }
 
 impl Source {
+    /// What an adapter brought, if one did.
     pub(super) fn edge(&self) -> Option<&Edge> {
         match self {
             Self::Log(_) => None,
@@ -62,6 +63,7 @@
         }
     }
 
+    /// Log of the mesh's own records, if that is the source.
     pub(super) fn log(&self) -> Option<&Arc<dyn Log>> {
         match self {
             Self::Log(log) => Some(log),
@@ -95,7 +97,9 @@
 /// Hands a node what an adapter learns.
 #[derive(Clone)]
 pub struct Remote {
+    /// Shared state of the path of a call.
     path: Path,
+    /// Entry to the kernel.
     inputs: Sender<Input>,
 }
 
--- a/buckthorn/src/proxy/trail.rs
+++ b/buckthorn/src/proxy/trail.rs
@@ -59,6 +59,7 @@
 pub struct Meter {
     /// Second, and the lines in it.
     word: AtomicU64,
+    /// Lines left out and not told yet.
     dropped: AtomicU64,
 }
 
@@ -109,24 +110,39 @@
 /// One attempt, as it is logged.
 #[derive(Debug)]
 struct Attempt {
+    /// Host that it went to.
     target: String,
+    /// Status, or the reason of a refusal.
     outcome: String,
+    /// Whether it ran.
     ran: &'static str,
+    /// Counter of what follows.
     next: &'static str,
+    /// Time left of the call.
     left: Duration,
+    /// Time that it took.
     took: Duration,
 }
 
 /// A call's attempts so far.
 pub(super) struct Trail<'a> {
+    /// Path of a call.
     plane: &'a Plane,
+    /// Log.
     logger: &'a Logger,
+    /// Identifier of the request.
     request: String,
+    /// Service.
     service: &'a str,
+    /// Configuration in force when the call came.
     version: u64,
+    /// When the call came.
     started: Time,
+    /// When the present attempt began.
     begun: Time,
+    /// Attempts that ended.
     attempts: Vec<Attempt>,
+    /// Whether the answer was logged.
     is_ended: bool,
 }
 
@@ -191,10 +207,12 @@
         }
     }
 
+    /// Time since the call came, in milliseconds.
     fn elapsed_ms(&self) -> u64 {
         self.plane.clock.now().since(self.started).as_millis() as u64
     }
 
+    /// Logs the attempts, within the allowance.
     fn write_attempts(&self) {
         for (index, attempt) in self.attempts.iter().enumerate() {
             if !may_write(self.plane, Class::Attempt) {
--- a/buckthorn/src/rollout/comparison.rs
+++ b/buckthorn/src/rollout/comparison.rs
@@ -48,16 +48,22 @@
 /// Counts of one owner since the comparison began.
 #[derive(Debug)]
 struct Owner {
+    /// Host.
     host: Name,
+    /// Incarnation; another one counts from zero.
     incarnation: u64,
+    /// Whether it serves the new version.
     is_new: bool,
+    /// Counts when the comparison began.
     first: Vec<Tally>,
+    /// Newest counts.
     last: Vec<Tally>,
 }
 
 /// Comparison of a move's versions.
 #[derive(Debug, Default)]
 pub struct Comparison {
+    /// Owners in the order in which they reported.
     owners: Vec<Owner>,
 }
 
--- a/buckthorn/src/rollout/cutover.rs
+++ b/buckthorn/src/rollout/cutover.rs
@@ -79,6 +79,7 @@
 /// Moves that this node follows.
 #[derive(Debug, Default)]
 pub struct Cutover {
+    /// Moves whose end is not published, or was a moment ago.
     trials: Vec<Trial>,
     /// When published decisions were last asked for.
     asked: Time,
@@ -87,8 +88,11 @@
 /// One move as this node sees it.
 #[derive(Debug)]
 struct Trial {
+    /// Service.
     service: Name,
+    /// Offset of the order.
     order: u64,
+    /// Counts of both sides, at a judge.
     comparison: Comparison,
     /// When a judge last found nothing wrong.
     clean: Option<Time>,
@@ -103,6 +107,7 @@
 }
 
 impl Trial {
+    /// Trial of a move that was just seen.
     fn new(entry: &Move) -> Self {
         Self {
             service: entry.service.clone(),
@@ -144,6 +149,7 @@
 }
 
 impl Cutover {
+    /// Moves every trial on.
     fn tick(&mut self, cx: &mut Context<'_>) {
         self.follow(cx);
         let has_open = self.trials.iter().any(|trial| trial.ended.is_none());
@@ -203,6 +209,7 @@
         }
     }
 
+    /// Takes counts and findings.
     fn receive(&mut self, cx: &mut Context<'_>, message: &Message) {
         match message {
             Message::Evidence(report) if report.is_sound() => {
--- a/buckthorn/src/routing/load.rs
+++ b/buckthorn/src/routing/load.rs
@@ -28,6 +28,7 @@
     /// Failures since the last good answer.
     /// End of the time for which the host is taken for unreachable from here, in microseconds.
     unreachable_until: AtomicU64,
+    /// Failures in a row.
     pub(super) failures: AtomicU32,
     /// Good answers still needed before the server counts as recovered; zero when it does.
     pub(super) probation: AtomicU32,
--- a/buckthornctl/src/explain.rs
+++ b/buckthornctl/src/explain.rs
@@ -41,6 +41,7 @@
         self.0.get(name).and_then(Value::as_u64).unwrap_or(0)
     }
 
+    /// Whether it is a line of this kind.
     fn is(&self, line: Line) -> bool {
         self.text("msg") == line.name()
     }
