Read operators' orders through a few nodes of each failure domain

A node that read late also told all others, which grows with the square of the fleet.

Ruled out: longer gathering alone (saves a few reads of a storm, none of the rest); pushes by elected readers without questions (a follower does not notice that its readers are cut off from the store).

Change: the square root of a failure domain's nodes read, three at least; the others ask three of them in turn and read by themselves as soon as one does not answer or other nodes know newer orders. Late news is told to eight peers, which tell others.

--- a/buckthorn/src/config/intake.rs
+++ b/buckthorn/src/config/intake.rs
@@ -1,33 +1,54 @@
 //! Plug-in that takes operators' orders from a topic of their own.
 //!
-//! Every node reads the topic itself. A read that hangs is cut short when a peer knows newer
-//! orders: probes carry the offset up to which a node has read, and a node that reads news after a
-//! failure tells its peers at once, since their reads may hang for the same cause.
+//! A node reads the topic itself or has the orders from nodes that do ([`super::relay`]). A read that
+//! hangs is cut short when a peer knows newer orders: probes carry the offset up to which a node has
+//! read, and a node that reads news after a failure tells a few peers at once, since their reads may
+//! hang for the same cause, and they tell others.
 
 use std::time::Duration;
 
+use rand::seq::IteratorRandom;
+
 use crate::clock::Time;
-use crate::kernel::{Action, Context, Event, Plugin, Registry};
+use crate::kernel::{Action, Context, Event, Plugin, Reading, Registry};
 use crate::logline::Line;
 use crate::membership::member::Member;
+use crate::name::Name;
 use crate::rpc::message::Message;
 
-use super::order::Feed;
+use super::excerpt::{Excerpt, Packed};
+use super::order::{Decision, Feed};
+use super::policy::Policy;
+use super::relay::{Next, Relay};
+
+/// Part of the time in which an order has to be in force that a read, or a reader, gets before the log
+/// is read anew for newer orders at a peer; more than reads are put off to gather orders.
+const READ_GRACE_PART: f64 = 0.45;
 
-/// Time that a read gets before it is cut short for newer orders at a peer; longer than reads are
-/// put off to gather orders.
-const READ_GRACE: Duration = Duration::from_millis(900);
+/// Peers that a node tells of orders that it read after a failure; each of them tells as many.
+const NOTIFY_FANOUT: usize = 8;
 
-/// Registers the plug-in.
-pub fn register(registry: &mut Registry) {
-    registry.add(Intake::default());
+/// Registers the plug-in of a node whose orders have to be in force within a time.
+pub fn register(registry: &mut Registry, bound: Duration) {
+    registry.add(Intake {
+        grace: bound.mul_f64(READ_GRACE_PART),
+        behind: None,
+        relay: Relay::new(bound),
+        packed: None,
+    });
 }
 
 /// Puts orders and published decisions in force as they are read.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Intake {
+    /// Time that a read or a reader gets before the log is read anew.
+    grace: Duration,
     /// When a peer was first seen to know newer orders.
     behind: Option<Time>,
+    /// Where orders come from.
+    relay: Relay,
+    /// Policy in compressed form with the offset of its order; none when it is too large to pass on.
+    packed: Option<(u64, Option<Packed>)>,
 }
 
 impl Plugin for Intake {
@@ -36,26 +57,99 @@
     }
 
     fn handle(&mut self, cx: &mut Context<'_>, event: &Event) {
-        let has_changed = match event {
+        match event {
+            Event::Tick => self.tick(cx),
             Event::Ordered(feed) => self.take(cx, feed),
-            Event::Decided(decisions) => cx.shared.orders.decide(decisions),
-            Event::Received { messages, .. } | Event::Answered { messages, .. } => {
+            Event::OrdersReadable(is_readable) => self.relay.set_log(*is_readable),
+            Event::Shutdown => self.relay.set_log(false),
+            Event::Decided(decisions) => decide(cx, decisions),
+            Event::Unreachable { host, .. } => {
+                let next = self.relay.unreachable(cx.now, host);
+                self.follow_up(cx, next);
+            }
+            Event::Received { from, messages } | Event::Answered { from, messages } => {
                 for message in messages {
-                    self.compare(cx, message);
+                    self.read_message(cx, from, message);
                 }
-                false
             }
-            _ => false,
-        };
-        if has_changed {
-            cx.act(Action::Rebuild);
+            _ => {}
         }
     }
 }
 
 impl Intake {
-    /// Takes orders; a node serves from the first policy on.
-    fn take(&mut self, cx: &mut Context<'_>, feed: &Feed) -> bool {
+    /// Asks for orders when that is due; a node without a policy reads by itself.
+    fn tick(&mut self, cx: &mut Context<'_>) {
+        if !cx.shared.is_synced || cx.shared.is_stopping {
+            return;
+        }
+        let is_behind = self.relay.is_following()
+            && self
+                .behind
+                .is_some_and(|since| cx.now.since(since) >= self.grace);
+        let next = if is_behind {
+            self.relay.fail(cx.now, "other nodes know newer orders")
+        } else {
+            let shared = &cx.shared;
+            self.relay.poll(cx.now, &shared.identity, &shared.view)
+        };
+        self.follow_up(cx, next);
+    }
+
+    /// Carries out what the relay wants.
+    fn follow_up(&mut self, cx: &mut Context<'_>, next: Next) {
+        let from = cx.shared.orders.next();
+        cx.shared.is_following = self.relay.is_following();
+        match next {
+            Next::Nothing => {}
+            Next::Ask(hosts) => {
+                let decisions = cx.shared.orders.decisions_mark();
+                for host in hosts {
+                    if let Some(reader) = cx.shared.view.get(&host).cloned() {
+                        cx.send(&reader, vec![Message::WantOrders { from, decisions }]);
+                    }
+                }
+            }
+            Next::Follow => {
+                cx.note(
+                    Line::OrdersSource,
+                    "peers",
+                    "readers of the failure domain answer",
+                );
+                cx.act(Action::ReadOrders(Reading::Paused));
+            }
+            Next::Read(reason) => {
+                cx.note(Line::OrdersSource, "log", reason);
+                cx.act(Action::ReadOrders(Reading::From(from)));
+            }
+        }
+    }
+
+    /// Takes orders that were read; a node serves from the first policy on.
+    fn take(&mut self, cx: &mut Context<'_>, feed: &Feed) {
+        let before = cx.shared.orders.next();
+        let has_changed = self.apply(cx, feed);
+        let next = cx.shared.orders.next();
+        if next <= before {
+            return;
+        }
+        let own = cx.shared.identity.host.clone();
+        let mut told: Vec<Member> = Vec::new();
+        if has_changed && feed.is_late {
+            let live = cx.shared.view.live().filter(|member| member.host != own);
+            told.extend(live.cloned().choose_multiple(cx.rng, NOTIFY_FANOUT));
+        }
+        for host in self.relay.followers(cx.now) {
+            let is_told = told.iter().any(|member| member.host == *host);
+            told.extend(cx.shared.view.get(host).filter(|_| !is_told).cloned());
+        }
+        for peer in told {
+            cx.send(&peer, vec![Message::Ordered { next }]);
+        }
+    }
+
+    /// Puts orders in force and tells whether anything changed.
+    fn apply(&mut self, cx: &mut Context<'_>, feed: &Feed) -> bool {
         self.behind = None;
         let out = cx.shared.orders.out();
         let has_changed = cx.shared.orders.apply(feed, cx.now);
@@ -65,32 +159,118 @@
             cx.note(Line::DomainsOut, now_out.join(","), detail);
         }
         cx.shared.is_synced = cx.shared.orders.policy().is_some();
-        if has_changed && feed.is_late {
-            let next = cx.shared.orders.next();
-            let own = cx.shared.identity.host.clone();
-            let live = cx.shared.view.live().filter(|member| member.host != own);
-            let peers: Vec<Member> = live.cloned().collect();
-            for peer in peers {
-                cx.send(&peer, vec![Message::Ordered { next }]);
-            }
+        if has_changed {
+            cx.act(Action::Rebuild);
         }
         has_changed
     }
 
-    /// Looks whether a peer knows newer orders.
-    fn compare(&mut self, cx: &mut Context<'_>, message: &Message) {
-        let (next, grace) = match message {
-            Message::Ordered { next } => (*next, Duration::ZERO),
-            Message::Ping(digest) | Message::Ack(digest) => (digest.next, READ_GRACE),
-            _ => return,
+    /// Reads one message of a peer.
+    fn read_message(&mut self, cx: &mut Context<'_>, from: &Name, message: &Message) {
+        match message {
+            Message::WantOrders {
+                from: next,
+                decisions,
+            } => self.answer(cx, from, *next, *decisions),
+            Message::Orders {
+                is_reader,
+                excerpt,
+                decisions,
+            } => {
+                decide(cx, decisions);
+                if let Some(excerpt) = excerpt {
+                    self.take_excerpt(cx, from, excerpt);
+                }
+                let next = self.relay.answered(cx.now, from, *is_reader);
+                self.follow_up(cx, next);
+            }
+            Message::Ordered { next } if self.relay.is_source(from) => {
+                if *next > cx.shared.orders.next() {
+                    let next = self.relay.hear(cx.now, from);
+                    self.follow_up(cx, next);
+                }
+            }
+            Message::Ordered { next } => self.compare(cx, *next, Duration::ZERO),
+            Message::Ping(digest) | Message::Ack(digest) => {
+                self.compare(cx, digest.next, self.grace);
+            }
+            _ => {}
+        }
+    }
+
+    /// Answers a node that asks for orders from an offset on, and has decisions with a mark.
+    fn answer(&mut self, cx: &mut Context<'_>, from: &Name, next: u64, mark: u64) {
+        if cx.shared.view.get(from).is_some() {
+            self.relay.note_follower(cx.now, from);
+        }
+        let excerpt = (next < cx.shared.orders.next())
+            .then(|| Excerpt::new(&cx.shared.orders, next, |o, p| self.pack(o, p)))
+            .transpose();
+        // A node that cannot pass its orders on is no reader to others.
+        let is_reader = self.relay.is_reader() && excerpt.is_ok();
+        let orders = &cx.shared.orders;
+        let has_other = orders.decisions_mark() != mark;
+        let decisions = has_other.then(|| orders.decisions().to_vec());
+        cx.act(Action::Reply(vec![Message::Orders {
+            is_reader,
+            excerpt: excerpt.ok().flatten().map(Box::new),
+            decisions: decisions.unwrap_or_default(),
+        }]));
+    }
+
+    /// Policy in compressed form, made once.
+    fn pack(&mut self, offset: u64, policy: &Policy) -> Result<Packed, TooLarge> {
+        let held = self.packed.as_ref().filter(|(held, _)| *held == offset);
+        let packed = match held {
+            Some((_, packed)) => packed.clone(),
+            None => Packed::new(policy).ok(),
         };
-        if next <= cx.shared.orders.next() {
+        self.packed = Some((offset, packed.clone()));
+        packed.ok_or(TooLarge)
+    }
+
+    /// Puts orders in force that a reader passed on.
+    fn take_excerpt(&mut self, cx: &mut Context<'_>, from: &Name, excerpt: &Excerpt) {
+        if excerpt.next <= cx.shared.orders.next() {
+            return;
+        }
+        match excerpt.feed() {
+            Ok(feed) => {
+                self.apply(cx, &feed);
+            }
+            Err(error) => {
+                let detail = format!("orders passed on by {from}: {error:#}");
+                cx.note(Line::ConfigRefused, excerpt.next, detail);
+                let next = self
+                    .relay
+                    .fail(cx.now, "a reader passed on malformed orders");
+                self.follow_up(cx, next);
+            }
+        }
+    }
+
+    /// Reads the log anew when a peer has known newer orders for longer than a read may take; readers
+    /// that a node follows get as long, whoever tells.
+    fn compare(&mut self, cx: &mut Context<'_>, next: u64, grace: Duration) {
+        let held = cx.shared.orders.next();
+        if next <= held {
             return;
         }
         let behind = *self.behind.get_or_insert(cx.now);
-        if cx.now.since(behind) >= grace {
+        if !self.relay.is_following() && cx.now.since(behind) >= grace {
             self.behind = Some(cx.now);
-            cx.act(Action::Refresh);
+            cx.act(Action::ReadOrders(Reading::From(held)));
         }
     }
 }
+
+/// Takes published decisions on moves.
+fn decide(cx: &mut Context<'_>, decisions: &[Decision]) {
+    if cx.shared.orders.decide(decisions) {
+        cx.act(Action::Rebuild);
+    }
+}
+
+/// The policy takes more than a control message may.
+#[derive(Debug)]
+struct TooLarge;
--- a/buckthorn/src/config/mod.rs
+++ b/buckthorn/src/config/mod.rs
@@ -1,9 +1,11 @@
 //! Routing intent: what operators publish.
 
 pub mod change;
+pub mod excerpt;
 pub mod intake;
 pub mod intent;
 pub mod order;
 pub mod plan;
 pub mod policy;
+pub mod relay;
 pub mod sheet;
--- a/buckthorn/src/config/order.rs
+++ b/buckthorn/src/config/order.rs
@@ -4,10 +4,12 @@
 //! Orders come keyed, each with its offset in the platform's log. A key only moves forward, so
 //! repeated and late reads are harmless, and the state never goes back to an older version.
 
+use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::Xxh3Default;
 
 use crate::clock::Time;
 use crate::name::Name;
@@ -65,7 +67,7 @@
 }
 
 /// How far a move is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Phase {
     /// Under way.
@@ -77,7 +79,7 @@
 }
 
 /// Published decision on a move.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Decision {
     /// Service.
     pub service: Name,
@@ -142,6 +144,19 @@
         self.policy.as_ref().map(|(_, policy)| policy)
     }
 
+    /// Policy in force with the offset of its order.
+    pub fn policy_order(&self) -> Option<(u64, &Arc<Policy>)> {
+        self.policy
+            .as_ref()
+            .map(|(offset, policy)| (*offset, policy))
+    }
+
+    /// Failure domains that operators have named: offset of the last order, name, whether out.
+    pub fn domains(&self) -> impl Iterator<Item = (u64, &Name, bool)> {
+        let domains = self.domains.iter();
+        domains.map(|domain| (domain.offset, &domain.name, domain.is_out))
+    }
+
     /// Moves, sorted by service.
     pub fn moves(&self) -> &[Move] {
         &self.moves
@@ -329,6 +344,18 @@
         }
     }
 
+    /// Published decisions, sorted by service.
+    pub fn decisions(&self) -> &[Decision] {
+        &self.decisions
+    }
+
+    /// Mark that differs, but for a chance in 2^64, when the decisions do.
+    pub fn decisions_mark(&self) -> u64 {
+        let mut hasher = Xxh3Default::new();
+        self.decisions.hash(&mut hasher);
+        hasher.finish()
+    }
+
     /// Published decision on a service's last move.
     pub fn decision(&self, service: &str) -> Option<&Decision> {
         let index = self
--- a/buckthorn/src/config/policy.rs
+++ b/buckthorn/src/config/policy.rs
@@ -3,9 +3,12 @@
 //! Operators replace the policy as a whole. A route is found by the host that a request names and
 //! the longest prefix of its path; its split spreads requests over services by weight.
 
+use std::cmp::Reverse;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::admission::gate::Urgency;
 use crate::name::Name;
 
@@ -15,7 +18,7 @@
 const GOLDEN_STEP: u32 = 0x9e37_79b9;
 
 /// What operators publish about routes and services.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub struct Policy {
     /// Version, rising with each publication.
     pub version: u64,
@@ -26,7 +29,8 @@
 }
 
 /// Requests that a route's kind stands for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Kind {
     /// May run more than once.
     Idempotent,
@@ -35,7 +39,7 @@
 }
 
 /// Route of a host and a path prefix.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Route {
     /// Name that operators gave it.
     pub name: Name,
@@ -56,11 +60,12 @@
     /// Services with their weights; never empty.
     pub split: Vec<Part>,
     /// Requests spread so far.
+    #[serde(skip)]
     turn: AtomicU32,
 }
 
 /// Part of a split.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Part {
     /// Service.
     pub service: Name,
@@ -69,7 +74,7 @@
 }
 
 /// What a service's backend servers can bear.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Name.
     pub name: Name,
@@ -87,7 +92,7 @@
     /// Panics when the split is empty or all its weights are zero.
     pub fn new(name: Name, host: &str, prefix: Name, kind: Kind, split: Vec<Part>) -> Self {
         assert!(
-            split.iter().any(|part| part.weight > 0),
+            leads_somewhere(&split),
             "invariant: a route leads to at least one service"
         );
         Self {
@@ -118,7 +123,22 @@
     }
 }
 
+/// Whether a split has a service with a weight.
+fn leads_somewhere(split: &[Part]) -> bool {
+    split.iter().any(|part| part.weight > 0)
+}
+
 impl Policy {
+    /// Whether every route leads somewhere and all is in order, for a policy that was decoded.
+    pub fn is_sound(&self) -> bool {
+        let key = |route: &Route| (route.host.clone(), Reverse(route.prefix.len()));
+        self.routes
+            .iter()
+            .all(|route| leads_somewhere(&route.split))
+            && self.routes.is_sorted_by_key(key)
+            && self.services.is_sorted_by(|a, b| a.name <= b.name)
+    }
+
     /// Policy with routes and services in any order.
     pub fn new(version: u64, mut routes: Vec<Route>, mut services: Vec<Service>) -> Self {
         routes.sort_by(|a, b| {
--- a/buckthorn/src/kernel/mod.rs
+++ b/buckthorn/src/kernel/mod.rs
@@ -76,6 +76,8 @@
     Observed(evidence::Report),
     /// Operators' orders were read.
     Ordered(Feed),
+    /// Whether the last read of operators' orders succeeded.
+    OrdersReadable(bool),
     /// Published decisions on moves were read.
     Decided(Vec<Decision>),
     /// A decision was published, or could not be.
@@ -132,8 +134,8 @@
     },
     /// The routing table has to be built anew: the state, view or quarantine changed.
     Rebuild,
-    /// Read the operators' orders anew.
-    Refresh,
+    /// How to read the operators' orders from now on.
+    ReadOrders(Reading),
     /// Read published decisions, or go on waiting for them.
     ReadDecisions,
     /// Publish a decision on a move.
@@ -142,6 +144,15 @@
     Note(Note),
 }
 
+/// How operators' orders are read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reading {
+    /// Not at all; they come from other nodes.
+    Paused,
+    /// From an offset on, at once, also where a read is under way.
+    From(u64),
+}
+
 /// Messages that one envelope may hold; one with more is refused whole.
 pub const MAX_MESSAGES: usize = 64;
 
@@ -187,6 +198,8 @@
     pub keeper: Keeper,
     /// Operators' orders, where they come from a topic of their own.
     pub orders: Orders,
+    /// Whether orders and decisions come from other nodes.
+    pub is_following: bool,
     /// Counters.
     pub counters: Arc<Board>,
     /// Whether the fold has once been as far as the log or a peer; no table is published before.
@@ -292,6 +305,7 @@
             view,
             quarantine: Quarantine::new(),
             orders: Orders::default(),
+            is_following: false,
             counters,
             is_synced: false,
             is_stopping: false,
--- a/buckthorn/src/logline.rs
+++ b/buckthorn/src/logline.rs
@@ -46,6 +46,7 @@
     // What the node believes.
     ConfigApplied "config.applied" "version" "A configuration is in force.",
     ConfigRefused "config.refused" "subject, detail" "A record, snapshot or order was refused as a whole.",
+    OrdersSource "orders.source" "subject, detail" "Operators' orders come from the log or from peers that read it, from now on.",
     EndpointEjected "endpoint.ejected" "target, service, outcome" "A backend server is left out for a while since it fails more than the others.",
     MemberChanged "member.changed" "subject, detail" "A node was learned, suspected, found alive again, dead or left.",
     BackendAnnounced "backend.announced" "service, version, instance" "The own backend server is new or has changed.",
--- a/buckthorn/src/node/driver.rs
+++ b/buckthorn/src/node/driver.rs
@@ -265,9 +265,9 @@
                     payload,
                 } => self.append(stream, id, payload),
                 Action::Rebuild => is_stale = true,
-                Action::Refresh => {
+                Action::ReadOrders(reading) => {
                     if let Some(outlet) = &self.edges.outlet {
-                        outlet.refresh();
+                        outlet.read_orders(reading);
                     }
                 }
                 Action::ReadDecisions => {
--- a/buckthorn/src/node/edge.rs
+++ b/buckthorn/src/node/edge.rs
@@ -8,7 +8,7 @@
 
 use super::driver::{Input, Path};
 use crate::config::order::Decision;
-use crate::kernel::Event;
+use crate::kernel::{Event, Reading};
 use crate::log::Log;
 use crate::membership::member::Member;
 use crate::name::Name;
@@ -21,8 +21,8 @@
     /// Starts to publish a decision; never blocks.
     fn publish(&self, decision: &Decision);
 
-    /// Reads the operators' orders anew, since other nodes know newer ones.
-    fn refresh(&self);
+    /// Reads the operators' orders in another way from now on.
+    fn read_orders(&self, reading: Reading);
 
     /// Reads published decisions once, unless a read is under way.
     fn read_decisions(&self);
@@ -40,6 +40,8 @@
     /// Time for callers to look elsewhere before a node that stops tells its peers and refuses
     /// calls.
     pub leave_grace: Duration,
+    /// Time in which an operators' order has to be in force.
+    pub order_bound: Duration,
     /// Retries of a service for each of its calls.
     pub retry_ratio: f64,
     /// Retries of a service beyond that, on all nodes together.
--- a/buckthorn/src/node/mod.rs
+++ b/buckthorn/src/node/mod.rs
@@ -197,7 +197,7 @@
         let mut registry = Registry::default();
         match source {
             Source::Log(_) => register(&mut registry),
-            Source::Edge(_) => register_on(&mut registry),
+            Source::Edge(edge) => register_on(&mut registry, edge.order_bound),
         }
         let kernel = Kernel::new(identity, counters.clone(), seed, clock.now(), registry);
         let driver = Driver::new(kernel, path.clone(), edges, inputs.clone());
@@ -308,10 +308,11 @@
     }
 }
 
-/// Registers the plug-ins of a node whose orders come from an adapter.
-pub fn register_on(registry: &mut Registry) {
+/// Registers the plug-ins of a node whose orders come from an adapter and have to be in force within
+/// a time.
+pub fn register_on(registry: &mut Registry, order_bound: Duration) {
     membership::plugin::register_seeded(registry);
-    config::intake::register(registry);
+    config::intake::register(registry, order_bound);
     rollout::cutover::register(registry);
 }
 
--- a/buckthorn/src/rollout/cutover.rs
+++ b/buckthorn/src/rollout/cutover.rs
@@ -152,8 +152,10 @@
     /// Moves every trial on.
     fn tick(&mut self, cx: &mut Context<'_>) {
         self.follow(cx);
-        let has_open = self.trials.iter().any(|trial| trial.ended.is_none());
-        if has_open && cx.now.since(self.asked) >= READ_INTERVAL {
+        // A judge publishes where the topic of decisions ends, and has to read it for that.
+        let reads = |trial: &Trial| !cx.shared.is_following || seat(cx, trial.order).is_some();
+        let mut open = self.trials.iter().filter(|trial| trial.ended.is_none());
+        if open.any(reads) && cx.now.since(self.asked) >= READ_INTERVAL {
             self.asked = cx.now;
             cx.act(Action::ReadDecisions);
         }
--- a/buckthorn/src/rpc/message.rs
+++ b/buckthorn/src/rpc/message.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::config::excerpt::Excerpt;
+use crate::config::order::Decision;
 use crate::journal::fold::State;
 use crate::journal::record::Record;
 use crate::membership::member::{Member, Status};
@@ -72,6 +74,22 @@
         /// Offset of the next order.
         next: u64,
     },
+    /// Asks a node that reads operators' orders for those from an offset on.
+    WantOrders {
+        /// First offset wanted.
+        from: u64,
+        /// Mark of the published decisions that the sender knows.
+        decisions: u64,
+    },
+    /// Answers [`Self::WantOrders`].
+    Orders {
+        /// Whether the sender reads orders itself and its reads succeed.
+        is_reader: bool,
+        /// Orders that the receiver lacks, if there are any.
+        excerpt: Option<Box<Excerpt>>,
+        /// Published decisions, where the receiver's mark is another.
+        decisions: Vec<Decision>,
+    },
     /// What a judge of a service's move finds.
     Finding(cutover::Finding),
     /// Tells the domain's reader which configuration version the sender has in force.
--- /dev/null
+++ b/buckthorn/tests/config_relay.rs
@@ -0,0 +1,545 @@
+//! Orders read through a few nodes of a failure domain, in virtual time.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use buckthorn::clock::Time;
+use buckthorn::config::excerpt::{Excerpt, Packed};
+use buckthorn::config::intake;
+use buckthorn::config::order::{Decision, Entry, Feed, Order, Orders, Phase};
+use buckthorn::config::policy::{Kind, Part, Policy, Route, Service};
+use buckthorn::counter::Board;
+use buckthorn::kernel::{
+    Action, Context, Event, Identity, Kernel, Plugin, Reading, Registry, TICK_INTERVAL,
+};
+use buckthorn::membership::member::{Member, Status};
+use buckthorn::name::Name;
+use buckthorn::rpc::message::Message;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const START: Time = Time::from_secs(1_000);
+/// Time in which an order has to be in force.
+const BOUND: Duration = Duration::from_secs(2);
+/// Time after which an exchange with a host that is gone fails.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Merges members that the test hands over.
+struct Feeder(Vec<Member>);
+
+impl Plugin for Feeder {
+    fn name(&self) -> &'static str {
+        "feeder"
+    }
+
+    fn handle(&mut self, cx: &mut Context<'_>, _: &Event) {
+        for member in self.0.drain(..) {
+            cx.shared.view.merge(&member, cx.now);
+        }
+    }
+}
+
+struct Node {
+    kernel: Kernel,
+    /// Offset that it reads from, unless it does not read.
+    reads: Option<u64>,
+    is_dead: bool,
+    /// Whether the log neither answers it nor fails.
+    is_log_silent: bool,
+    is_log_lost: bool,
+}
+
+struct Mesh {
+    now: Time,
+    members: Vec<Member>,
+    nodes: Vec<Node>,
+    log: Vec<Order>,
+    /// Exchanges that will fail: when, who asked, whom.
+    failures: Vec<(Time, usize, usize)>,
+    /// Reads that the log was asked for.
+    calls: u64,
+    /// Policies that nodes sent each other.
+    policies_sent: u64,
+}
+
+fn member(index: usize) -> Member {
+    let address = ([127, 0, 0, 1], 1_000 + index as u16).into();
+    Member {
+        host: format!("h{index}").into(),
+        incarnation: 1,
+        sequence: 1,
+        region: "region".into(),
+        failure_domain: "a".into(),
+        rpc: address,
+        hop: address,
+        status: Status::Alive,
+        backend_server: None,
+    }
+}
+
+fn policy(version: u64, routes: usize) -> Order {
+    let routes = (0..routes).map(|number| {
+        let part = Part {
+            service: "desk".into(),
+            weight: 1,
+        };
+        let prefix: Name = format!("/p{number}/").into();
+        Route::new(
+            prefix.clone(),
+            "shop.example",
+            prefix,
+            Kind::Idempotent,
+            vec![part],
+        )
+    });
+    Order::Policy(Arc::new(Policy::new(version, routes.collect(), Vec::new())))
+}
+
+impl Mesh {
+    /// Nodes of one failure domain that have read a first policy.
+    fn new(count: usize) -> Self {
+        let members: Vec<Member> = (0..count).map(member).collect();
+        let nodes = members.iter().map(|member| {
+            let mut registry = Registry::default();
+            registry.add(Feeder(members.clone()));
+            intake::register(&mut registry, BOUND);
+            let identity = Identity {
+                host: member.host.clone(),
+                incarnation: 1,
+                region: member.region.clone(),
+                failure_domain: member.failure_domain.clone(),
+                rpc: member.rpc,
+                hop: member.hop,
+                seeds: Vec::new(),
+            };
+            Node {
+                kernel: Kernel::new(identity, Arc::new(Board::new()), 1, START, registry),
+                reads: Some(0),
+                is_dead: false,
+                is_log_silent: false,
+                is_log_lost: false,
+            }
+        });
+        let nodes = nodes.collect();
+        let mut mesh = Self {
+            now: START,
+            members,
+            nodes,
+            log: vec![policy(1, 3)],
+            failures: Vec::new(),
+            calls: 0,
+            policies_sent: 0,
+        };
+        mesh.run(Duration::from_secs(5));
+        mesh
+    }
+
+    fn handle(&mut self, index: usize, event: &Event) -> Vec<Message> {
+        let mut reply = Vec::new();
+        for action in self.nodes[index].kernel.handle(self.now, event) {
+            match action {
+                Action::Send { host, messages, .. } => self.send(index, &host, messages),
+                Action::Reply(messages) => reply.extend(messages),
+                Action::ReadOrders(Reading::Paused) => self.nodes[index].reads = None,
+                Action::ReadOrders(Reading::From(from)) => {
+                    self.nodes[index].reads = Some(from);
+                    self.calls += 1;
+                }
+                _ => {}
+            }
+        }
+        reply
+    }
+
+    fn send(&mut self, from: usize, host: &Name, messages: Vec<Message>) {
+        let to = self.members.iter().position(|m| m.host == *host).unwrap();
+        if self.nodes[to].is_dead {
+            self.failures.push((self.now + EXCHANGE_TIMEOUT, from, to));
+            return;
+        }
+        let sender = self.members[from].host.clone();
+        let event = Event::Received {
+            from: sender,
+            messages,
+        };
+        let messages = self.handle(to, &event);
+        let is_policy = |message: &Message| {
+            matches!(message, Message::Orders { excerpt: Some(excerpt), .. }
+                if excerpt.policy.is_some())
+        };
+        self.policies_sent += messages.iter().filter(|m| is_policy(m)).count() as u64;
+        let answered = Event::Answered {
+            from: host.clone(),
+            messages,
+        };
+        self.handle(from, &answered);
+    }
+
+    fn step(&mut self) {
+        self.now = self.now + TICK_INTERVAL;
+        let due: Vec<_> = self
+            .failures
+            .extract_if(.., |(at, ..)| *at <= self.now)
+            .collect();
+        for (_, from, to) in due {
+            let (host, address) = (self.members[to].host.clone(), self.members[to].rpc);
+            self.handle(from, &Event::Unreachable { address, host });
+        }
+        for index in 0..self.nodes.len() {
+            let node = &self.nodes[index];
+            if node.is_dead {
+                continue;
+            }
+            self.handle(index, &Event::Tick);
+            self.read(index);
+        }
+    }
+
+    /// Lets a node read what the log has for it.
+    fn read(&mut self, index: usize) {
+        let node = &self.nodes[index];
+        let end = self.log.len() as u64;
+        let Some(from) = node.reads.filter(|from| *from < end) else {
+            return;
+        };
+        if node.is_log_silent || node.is_log_lost {
+            return;
+        }
+        let orders = self.log[from as usize..].iter().cloned();
+        let entries = orders.zip(from..);
+        let feed = Feed {
+            is_complete: false,
+            end,
+            is_late: false,
+            entries: entries
+                .map(|(order, offset)| Entry { offset, order })
+                .collect(),
+        };
+        self.nodes[index].reads = Some(end);
+        self.calls += 1;
+        self.handle(index, &Event::Ordered(feed));
+    }
+
+    fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Nodes that read the log.
+    fn readers(&self) -> Vec<usize> {
+        let readers = self.nodes.iter().enumerate();
+        let readers = readers.filter(|(_, node)| node.reads.is_some() && !node.is_dead);
+        readers.map(|(index, _)| index).collect()
+    }
+
+    /// Gives an order and returns how long it took to be in force at the last node that can know.
+    fn order(&mut self, order: Order) -> Duration {
+        self.log.push(order);
+        let (end, start) = (self.log.len() as u64, self.now);
+        let is_behind = |node: &Node| {
+            !node.is_dead && !node.is_log_silent && node.kernel.shared().orders.next() < end
+        };
+        while self.nodes.iter().any(is_behind) {
+            self.step();
+            assert!(
+                self.now.since(start) < Duration::from_secs(30),
+                "never in force"
+            );
+        }
+        self.now.since(start)
+    }
+}
+
+#[test]
+fn few_nodes_read_for_all_of_a_failure_domain() {
+    for (nodes, readers) in [(1, 1), (3, 3), (4, 3), (5, 3), (25, 5), (87, 10)] {
+        let mut mesh = Mesh::new(nodes);
+        assert_eq!(mesh.readers().len(), readers, "of {nodes} nodes");
+        let calls = mesh.calls;
+        assert!(mesh.order(policy(2, 3)) <= TICK_INTERVAL * 2);
+        assert_eq!(mesh.calls - calls, readers as u64);
+        assert_eq!(mesh.policies_sent, (nodes - readers) as u64);
+    }
+}
+
+#[test]
+fn orders_of_every_kind_are_passed_on() {
+    let mut mesh = Mesh::new(25);
+    let domain = |is_out| Order::Domain {
+        name: "b".into(),
+        is_out,
+    };
+    mesh.order(domain(true));
+    mesh.order(Order::Move {
+        service: "desk".into(),
+        version: "v2".into(),
+        window: Duration::from_secs(12),
+    });
+    for node in &mesh.nodes {
+        let orders = &node.kernel.shared().orders;
+        assert_eq!(orders.out(), ["b".into()]);
+        assert_eq!(orders.find("desk").unwrap().order, 2);
+    }
+    mesh.order(domain(false));
+    mesh.order(Order::Withdraw {
+        service: "desk".into(),
+    });
+    for node in &mesh.nodes {
+        let orders = &node.kernel.shared().orders;
+        assert!(orders.out().is_empty() && orders.find("desk").is_none());
+    }
+    assert_eq!(mesh.policies_sent, 0);
+}
+
+#[test]
+fn decisions_are_passed_on() {
+    let mut mesh = Mesh::new(25);
+    mesh.order(Order::Move {
+        service: "desk".into(),
+        version: "v2".into(),
+        window: Duration::from_secs(12),
+    });
+    let decision = Decision {
+        service: "desk".into(),
+        version: "v2".into(),
+        order: 1,
+        phase: Phase::Completed,
+    };
+    for reader in mesh.readers() {
+        mesh.handle(reader, &Event::Decided(vec![decision.clone()]));
+    }
+    mesh.run(BOUND);
+    for node in &mesh.nodes {
+        let orders = &node.kernel.shared().orders;
+        assert_eq!(orders.find("desk").unwrap().phase, Phase::Completed);
+    }
+}
+
+#[test]
+fn an_order_is_in_force_in_time_though_all_readers_die_as_it_is_given() {
+    for offset in 0..12 {
+        let mut mesh = Mesh::new(25);
+        mesh.run(TICK_INTERVAL * offset);
+        for reader in mesh.readers() {
+            mesh.nodes[reader].is_dead = true;
+        }
+        let took = mesh.order(policy(2, 3));
+        assert!(took < BOUND, "{took:?}");
+        assert!(mesh.readers().len() > 3);
+    }
+}
+
+#[test]
+fn an_order_is_in_force_in_time_though_two_readers_wait_for_a_silent_log() {
+    let mut mesh = Mesh::new(25);
+    let readers = mesh.readers();
+    for first in 0..readers.len() {
+        for second in first + 1..readers.len() {
+            let mut mesh = Mesh::new(25);
+            mesh.nodes[readers[first]].is_log_silent = true;
+            mesh.nodes[readers[second]].is_log_silent = true;
+            let took = mesh.order(policy(2, 3));
+            assert!(took < BOUND, "{took:?}");
+        }
+    }
+    // A node that hears of newer orders from others than its readers reads by itself.
+    for reader in &readers {
+        mesh.nodes[*reader].is_log_silent = true;
+    }
+    let follower = (0..25).find(|index| !readers.contains(index)).unwrap();
+    mesh.log.push(policy(2, 3));
+    let ordered = Event::Received {
+        from: "elsewhere".into(),
+        messages: vec![Message::Ordered { next: 2 }],
+    };
+    mesh.handle(follower, &ordered);
+    mesh.run(BOUND / 2);
+    assert_eq!(mesh.nodes[follower].kernel.shared().orders.next(), 2);
+}
+
+#[test]
+fn followers_of_a_reader_that_lost_the_log_look_for_others_or_read() {
+    let mut mesh = Mesh::new(25);
+    let readers = mesh.readers();
+    let lose = |mesh: &mut Mesh, index: usize| {
+        mesh.nodes[index].is_log_lost = true;
+        mesh.handle(index, &Event::OrdersReadable(false));
+    };
+    lose(&mut mesh, readers[0]);
+    mesh.run(BOUND);
+    // Two readers are enough to follow.
+    assert_eq!(mesh.readers(), readers);
+    for reader in &readers[1..] {
+        lose(&mut mesh, *reader);
+    }
+    mesh.run(BOUND);
+    assert_eq!(mesh.readers().len(), 25);
+    for reader in &readers {
+        mesh.nodes[*reader].is_log_lost = false;
+        mesh.handle(*reader, &Event::OrdersReadable(true));
+    }
+    mesh.run(Duration::from_secs(30));
+    assert_eq!(mesh.readers(), readers);
+}
+
+#[test]
+fn a_node_that_cannot_hold_to_its_readers_tries_less_often() {
+    let mut mesh = Mesh::new(25);
+    let readers = mesh.readers();
+    let calls = mesh.calls;
+    for _ in 0..600 {
+        // The readers answer for long enough to be followed, and then not for a second.
+        let phase = mesh.now.since(START).as_secs() % 6;
+        for reader in &readers {
+            mesh.nodes[*reader].is_dead = phase == 0;
+        }
+        mesh.step();
+    }
+    let reads = mesh.calls - calls;
+    // A read every fifteen seconds is what a node that never follows makes.
+    assert!(reads <= 25 * 5, "{reads} reads in a minute");
+}
+
+#[test]
+fn a_policy_too_large_to_be_passed_on_is_read_by_all() {
+    let mut mesh = Mesh::new(9);
+    assert_eq!(mesh.readers().len(), 3);
+    // Names without a pattern do not compress.
+    let routes = (0..12_000_u64).map(|number| {
+        let name = |key: &str| {
+            format!(
+                "{:x}",
+                buckthorn::name::rendezvous(key, &number.to_string())
+            )
+        };
+        let part = Part {
+            service: name("service").into(),
+            weight: 1,
+        };
+        let prefix = format!("/{}{}/", name("a"), name("b"));
+        let route = format!("{}{}", name("c"), name("d"));
+        Route::new(
+            route.into(),
+            &name("host"),
+            prefix.into(),
+            Kind::Idempotent,
+            vec![part],
+        )
+    });
+    let large = Policy::new(2, routes.collect(), Vec::new());
+    assert!(Packed::new(&large).is_err());
+    let took = mesh.order(Order::Policy(Arc::new(large)));
+    assert!(took < BOUND, "{took:?}");
+}
+
+#[test]
+fn a_malformed_excerpt_is_refused_and_the_node_reads_by_itself() {
+    let mut mesh = Mesh::new(25);
+    let readers = mesh.readers();
+    let follower = (0..25).find(|index| !readers.contains(index)).unwrap();
+    let bad: Packed = serde_json::from_str("\"bm8gZGVmbGF0ZQ==\"").unwrap();
+    let excerpt = Excerpt {
+        next: 9,
+        policy: Some((8, bad)),
+        rest: Vec::new(),
+    };
+    let answered = Event::Answered {
+        from: mesh.members[readers[0]].host.clone(),
+        messages: vec![Message::Orders {
+            is_reader: true,
+            excerpt: Some(Box::new(excerpt)),
+            decisions: Vec::new(),
+        }],
+    };
+    mesh.handle(follower, &answered);
+    assert_eq!(mesh.nodes[follower].kernel.shared().orders.next(), 1);
+    assert!(mesh.readers().contains(&follower));
+}
+
+fn any_route() -> impl Strategy<Value = Route> {
+    let split = prop::collection::vec(("[a-z]{1,4}", 1_u32..9), 1..3);
+    let times = (1_u64..90_000, 1_u64..90_000, 1_u32..5, 0_u8..4);
+    (
+        "[a-z]{1,6}",
+        "[a-c]",
+        "/([a-z]{1,3}/){0,3}",
+        any::<bool>(),
+        split,
+        times,
+    )
+        .prop_map(
+            |(name, host, prefix, is_safe, split, (timeout, target, attempts, urgency))| {
+                let kind = if is_safe {
+                    Kind::Idempotent
+                } else {
+                    Kind::NonIdempotent
+                };
+                let parts = split.into_iter().map(|(service, weight)| Part {
+                    service: service.into(),
+                    weight,
+                });
+                let mut route =
+                    Route::new(name.into(), &host, prefix.into(), kind, parts.collect());
+                route.timeout = Duration::from_millis(timeout);
+                route.latency_target = Duration::from_millis(target);
+                route.attempts = attempts;
+                route.urgency = urgency;
+                route
+            },
+        )
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(44),
+        ..ProptestConfig::default()
+    })]
+
+    /// A policy is the same at the node that it is passed to.
+    #[test]
+    fn a_policy_survives_the_way(
+        version in any::<u64>(),
+        routes in prop::collection::vec(any_route(), 0..20),
+        services in prop::collection::vec(("[a-z]{1,4}", any::<u32>(), prop::option::of(1.0..99.0)), 0..5),
+    ) {
+        let names: BTreeSet<String> = services.iter().map(|(name, ..)| name.clone()).collect();
+        prop_assume!(names.len() == services.len());
+        let services = services.into_iter().map(|(name, connections, cold_rate)| Service {
+            name: name.into(),
+            connections,
+            cold_rate,
+        });
+        let policy = Policy::new(version, routes, services.collect());
+        let unpacked = Packed::new(&policy).unwrap().unpack().unwrap();
+        prop_assert_eq!(format!("{unpacked:?}"), format!("{policy:?}"));
+    }
+
+    /// Text that is no compressed policy is an error.
+    #[test]
+    fn any_text_is_a_policy_or_an_error(text in "[A-Za-z0-9+/=]{0,200}") {
+        let packed: Packed = serde_json::from_value(text.into()).unwrap();
+        let _ = packed.unpack();
+    }
+}
+
+#[test]
+fn only_what_is_missing_is_passed_on() {
+    let mut orders = Orders::default();
+    let feed = Feed {
+        is_complete: true,
+        end: 5,
+        is_late: false,
+        entries: vec![Entry {
+            offset: 4,
+            order: policy(1, 3),
+        }],
+    };
+    orders.apply(&feed, START);
+    let excerpt = |from| Excerpt::new(&orders, from, |_, policy| Packed::new(policy)).unwrap();
+    assert!(excerpt(4).policy.is_some());
+    assert!(excerpt(5).policy.is_none());
+}
--- a/buckthorn/tests/input_message.rs
+++ b/buckthorn/tests/input_message.rs
@@ -6,6 +6,7 @@
 
 use buckthorn::clock::Time;
 use buckthorn::config::change::{Change, Operation};
+use buckthorn::config::excerpt::Excerpt;
 use buckthorn::config::intent::Phase;
 use buckthorn::counter::{Board, Counter};
 use buckthorn::journal::check;
@@ -475,6 +476,20 @@
         1 => prop::collection::vec(accusation, list()).prop_map(Message::Accusations),
         4 => any_report().prop_map(Message::Evidence),
         1 => any_number().prop_map(|version| Message::Applied { version }),
+        1 => any_number().prop_map(|next| Message::Ordered { next }),
+        1 => (any_number(), any::<u64>())
+            .prop_map(|(from, decisions)| Message::WantOrders { from, decisions }),
+        1 => (any::<bool>(), any_number(), "[A-Za-z0-9+/=]{0,40}").prop_map(
+            |(is_reader, next, packed)| Message::Orders {
+                is_reader,
+                excerpt: Some(Box::new(Excerpt {
+                    next,
+                    policy: Some((next, serde_json::from_value(packed.into()).unwrap())),
+                    rest: Vec::new(),
+                })),
+                decisions: Vec::new(),
+            },
+        ),
     ]
 }
 
--- a/buckthorn/tests/rollout_cutover.rs
+++ b/buckthorn/tests/rollout_cutover.rs
@@ -21,6 +21,7 @@
 const START: Time = Time::from_secs(1_000);
 const WINDOW: Duration = Duration::from_secs(12);
 const ORDER: u64 = 7;
+const ORDER_BOUND: Duration = Duration::from_secs(2);
 
 /// Merges members that the test hands over.
 struct Feeder(Vec<Member>);
@@ -94,7 +95,7 @@
             .map(|(index, member)| {
                 let mut registry = Registry::default();
                 registry.add(Feeder(members.clone()));
-                intake::register(&mut registry);
+                intake::register(&mut registry, ORDER_BOUND);
                 cutover::register(&mut registry);
                 let identity = Identity {
                     host: member.host.clone(),
--- a/buckthorn_lab/src/harness/mod.rs
+++ b/buckthorn_lab/src/harness/mod.rs
@@ -410,7 +410,10 @@
             } => self.append_from(node, stream, id, &payload),
             Action::Rebuild => self.nodes[node].rebuilds += 1,
             // The harness plays the mesh's own log, whose decisions are appended.
-            Action::Refresh | Action::ReadDecisions | Action::Publish(_) | Action::Note(_) => {}
+            Action::ReadOrders(_)
+            | Action::ReadDecisions
+            | Action::Publish(_)
+            | Action::Note(_) => {}
         }
     }
 
