--- a/buckthorn/src/config/intake.rs
+++ b/buckthorn/src/config/intake.rs
@@ -184,11 +184,11 @@
                 let next = self.relay.answered(cx.now, from, *is_reader);
                 self.follow_up(cx, next);
             }
-            Message::Ordered { next } if self.relay.is_source(from) => {
-                if *next > cx.shared.orders.next() {
-                    let next = self.relay.hear(cx.now, from);
-                    self.follow_up(cx, next);
-                }
+            Message::Ordered { next }
+                if *next > cx.shared.orders.next() && self.relay.is_source(from) =>
+            {
+                let next = self.relay.hear(cx.now, from);
+                self.follow_up(cx, next);
             }
             Message::Ordered { next } => self.compare(cx, *next, Duration::ZERO),
             Message::Ping(digest) | Message::Ack(digest) => {
