Ask callers back at once when single backend servers refused them

Cause: a refusal asked the caller back after 0.5 s whatever its reason.

Change: refusals by a backend server or for hosts that cannot be reached ask back after 0.05 s, those under load after 0.5 s as before.

--- a/buckthorn/src/proxy/answer.rs
+++ b/buckthorn/src/proxy/answer.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use super::body::{self, Body};
+use super::contract::RetryAfter;
 use super::header::{RAN, REASON};
 use crate::admission::gate::Refusal;
 use crate::counter::{Board, Counter};
@@ -239,7 +240,7 @@
 }
 
 /// Makes a refusal say by its status alone whether the call ran, and when to come back.
-pub fn plain(response: &mut Response<Body>, retry_after: &HeaderValue) {
+pub fn plain(response: &mut Response<Body>, retry_after: &RetryAfter) {
     if !is_refusal(response) || !is_not_run(response) {
         return;
     }
@@ -251,7 +252,15 @@
         *status = StatusCode::SERVICE_UNAVAILABLE;
     }
     if *status == StatusCode::SERVICE_UNAVAILABLE {
+        let others_may_take_it = [Reason::BackendRefused, Reason::Unreachable]
+            .into_iter()
+            .any(|reason| has_reason(response, reason));
+        let pause = if others_may_take_it {
+            &retry_after.elsewhere
+        } else {
+            &retry_after.load
+        };
         let headers = response.headers_mut();
-        headers.insert(header::RETRY_AFTER, retry_after.clone());
+        headers.insert(header::RETRY_AFTER, pause.clone());
     }
 }
--- a/buckthorn/src/proxy/contract.rs
+++ b/buckthorn/src/proxy/contract.rs
@@ -39,8 +39,17 @@
     pub caller_service: Name,
     /// Largest answer that is read in full before it is passed on, in bytes.
     pub whole_answer_bytes: usize,
-    /// When a caller that was refused is asked to come back, in seconds.
-    pub retry_after: HeaderValue,
+    /// When a caller that was refused is asked to come back.
+    pub retry_after: RetryAfter,
+}
+
+/// When a caller that was refused is asked to come back, in seconds.
+#[derive(Clone, Debug)]
+pub struct RetryAfter {
+    /// When load has to fall first.
+    pub load: HeaderValue,
+    /// When single backend servers or hosts refused it, and others may take it at once.
+    pub elsewhere: HeaderValue,
 }
 
 /// What an answer's head says.
