Measure the calls to the platform's store

Answered calls that wait for nothing are counted; a long poll's time says when something was written, not how fast the store is.

--- a/buckthorn/src/metrics.rs
+++ b/buckthorn/src/metrics.rs
@@ -33,7 +33,7 @@
     1_000_000, 2_000_000, 4_000_000, 8_000_000,
 ];
 
-/// Stage of the path of a call.
+/// Stage of the path of a call, or of what it depends on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stage {
     /// From a caller's request to its answer's head, at the ingress.
@@ -44,11 +44,19 @@
     Queue,
     /// At the backend server, to its answer's head.
     Backend,
+    /// A call to the platform's store that does not wait for records.
+    Store,
 }
 
 impl Stage {
     /// Every stage.
-    pub const ALL: [Self; 4] = [Self::Call, Self::Attempt, Self::Queue, Self::Backend];
+    pub const ALL: [Self; 5] = [
+        Self::Call,
+        Self::Attempt,
+        Self::Queue,
+        Self::Backend,
+        Self::Store,
+    ];
 
     /// Name of the histogram, without prefix and unit.
     pub const fn name(self) -> &'static str {
@@ -57,6 +65,7 @@
             Self::Attempt => "attempt_duration",
             Self::Queue => "owner_queue_duration",
             Self::Backend => "backend_duration",
+            Self::Store => "store_call_duration",
         }
     }
 
@@ -67,6 +76,9 @@
             Self::Attempt => "Time of one attempt, from ingress to owner and back",
             Self::Queue => "Time that a call waited at the owner",
             Self::Backend => "Time to the head of the backend server's answer",
+            Self::Store => {
+                "Time of an answered call to the platform's store that waits for nothing"
+            }
         }
     }
 }
