--- a/buckthorn/tests/config_relay.rs
+++ b/buckthorn/tests/config_relay.rs
@@ -15,6 +15,7 @@
 };
 use buckthorn::membership::member::{Member, Status};
 use buckthorn::name::Name;
+use buckthorn::rollout::cutover;
 use buckthorn::rpc::message::Message;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -48,6 +49,8 @@
     /// Whether the log neither answers it nor fails.
     is_log_silent: bool,
     is_log_lost: bool,
+    /// Reads of published decisions that it asked for.
+    decision_reads: u64,
 }
 
 struct Mesh {
@@ -104,6 +107,7 @@
             let mut registry = Registry::default();
             registry.add(Feeder(members.clone()));
             intake::register(&mut registry, BOUND);
+            cutover::register(&mut registry);
             let identity = Identity {
                 host: member.host.clone(),
                 incarnation: 1,
@@ -119,6 +123,7 @@
                 is_dead: false,
                 is_log_silent: false,
                 is_log_lost: false,
+                decision_reads: 0,
             }
         });
         let nodes = nodes.collect();
@@ -142,6 +147,7 @@
                 Action::Send { host, messages, .. } => self.send(index, &host, messages),
                 Action::Reply(messages) => reply.extend(messages),
                 Action::ReadOrders(Reading::Paused) => self.nodes[index].reads = None,
+                Action::ReadDecisions => self.nodes[index].decision_reads += 1,
                 Action::ReadOrders(Reading::From(from)) => {
                     self.nodes[index].reads = Some(from);
                     self.calls += 1;
@@ -308,7 +314,12 @@
         order: 1,
         phase: Phase::Completed,
     };
+    mesh.run(BOUND);
+    // Readers ask for decisions, and the judges of the move, which have to know where their topic ends.
+    let asking = mesh.nodes.iter().filter(|node| node.decision_reads > 0);
+    assert!(asking.count() <= mesh.readers().len() + 2);
     for reader in mesh.readers() {
+        assert!(mesh.nodes[reader].decision_reads > 0);
         mesh.handle(reader, &Event::Decided(vec![decision.clone()]));
     }
     mesh.run(BOUND);
