--- a/buckthorn/tests/config_relay.rs
+++ b/buckthorn/tests/config_relay.rs
@@ -1,5 +1,7 @@
 //! Orders read through a few nodes of a failure domain, in virtual time.
 
+mod kernel_support;
+
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,10 +11,7 @@
 use buckthorn::config::intake;
 use buckthorn::config::order::{Decision, Entry, Feed, Order, Orders, Phase};
 use buckthorn::config::policy::{Kind, Part, Policy, Route, Service};
-use buckthorn::counter::Board;
-use buckthorn::kernel::{
-    Action, Context, Event, Identity, Kernel, Plugin, Reading, Registry, TICK_INTERVAL,
-};
+use buckthorn::kernel::{Action, Event, Kernel, Reading, TICK_INTERVAL};
 use buckthorn::membership::member::{Member, Status};
 use buckthorn::name::Name;
 use buckthorn::rollout::cutover;
@@ -26,21 +25,6 @@
 /// Time after which an exchange with a host that is gone fails.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Merges members that the test hands over.
-struct Feeder(Vec<Member>);
-
-impl Plugin for Feeder {
-    fn name(&self) -> &'static str {
-        "feeder"
-    }
-
-    fn handle(&mut self, cx: &mut Context<'_>, _: &Event) {
-        for member in self.0.drain(..) {
-            cx.shared.view.merge(&member, cx.now);
-        }
-    }
-}
-
 struct Node {
     kernel: Kernel,
     /// Offset that it reads from, unless it does not read.
@@ -103,28 +87,16 @@
     /// Nodes of one failure domain that have read a first policy.
     fn new(count: usize) -> Self {
         let members: Vec<Member> = (0..count).map(member).collect();
-        let nodes = members.iter().map(|member| {
-            let mut registry = Registry::default();
-            registry.add(Feeder(members.clone()));
-            intake::register(&mut registry, BOUND);
-            cutover::register(&mut registry);
-            let identity = Identity {
-                host: member.host.clone(),
-                incarnation: 1,
-                region: member.region.clone(),
-                failure_domain: member.failure_domain.clone(),
-                rpc: member.rpc,
-                hop: member.hop,
-                seeds: Vec::new(),
-            };
-            Node {
-                kernel: Kernel::new(identity, Arc::new(Board::new()), 1, START, registry),
-                reads: Some(0),
-                is_dead: false,
-                is_log_silent: false,
-                is_log_lost: false,
-                decision_reads: 0,
-            }
+        let nodes = members.iter().map(|member| Node {
+            kernel: kernel_support::kernel(member, &members, 1, START, |registry| {
+                intake::register(registry, BOUND);
+                cutover::register(registry);
+            }),
+            reads: Some(0),
+            is_dead: false,
+            is_log_silent: false,
+            is_log_lost: false,
+            decision_reads: 0,
         });
         let nodes = nodes.collect();
         let mut mesh = Self {
--- a/buckthorn/tests/rollout_cutover.rs
+++ b/buckthorn/tests/rollout_cutover.rs
@@ -1,5 +1,7 @@
 //! Moves with windows of seconds, in virtual time: a few nodes with lossless links.
 
+mod kernel_support;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,10 +9,7 @@
 use buckthorn::config::intake;
 use buckthorn::config::order::{Decision, Entry, Feed, Order, Phase};
 use buckthorn::config::policy::Policy;
-use buckthorn::counter::Board;
-use buckthorn::kernel::{
-    Action, Context, Event, Identity, Kernel, Plugin, Publication, Registry, TICK_INTERVAL,
-};
+use buckthorn::kernel::{Action, Event, Kernel, Publication, TICK_INTERVAL};
 use buckthorn::membership::member::{BackendServer, Member, Status};
 use buckthorn::name::Name;
 use buckthorn::rollout::cutover;
@@ -23,21 +22,6 @@
 const ORDER: u64 = 7;
 const ORDER_BOUND: Duration = Duration::from_secs(2);
 
-/// Merges members that the test hands over.
-struct Feeder(Vec<Member>);
-
-impl Plugin for Feeder {
-    fn name(&self) -> &'static str {
-        "feeder"
-    }
-
-    fn handle(&mut self, cx: &mut Context<'_>, _: &Event) {
-        for member in self.0.drain(..) {
-            cx.shared.view.merge(&member, cx.now);
-        }
-    }
-}
-
 /// How the new version behaves.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Version {
@@ -93,26 +77,10 @@
             .iter()
             .enumerate()
             .map(|(index, member)| {
-                let mut registry = Registry::default();
-                registry.add(Feeder(members.clone()));
-                intake::register(&mut registry, ORDER_BOUND);
-                cutover::register(&mut registry);
-                let identity = Identity {
-                    host: member.host.clone(),
-                    incarnation: 1,
-                    region: member.region.clone(),
-                    failure_domain: member.failure_domain.clone(),
-                    rpc: member.rpc,
-                    hop: member.hop,
-                    seeds: Vec::new(),
-                };
-                Kernel::new(
-                    identity,
-                    Arc::new(Board::new()),
-                    index as u64,
-                    START,
-                    registry,
-                )
+                kernel_support::kernel(member, &members, index as u64, START, |registry| {
+                    intake::register(registry, ORDER_BOUND);
+                    cutover::register(registry);
+                })
             })
             .collect();
         let mut mesh = Self {
