Notice soon when the store swallows reads of orders

The known red test of the store's outage failed when the reads of both nodes began while the store was silent: a read that gets no response ends only with its timeout, 16 s, and no other node had read anything newer.

A reader that has just started answered its followers as a reader before its first read had ended, so followers of three such readers stayed behind. It now does so only once it has read the log.

Ruled out: shorter waits for all readers, which would cost a call to the store for each reader and second.

--- a/buckthorn/src/config/intake.rs
+++ b/buckthorn/src/config/intake.rs
@@ -35,6 +35,7 @@
     registry.add(Intake {
         read_grace: bound.mul_f64(READ_GRACE_PART),
         behind_since: None,
+        is_monitor: true,
         relay: Relay::new(bound),
         compressed: None,
     });
@@ -47,6 +48,8 @@
     read_grace: Duration,
     /// Time since which a peer is known to have newer orders.
     behind_since: Option<Time>,
+    /// Whether reads use short waits, as last requested.
+    is_monitor: bool,
     /// Decides whether the node reads the log or follows other nodes.
     relay: Relay,
     /// Cached compressed policy with the offset of its order; the policy is `None` when it is too
@@ -97,6 +100,10 @@
             self.relay.poll(cx.now, &shared.identity, &shared.view)
         };
         self.execute(cx, action);
+        if self.is_monitor != self.relay.is_monitor() {
+            self.is_monitor = self.relay.is_monitor();
+            cx.act(Action::MonitorOrders(self.is_monitor));
+        }
     }
 
     /// Executes an action of the relay.
@@ -130,6 +137,7 @@
 
     /// Applies orders read from the log, and notifies followers and, after a failure, other peers.
     fn on_orders_read(&mut self, cx: &mut Context<'_>, batch: &OrderBatch) {
+        self.relay.set_log_available(true);
         let before = cx.shared.orders.next();
         let has_changed = self.apply(cx, batch);
         let next = cx.shared.orders.next();
--- a/buckthorn/src/config/relay.rs
+++ b/buckthorn/src/config/relay.rs
@@ -4,7 +4,11 @@
 //! its readers, poll it. The others follow: each polls three readers in turn, more than once in the
 //! time within which an order has to be in force, and reads the log itself as soon as one of them
 //! does not reply. A reader notifies its recent followers when it has read new orders. A reader
-//! that has lost the log says so in its replies, and its followers choose another.
+//! that has not read the log yet, or has lost it, says so in its replies, and its followers choose
+//! another.
+//!
+//! A log that accepts a read and never responds delays its reader by the whole wait of the read.
+//! The first reader of each failure domain, its monitor, therefore reads with short waits.
 
 use std::time::Duration;
 
@@ -80,8 +84,10 @@
     interval: Duration,
     /// Source of the orders.
     mode: Mode,
-    /// Whether reads of the log succeed.
+    /// Whether the log was read and reads still succeed.
     is_log_available: bool,
+    /// Whether this node is the first reader of its failure domain.
+    is_monitor: bool,
     /// Readers that are polled.
     sources: Vec<Source>,
     /// Index of the source polled last.
@@ -102,7 +108,8 @@
         Self {
             interval: bound / POLLS_PER_BOUND,
             mode: Mode::Reading,
-            is_log_available: true,
+            is_log_available: false,
+            is_monitor: true,
             sources: Vec::new(),
             last_polled: 0,
             polled_at: Time::default(),
@@ -117,6 +124,12 @@
         self.mode == Mode::Reading && self.is_log_available
     }
 
+    /// Whether the node reads with short waits to notice soon when the log swallows reads. A node
+    /// that knows no others does.
+    pub fn is_monitor(&self) -> bool {
+        self.is_monitor
+    }
+
     /// Whether the node receives its orders from readers.
     pub fn is_following(&self) -> bool {
         self.mode != Mode::Reading
@@ -289,6 +302,9 @@
             .map(|member| (name::rendezvous(READER_KEY, &member.host), &member.host))
             .collect();
         ranked.sort_unstable_by(|a, b| b.cmp(a));
+        self.is_monitor = ranked
+            .first()
+            .is_none_or(|(_, host)| **host == identity.host);
         let count = readers(ranked.len());
         // A node with followers stays a reader when nodes of a higher rank join, as long as its
         // rank is within twice the number of readers.
--- a/buckthorn/src/kernel/mod.rs
+++ b/buckthorn/src/kernel/mod.rs
@@ -136,6 +136,9 @@
     RebuildTable,
     /// Change how the operators' orders are read.
     ReadOrders(OrderPolling),
+    /// Read the operators' orders with short waits, or no longer, so that a read that the log
+    /// swallowed is noticed soon.
+    MonitorOrders(bool),
     /// Read published decisions, or continue to wait for them.
     ReadDecisions,
     /// Publish a decision on a move.
--- a/buckthorn/src/node/adapter.rs
+++ b/buckthorn/src/node/adapter.rs
@@ -27,6 +27,9 @@
     /// Changes how the operators' orders are read.
     fn read_orders(&self, polling: OrderPolling);
 
+    /// Sets whether reads of the orders use short waits, from the next read on.
+    fn monitor_orders(&self, is_monitor: bool);
+
     /// Requests one read of the published decisions; requests made during a read are combined into
     /// one.
     fn read_decisions(&self);
--- a/buckthorn/src/node/driver.rs
+++ b/buckthorn/src/node/driver.rs
@@ -277,6 +277,11 @@
                         operator_channel.read_orders(polling);
                     }
                 }
+                Action::MonitorOrders(is_monitor) => {
+                    if let Some(operator_channel) = &self.resources.operator_channel {
+                        operator_channel.monitor_orders(is_monitor);
+                    }
+                }
                 Action::ReadDecisions => {
                     if let Some(operator_channel) = &self.resources.operator_channel {
                         operator_channel.read_decisions();
--- a/buckthorn/tests/config_relay.rs
+++ b/buckthorn/tests/config_relay.rs
@@ -33,6 +33,8 @@
     /// Whether its reads hang: the log neither responds nor fails.
     is_log_silent: bool,
     is_log_lost: bool,
+    /// Whether it reads with short waits.
+    is_monitor: bool,
     /// Reads of published decisions that it asked for.
     decision_reads: u64,
 }
@@ -96,6 +98,7 @@
             is_dead: false,
             is_log_silent: false,
             is_log_lost: false,
+            is_monitor: true,
             decision_reads: 0,
         });
         let nodes = nodes.collect();
@@ -119,6 +122,7 @@
                 Action::Send { host, messages, .. } => self.send(index, &host, messages),
                 Action::Reply(messages) => reply.extend(messages),
                 Action::ReadOrders(OrderPolling::Paused) => self.nodes[index].reads = None,
+                Action::MonitorOrders(is_monitor) => self.nodes[index].is_monitor = is_monitor,
                 Action::ReadDecisions => self.nodes[index].decision_reads += 1,
                 Action::ReadOrders(OrderPolling::From(from)) => {
                     self.nodes[index].reads = Some(from);
@@ -244,6 +248,45 @@
     }
 }
 
+#[test]
+fn one_reader_of_a_failure_domain_is_its_monitor() {
+    for nodes in [1, 3, 25] {
+        let mut mesh = Mesh::new(nodes);
+        let monitors = |mesh: &Mesh| {
+            let nodes = mesh.nodes.iter().enumerate();
+            let nodes = nodes.filter(|(_, node)| node.is_monitor && !node.is_dead);
+            nodes.map(|(index, _)| index).collect::<Vec<_>>()
+        };
+        let [monitor] = monitors(&mesh)[..] else {
+            panic!("{:?} of {nodes} nodes", monitors(&mesh));
+        };
+        assert!(mesh.readers().contains(&monitor));
+        // The monitor survives its own orders.
+        mesh.order(policy(2, 3));
+        assert_eq!(monitors(&mesh), [monitor]);
+    }
+}
+
+/// A reader that has just restarted replies to its followers before its first read has ended.
+#[test]
+fn a_reader_that_has_read_nothing_yet_is_not_followed() {
+    let mut mesh = Mesh::new(25);
+    let readers = mesh.readers();
+    for reader in &readers {
+        let members = mesh.members.clone();
+        let node = &mut mesh.nodes[*reader];
+        node.kernel =
+            kernel_support::kernel(&members[*reader], &members, 1, mesh.now, |registry| {
+                intake::register(registry, BOUND);
+                cutover::register(registry);
+            });
+        node.reads = Some(0);
+        node.is_log_silent = true;
+    }
+    let took = mesh.order(policy(2, 3));
+    assert!(took < BOUND, "{took:?}");
+}
+
 #[test]
 fn orders_of_every_kind_reach_followers() {
     let mut mesh = Mesh::new(25);
