Charge retry budgets for the calls of retried calls, and try a full local server again

An ingress now knows which share of its backend server's recent runs were repeats and charges the budget with it.

Ruled out: trying other servers although all reject is not the cause by itself; those retries stay inside the budget.

Bytes between failure domains: the only local server of a service, once it was reported full, was never tried again, since its report decays only when it is passed over in a draw of two.

--- a/buckthorn/src/proxy/attempts.rs
+++ b/buckthorn/src/proxy/attempts.rs
@@ -32,6 +32,8 @@
     remaining: u32,
     /// Backend servers that the call may still reach; `None` if its route sets no limit.
     max_backend_attempts: Option<u32>,
+    /// Whether an earlier attempt may have reached a backend server.
+    has_reached_backend: bool,
     /// Hosts that were already tried.
     pub(super) tried: Vec<Name>,
     /// Response of the last attempt that may have run.
@@ -50,6 +52,7 @@
                 MAX_ATTEMPTS
             },
             max_backend_attempts: call.max_backend_attempts,
+            has_reached_backend: false,
             tried: Vec::new(),
             unknown: None,
             not_run: None,
@@ -60,11 +63,17 @@
     pub(super) fn count(&mut self, failed: &FailedAttempt) {
         self.remaining -= 1;
         if failed.may_have_reached_backend {
+            self.has_reached_backend = true;
             self.max_backend_attempts =
                 self.max_backend_attempts.map(|left| left.saturating_sub(1));
         }
     }
 
+    /// Returns whether the next attempt may repeat a run.
+    pub(super) fn is_next_repeat(&self) -> bool {
+        self.has_reached_backend
+    }
+
     /// Returns the number of attempts left.
     pub(super) fn left(&self) -> u32 {
         match self.max_backend_attempts {
--- a/buckthorn/src/proxy/dispatch.rs
+++ b/buckthorn/src/proxy/dispatch.rs
@@ -14,7 +14,7 @@
 
 use super::attempts::{Attempts, FailedAttempt};
 use super::body::{self, Body, Bounds, Ending, Fault, Monitor, Prefixed};
-use super::header::{self, ATTEMPTS, Call, LOAD, MAX_WAIT, Role};
+use super::header::{self, ATTEMPTS, Call, LOAD, MAX_WAIT, REPEAT, Role};
 use super::hop::{HopError, HopRequest};
 use super::payload::Payload;
 use super::request_log::RequestLog;
@@ -29,6 +29,7 @@
 use crate::routing::choice::{self, Choice, choose};
 use crate::routing::load::Load;
 use crate::routing::outlier;
+use crate::routing::repeat;
 use crate::routing::table::Endpoint;
 
 /// Result of one attempt.
@@ -54,6 +55,7 @@
         return response::refuse(&plane.counters, reason, Ran::NotRun);
     };
     budget.earn();
+    budget.charge_repeat(call.repeat_permille);
     let mut request_log = RequestLog::new(plane, call, plane.request_id(&parts.headers));
     prepare(plane, &mut parts, call);
     let mut attempts = Attempts::new(call);
@@ -82,6 +84,10 @@
             AttemptResult::Failed(failed) => failed,
         };
         attempts.count(&failed);
+        if attempts.is_next_repeat() {
+            let permille = HeaderValue::from(repeat::REPEAT);
+            parts.headers.insert(REPEAT, permille);
+        }
         let failure = budget::Attempt {
             is_idempotent: call.is_idempotent,
             ran: failed.ran,
@@ -140,6 +146,10 @@
     parts.headers.remove(names::EXPECT);
     parts.headers.remove(header::SECRET);
     parts.headers.remove(header::ROLE);
+    if call.repeat_permille > 0 {
+        let permille = HeaderValue::from(call.repeat_permille);
+        parts.headers.insert(REPEAT, permille);
+    }
     match &plane.contract {
         Some(contract) => contract.rewrite_for_hop(&mut parts.headers, call.urgency),
         None => {
--- a/buckthorn/src/proxy/header.rs
+++ b/buckthorn/src/proxy/header.rs
@@ -36,6 +36,8 @@
 pub const URGENCY: &str = "x-buckthorn-urgency";
 /// Longest wait in the owner's queue in milliseconds, from ingress to owner.
 pub const MAX_WAIT: &str = "x-buckthorn-patience-ms";
+/// Probability in thousandths that the call repeats an earlier run, from ingress to owner.
+pub const REPEAT: &str = "x-buckthorn-repeat";
 /// `Host` header of the caller; on the hop the service's name stands in its place.
 pub const CALLER_HOST: &str = "x-buckthorn-host";
 /// Priority of a call (RFC 9218).
@@ -124,6 +126,8 @@
     pub received_at: Time,
     /// Longest time that the call may wait in owners' queues, `None` without a latency target.
     pub max_wait: Option<Duration>,
+    /// Probability in thousandths that the call is made on behalf of a retried one, at its ingress.
+    pub repeat_permille: u32,
 }
 
 /// Fraction of a route's latency target that a call may wait in owners' queues. The rest is about
@@ -181,6 +185,7 @@
             max_backend_attempts: Some(route.attempts.max(1)),
             received_at: now,
             max_wait: Some(route.latency_target.min(wait).mul_f64(MAX_WAIT_FRACTION)),
+            repeat_permille: 0,
         })
     }
 
@@ -220,6 +225,7 @@
             max_backend_attempts: None,
             received_at: now,
             max_wait: parse_number(&parts.headers, MAX_WAIT)?.map(Duration::from_millis),
+            repeat_permille: 0,
         })
     }
 
--- a/buckthorn/src/proxy/ingress.rs
+++ b/buckthorn/src/proxy/ingress.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use super::body::{Body, Monitor};
-use super::header::{CALLER_HOST, Call, LOAD, MAX_WAIT, ROLE, RouteError, SECRET, URGENCY};
+use super::header::{CALLER_HOST, Call, LOAD, MAX_WAIT, REPEAT, ROLE, RouteError, SECRET, URGENCY};
 use super::payload::{Payload, UploadStatus};
 use super::response::{self, Ran, Reason};
 use super::{Plane, dispatch, keyed, request_log};
@@ -19,8 +19,21 @@
 use crate::log_event::LogEvent;
 use crate::metrics::Stage;
 
+/// Where a caller's connection comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// The host of the node, so the caller may be its backend server.
+    Local,
+    /// Another host.
+    Remote,
+}
+
 /// Handles a caller's request.
-pub async fn handle(plane: &Arc<Plane>, request: Request<Monitor<Incoming>>) -> Response<Body> {
+pub async fn handle(
+    plane: &Arc<Plane>,
+    origin: Origin,
+    request: Request<Monitor<Incoming>>,
+) -> Response<Body> {
     plane.counters.increment(Counter::Calls);
     if plane.is_draining() {
         let reason = Reason::Refused(Refusal::Draining);
@@ -30,8 +43,12 @@
         );
     }
     let (mut parts, body) = request.into_parts();
+    // These headers are only valid between nodes.
+    for name in [SECRET, ROLE, URGENCY, CALLER_HOST, MAX_WAIT, REPEAT] {
+        parts.headers.remove(name);
+    }
     let now = plane.clock.now();
-    let call = match route(plane, &parts, now) {
+    let mut call = match route(plane, &parts, now) {
         Ok(call) => call,
         Err((reason, detail)) => {
             let refusal = response::refuse_with(&plane.counters, reason, Ran::NotRun, detail);
@@ -40,9 +57,8 @@
             return response;
         }
     };
-    // These headers are only valid between nodes.
-    for name in [SECRET, ROLE, URGENCY, CALLER_HOST, MAX_WAIT] {
-        parts.headers.remove(name);
+    if origin == Origin::Local {
+        call.repeat_permille = plane.repeat_share.permille();
     }
     let upload = parts
         .extensions
--- a/buckthorn/src/proxy/listen.rs
+++ b/buckthorn/src/proxy/listen.rs
@@ -18,6 +18,7 @@
 
 use super::body::{Body, Bounds, Monitor};
 use super::header::{self, Call, Role, SECRET};
+use super::ingress::Origin;
 use super::payload::{Payload, UploadStatus};
 use super::response::{self, Ran, Reason};
 use super::socket::{ConnectionState, Socket};
@@ -87,7 +88,7 @@
             Some(_) = tasks.join_next() => continue,
             () = draining(&mut phase) => break,
         };
-        let Ok((stream, _)) = accepted else {
+        let Ok((stream, peer)) = accepted else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
@@ -104,10 +105,18 @@
             }
             continue;
         };
+        let is_local = stream
+            .local_addr()
+            .is_ok_and(|local| local.ip() == peer.ip());
+        let origin = if is_local {
+            Origin::Local
+        } else {
+            Origin::Remote
+        };
         let (plane, phase) = (plane.clone(), phase.clone());
         tasks.spawn(async move {
             match port {
-                Port::Callers => serve_caller(plane, stream, phase).await,
+                Port::Callers => serve_caller(plane, stream, origin, phase).await,
                 Port::Hop => serve_node(plane, stream, phase).await,
             }
             drop(slot);
@@ -133,13 +142,18 @@
 }
 
 /// Serves one connection of a caller.
-async fn serve_caller(plane: Arc<Plane>, stream: TcpStream, mut phase: PhaseReceiver) {
+async fn serve_caller(
+    plane: Arc<Plane>,
+    stream: TcpStream,
+    origin: Origin,
+    mut phase: PhaseReceiver,
+) {
     let state = Arc::new(ConnectionState::default());
     let write_timeout = plane.limits.idle_body_timeout;
     let socket = TokioIo::new(Socket::new(stream, state.clone(), write_timeout));
     let service = {
         let (plane, state) = (plane.clone(), state.clone());
-        service_fn(move |request| handle_caller(plane.clone(), state.clone(), request))
+        service_fn(move |request| handle_caller(plane.clone(), state.clone(), origin, request))
     };
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -181,6 +195,7 @@
 async fn handle_caller(
     plane: Arc<Plane>,
     state: Arc<ConnectionState>,
+    origin: Origin,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
     state.mark_consumed();
@@ -198,7 +213,7 @@
         })
     });
     request.extensions_mut().insert(upload);
-    let mut response = ingress::handle(&plane, request).await;
+    let mut response = ingress::handle(&plane, origin, request).await;
     if plane.is_draining() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(names::CONNECTION, close);
--- a/buckthorn/src/proxy/mod.rs
+++ b/buckthorn/src/proxy/mod.rs
@@ -48,6 +48,7 @@
 use crate::counter::Counters;
 use crate::name::Name;
 use crate::node::telemetry;
+use crate::routing::repeat::RepeatShare;
 use crate::routing::table::Table;
 
 use self::contract::Contract;
@@ -82,6 +83,8 @@
     pub(crate) rate_limiters: request_log::RateLimiters,
     /// Connections to other nodes.
     pub(crate) peers: hop::Peers,
+    /// Share of repeats among the runs of the local backend server.
+    pub(crate) repeat_share: RepeatShare,
     /// Idempotency keys held by this node.
     pub(crate) keys: key::Store,
     /// Whether the node drains and refuses new calls.
@@ -208,6 +211,7 @@
     pub fn build(self) -> Plane {
         Plane {
             peers: hop::Peers::new(self.counters.clone(), &self.limits),
+            repeat_share: RepeatShare::default(),
             keys: key::Store::new(self.limits.keys, self.limits.key_window),
             table: self.table,
             owner: self.owner,
--- a/buckthorn/src/proxy/owner.rs
+++ b/buckthorn/src/proxy/owner.rs
@@ -12,7 +12,7 @@
 
 use super::body::{self, Body, Bounds, Ending, Fault, Monitor};
 use super::contract::Validation;
-use super::header::{self, Call, DEADLINE, LOAD};
+use super::header::{self, Call, DEADLINE, LOAD, REPEAT};
 use super::limit::Limits;
 use super::pool::{CheckoutError, Pool, ResponseBody, SendError};
 use super::response::{self, Ran, Reason};
@@ -227,6 +227,10 @@
         route: admitted.route,
         started: Instant::now(),
     }));
+    let repeat_permille = header::mesh_number(request.headers(), REPEAT).unwrap_or_default();
+    plane
+        .repeat_share
+        .record(u32::try_from(repeat_permille).unwrap_or(u32::MAX));
     let pool = owner.pool(&plane.counters, &plane.limits);
     let left = call.deadline.since(plane.clock.now());
     let deadline = Instant::now() + left;
@@ -420,6 +424,7 @@
     header::strip_connection_headers(headers);
     headers.remove(header::SECRET);
     headers.remove(header::ROLE);
+    headers.remove(REPEAT);
     headers.remove(names::EXPECT);
     let authority = request.uri().authority().cloned();
     match &plane.contract {
--- a/buckthorn/src/routing/budget.rs
+++ b/buckthorn/src/routing/budget.rs
@@ -10,7 +10,7 @@
 //!
 //! [`decide`] checks the budget last, so that only retries that every other rule permits use it.
 
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicI64, AtomicU32, Ordering};
 use std::time::Duration;
 
 use crate::clock::Time;
@@ -25,6 +25,10 @@
 /// Default capacity of a budget, in thousandths of a retry; a new budget is full.
 pub const MAX_CREDIT: u32 = 10 * RETRY_COST;
 
+/// Largest debt of a budget, in thousandths of a retry. Repeats that a budget doesn't grant, since
+/// another service's did, are paid off by later calls.
+pub const MAX_DEBT: u32 = 20 * RETRY_COST;
+
 /// Maximum number of attempts of one call, the first included.
 pub const MAX_ATTEMPTS: u32 = 3;
 
@@ -40,8 +44,8 @@
 /// Retry budget of a service.
 #[derive(Debug)]
 pub struct Budget {
-    /// Available credit, in thousandths of a retry.
-    credit: AtomicU32,
+    /// Available credit, in thousandths of a retry; negative while in debt.
+    credit: AtomicI64,
     /// Largest credit.
     capacity: AtomicU32,
     /// Credit that a call adds.
@@ -58,7 +62,7 @@
     /// thousandths of a retry.
     pub const fn with_capacity(capacity: u32, earned: u32) -> Self {
         Self {
-            credit: AtomicU32::new(capacity),
+            credit: AtomicI64::new(capacity as i64),
             capacity: AtomicU32::new(capacity),
             earned,
         }
@@ -68,34 +72,49 @@
     #[inline]
     pub fn earn(&self) {
         // A full budget is the common case and needs no write.
-        let capacity = self.capacity.load(Ordering::Relaxed);
+        let capacity = i64::from(self.capacity.load(Ordering::Relaxed));
         if self.credit.load(Ordering::Relaxed) >= capacity {
             return;
         }
         let _ = self
             .credit
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |credit| {
-                (credit < capacity).then(|| (credit + self.earned).min(capacity))
+                (credit < capacity).then(|| (credit + i64::from(self.earned)).min(capacity))
             });
     }
 
     /// Changes the capacity; credit beyond it is lost.
     pub fn resize(&self, capacity: u32) {
         self.capacity.store(capacity, Ordering::Relaxed);
-        self.credit.fetch_min(capacity, Ordering::Relaxed);
+        self.credit
+            .fetch_min(i64::from(capacity), Ordering::Relaxed);
     }
 
     /// Takes the credit for one retry; returns false when too little is left.
     pub fn spend(&self) -> bool {
         self.credit
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |credit| {
-                credit.checked_sub(RETRY_COST)
+                let left = credit - i64::from(RETRY_COST);
+                (left >= 0).then_some(left)
             })
             .is_ok()
     }
 
-    /// Returns the available credit, in thousandths of a retry.
-    pub fn credit(&self) -> u32 {
+    /// Charges a call that is itself a repeat with the given probability in thousandths, because
+    /// the call that it serves may have been retried.
+    pub fn charge_repeat(&self, permille: u32) {
+        if permille == 0 {
+            return;
+        }
+        let charge = |credit: i64| Some((credit - i64::from(permille)).max(-i64::from(MAX_DEBT)));
+        // The closure never declines.
+        let _ = self
+            .credit
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, charge);
+    }
+
+    /// Returns the available credit, in thousandths of a retry; negative while in debt.
+    pub fn credit(&self) -> i64 {
         self.credit.load(Ordering::Relaxed)
     }
 }
--- a/buckthorn/src/routing/choice.rs
+++ b/buckthorn/src/routing/choice.rs
@@ -139,6 +139,8 @@
         if found.1 < FULL_LOAD {
             return Some(found.0);
         }
+        // The report may be old, and only another call brings a new one.
+        found.0.load.decay_reported();
         if best.is_none_or(|(_, load)| found.1 < load) {
             best = Some(found);
         }
--- a/buckthorn/src/routing/mod.rs
+++ b/buckthorn/src/routing/mod.rs
@@ -2,10 +2,12 @@
 //!
 //! [`table`] resolves the intent to known backend servers, [`choice`] picks one of them for a call
 //! by the [`load`] that this node observes, [`outlier`] ejects those that fail more than others,
-//! and [`budget`] decides whether a failed attempt is retried.
+//! and [`budget`] decides whether a failed attempt is retried. [`repeat`] charges the budgets for the
+//! calls that retried calls make.
 
 pub mod budget;
 pub mod choice;
 pub mod load;
 pub mod outlier;
+pub mod repeat;
 pub mod table;
--- a/buckthorn/tests/routing_choice.rs
+++ b/buckthorn/tests/routing_choice.rs
@@ -72,6 +72,31 @@
     assert_chosen_when_full(&table, &mut rng);
 }
 
+/// A burst that filled the only local server must not send all later calls, and the bytes of their
+/// responses, to other failure domains: nothing but another call brings a newer report.
+#[test]
+fn a_single_local_server_is_tried_again_after_it_was_full() {
+    const RESPONSE_BYTES: u64 = 90_000;
+    const CALLS: u64 = 200;
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    let mut registry = Registry::default();
+    let table = mesh(&[0, 1, 2], &mut registry);
+    share(&table).endpoints[0].load.set_reported(1_500);
+    let mut bytes_between_domains = 0;
+    for _ in 0..CALLS {
+        let endpoint = chosen(&table, NOW, &[], &mut rng);
+        if *endpoint.failure_domain != *"a" {
+            bytes_between_domains += RESPONSE_BYTES;
+        }
+        // The server is idle again, which each response reports.
+        endpoint.load.set_reported(0);
+    }
+    assert!(
+        bytes_between_domains <= CALLS * RESPONSE_BYTES / 20,
+        "{bytes_between_domains} bytes"
+    );
+}
+
 /// Checks that a backend server is still chosen when every one is full.
 fn assert_chosen_when_full(table: &Table, rng: &mut ChaCha8Rng) {
     share(table)
--- a/buckthorn_lab/src/harness/mod.rs
+++ b/buckthorn_lab/src/harness/mod.rs
@@ -417,8 +417,11 @@
             } => self.append_from(node, stream, id, &payload),
             Action::RebuildTable => self.nodes[node].rebuilds += 1,
             // The simulated log is the mesh's own, in which decisions are appended records.
-            Action::ReadOrders(_) | Action::ReadDecisions | Action::Publish(_) | Action::Log(_) => {
-            }
+            Action::ReadOrders(_)
+            | Action::MonitorOrders(_)
+            | Action::ReadDecisions
+            | Action::Publish(_)
+            | Action::Log(_) => {}
         }
     }
 
