--- a/buckthorn/src/config/policy.rs
+++ b/buckthorn/src/config/policy.rs
@@ -28,12 +28,15 @@
     pub services: Vec<Service>,
 }
 
-/// Whether a route's requests may be retried after they may have run.
+/// Whether a route's requests may be retried after they may have run, and what its responses are
+/// like.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Kind {
     /// Requests may run more than once.
     Idempotent,
+    /// Requests may run more than once, and their responses are large.
+    Bulk,
     /// Requests may run at most once.
     NonIdempotent,
 }
@@ -47,7 +50,7 @@
     pub host: Name,
     /// Path prefix that requests have to match.
     pub prefix: Name,
-    /// Whether its requests may be retried.
+    /// Whether its requests may be retried, and whether its responses are large.
     pub kind: Kind,
     /// Maximum number of backend servers to which one request may be sent.
     pub attempts: u32,
--- a/buckthorn/src/proxy/dispatch.rs
+++ b/buckthorn/src/proxy/dispatch.rs
@@ -183,7 +183,7 @@
         return Err(Reason::NoRoute);
     };
     let now = plane.clock.now();
-    match choose(&table, route, now, tried, &mut rand::rng()) {
+    match choose(&table, route, now, tried, call.spill_load, &mut rand::rng()) {
         Choice::Endpoint(_, endpoint) => {
             if let Some(counter) = choice::counter(&table, endpoint, now) {
                 plane.counters.increment(counter);
--- a/buckthorn/src/proxy/header.rs
+++ b/buckthorn/src/proxy/header.rs
@@ -9,6 +9,7 @@
 use crate::admission::gate::{DEFAULT_URGENCY, Offer, Urgency};
 use crate::clock::Time;
 use crate::config::policy::{Kind, Policy};
+use crate::routing::choice::{BULK_SPILL_LOAD, FULL_LOAD};
 
 /// Milliseconds until the deadline of the call.
 pub const DEADLINE: &str = "x-buckthorn-deadline-ms";
@@ -110,6 +111,9 @@
     pub path: String,
     /// Whether running the call twice has the same effect as running it once.
     pub is_idempotent: bool,
+    /// Load of the local failure domain's servers, in thousandths, from which the call goes to
+    /// another failure domain.
+    pub spill_load: u32,
     /// Urgency by which owners order their queues.
     pub urgency: Urgency,
     /// Time by which the head of the response is needed.
@@ -176,7 +180,11 @@
         Ok(Self {
             service: route.next_service().to_string(),
             path: parts.uri.path().to_owned(),
-            is_idempotent: route.kind == Kind::Idempotent,
+            is_idempotent: route.kind != Kind::NonIdempotent,
+            spill_load: match route.kind {
+                Kind::Bulk => BULK_SPILL_LOAD,
+                Kind::Idempotent | Kind::NonIdempotent => FULL_LOAD,
+            },
             urgency: route.urgency,
             deadline: now + wait,
             has_deadline: remaining.is_some(),
@@ -213,6 +221,7 @@
             service,
             path: parts.uri.path().to_owned(),
             is_idempotent: is_idempotent(&parts.method),
+            spill_load: FULL_LOAD,
             urgency: match parse_number(&parts.headers, URGENCY)? {
                 Some(urgency) => urgency.min(u64::from(LOWEST_URGENCY)) as Urgency,
                 None => urgency(&parts.headers),
--- a/buckthorn/src/routing/choice.rs
+++ b/buckthorn/src/routing/choice.rs
@@ -22,9 +22,14 @@
 use crate::counter::Counter;
 use crate::name::Name;
 
-/// Load at which a backend server counts as full, in thousandths of its limit.
+/// Load at which a backend server counts as full for most calls, in thousandths of its limit.
 pub const FULL_LOAD: u32 = 1_000;
 
+/// Load of the local failure domain's servers from which calls with large responses leave it, in
+/// thousandths of their limit. Up to it they wait in the queue of a local server instead, because
+/// bytes between failure domains cost more than that wait.
+pub const BULK_SPILL_LOAD: u32 = 3 * FULL_LOAD;
+
 /// A returning backend server is a candidate in one of this many draws.
 pub const RETURNING_DIVISOR: u32 = 10;
 
@@ -47,25 +52,29 @@
     now: Time,
     /// Hosts already tried for this call.
     tried: &'a [Name],
+    /// Load from which a backend server counts as full, in thousandths of its limit.
+    spill_load: u32,
     /// Whether ejections are ignored.
     is_panic: bool,
     /// Whether hosts that were recently unreachable are candidates.
     is_last_resort: bool,
 }
 
-/// Chooses a backend server for a call, excluding hosts already tried.
+/// Chooses a backend server for a call, excluding hosts already tried. The call leaves the failure
+/// domain when the servers there have at least the load `spill_load`.
 pub fn choose<'a>(
     table: &Table,
     route: &'a Route,
     now: Time,
     tried: &[Name],
+    spill_load: u32,
     rng: &mut impl Rng,
 ) -> Choice<'a> {
     let draw = rng.random_range(0..FULL_SHARE);
     let Some(share) = pick_share(route, draw) else {
         return Choice::NoBackendServer;
     };
-    if let Some(endpoint) = pick(share, now, tried, rng) {
+    if let Some(endpoint) = pick(share, now, tried, spill_load, rng) {
         assert!(
             !table.is_out(&endpoint.failure_domain),
             "invariant: a failure domain out of service receives no new calls"
@@ -74,7 +83,7 @@
     }
     // A call may fall back from the new version to the old one, but never the reverse.
     let fallback = route.shares.iter().find(|s| s.move_id.is_none());
-    match fallback.and_then(|old| Some((old, pick(old, now, tried, rng)?))) {
+    match fallback.and_then(|old| Some((old, pick(old, now, tried, spill_load, rng)?))) {
         Some((old, endpoint)) => Choice::Endpoint(old, endpoint),
         None => Choice::NoBackendServer,
     }
@@ -102,11 +111,13 @@
     share: &'a Share,
     now: Time,
     tried: &[Name],
+    spill_load: u32,
     rng: &mut impl Rng,
 ) -> Option<&'a Endpoint> {
     let filter = Filter {
         now,
         tried,
+        spill_load,
         is_panic: is_panic(share, now),
         is_last_resort: false,
     };
@@ -136,7 +147,7 @@
         let Some(found) = pick_two(group, filter, rng) else {
             continue;
         };
-        if found.1 < FULL_LOAD {
+        if found.1 < filter.spill_load {
             return Some(found.0);
         }
         // The report may be old, and only another call brings a new one.
--- a/buckthorn/tests/routing_choice.rs
+++ b/buckthorn/tests/routing_choice.rs
@@ -8,7 +8,7 @@
 use buckthorn::counter::Counter;
 use buckthorn::name::Name;
 use buckthorn::rollout::evidence::Outcome;
-use buckthorn::routing::choice::{self, Choice, choose};
+use buckthorn::routing::choice::{self, BULK_SPILL_LOAD, Choice, FULL_LOAD, choose};
 use buckthorn::routing::load::{Health, Registry};
 use buckthorn::routing::outlier::{self, EJECTION, MAX_FAILURES, PROBATION, Verdict};
 use buckthorn::routing::table::{Endpoint, Share, Table};
@@ -32,7 +32,7 @@
 /// Chooses an endpoint, and panics if there is none.
 fn chosen<'a>(table: &'a Table, now: Time, tried: &[Name], rng: &mut ChaCha8Rng) -> &'a Endpoint {
     let route = table.resolve("cards", "/").unwrap();
-    match choose(table, route, now, tried, rng) {
+    match choose(table, route, now, tried, FULL_LOAD, rng) {
         Choice::Endpoint(_, endpoint) => endpoint,
         Choice::NoBackendServer => panic!("a backend server is known"),
     }
@@ -97,6 +97,34 @@
     );
 }
 
+/// Calls with large responses wait for a local server where others go elsewhere.
+#[test]
+fn calls_with_large_responses_leave_a_failure_domain_later() {
+    let mut rng = ChaCha8Rng::seed_from_u64(6);
+    let mut registry = Registry::default();
+    let table = mesh(&[0, 0, 1, 2], &mut registry);
+    let route = table.resolve("cards", "/").unwrap();
+    for (permille, spill_load, is_local) in [
+        (900, FULL_LOAD, true),
+        (1_100, FULL_LOAD, false),
+        (2_900, BULK_SPILL_LOAD, true),
+        (3_100, BULK_SPILL_LOAD, false),
+    ] {
+        for endpoint in &share(&table).endpoints[..2] {
+            endpoint.load.set_reported(permille);
+        }
+        let Choice::Endpoint(_, endpoint) = choose(&table, route, NOW, &[], spill_load, &mut rng)
+        else {
+            panic!("a backend server is known");
+        };
+        let expected = if is_local { "a" } else { "bc" };
+        assert!(
+            expected.contains(&*endpoint.failure_domain),
+            "{permille} of {spill_load}"
+        );
+    }
+}
+
 /// Checks that a backend server is still chosen when every one is full.
 fn assert_chosen_when_full(table: &Table, rng: &mut ChaCha8Rng) {
     share(table)
@@ -125,7 +153,7 @@
         tried.push(host);
     }
     let route = table.resolve("cards", "/").unwrap();
-    let choice = choose(&table, route, NOW, &tried, &mut rng);
+    let choice = choose(&table, route, NOW, &tried, FULL_LOAD, &mut rng);
     assert!(matches!(choice, Choice::NoBackendServer));
 }
 
@@ -250,12 +278,12 @@
     let table = table(&state(500, &[]), &view(members), &mut registry);
     let route = table.resolve("cards", "/").unwrap();
     for _ in 0..100 {
-        let fell_back = choose(&table, route, NOW, &["h001".into()], &mut rng);
+        let fell_back = choose(&table, route, NOW, &["h001".into()], FULL_LOAD, &mut rng);
         assert!(matches!(fell_back, Choice::Endpoint(s, _) if &*s.version == "v1"));
     }
     let tried = ["h000".into()];
     let new = (0..1_000)
-        .map(|_| choose(&table, route, NOW, &tried, &mut rng))
+        .map(|_| choose(&table, route, NOW, &tried, FULL_LOAD, &mut rng))
         .filter(|choice| matches!(choice, Choice::Endpoint(..)))
         .count();
     assert!(
--- a/buckthorn_lab/src/experiment/mesh.rs
+++ b/buckthorn_lab/src/experiment/mesh.rs
@@ -21,7 +21,7 @@
 use buckthorn::rollout::evidence::Outcome;
 use buckthorn::rollout::quarantine::Quarantine;
 use buckthorn::routing::budget::{self, Attempt, Execution, Failure, Layer, MAX_ATTEMPTS};
-use buckthorn::routing::choice::{Choice, choose};
+use buckthorn::routing::choice::{Choice, FULL_LOAD, choose};
 use buckthorn::routing::load::Registry;
 use buckthorn::routing::table::{Endpoint, Table};
 use rand::Rng;
@@ -451,7 +451,14 @@
             return self.finish_call(id, false);
         };
         let endpoint = if self.config.policy == Policy::Product {
-            match choose(&node.table, route, self.now, &call.tried, &mut self.rng) {
+            match choose(
+                &node.table,
+                route,
+                self.now,
+                &call.tried,
+                FULL_LOAD,
+                &mut self.rng,
+            ) {
                 Choice::Endpoint(_, endpoint) => Some(endpoint.clone()),
                 Choice::NoBackendServer => None,
             }
