Bring a failure domain back at nodes that learn of it from a reader

A reader that had read the newest records only saw that the order was gone. It passed on the domain as in service under the offset of the old order, and its follower ignored that as nothing newer.

An entry in service with the same offset as one that is out now counts as its withdrawal. Ruled out: the node's own reads, which it had given up for its readers at 12.3 s, and lost notifications (it applied eight later policies).

--- a/buckthorn/src/config/order.rs
+++ b/buckthorn/src/config/order.rs
@@ -295,7 +295,9 @@
         }
     }
 
-    /// Sets a failure domain's state if the order is newer than the last one about it.
+    /// Sets a failure domain's state if the order is newer than the last one about it. A node that
+    /// learned of a withdrawal only because the order is missing from a complete batch has no newer
+    /// offset for it, and sends the domain as in service under the offset of that order.
     fn put_domain(&mut self, offset: u64, name: &Name, is_out: bool) {
         let domain = Domain {
             name: name.clone(),
@@ -303,8 +305,14 @@
             is_out,
         };
         match self.domains.binary_search_by(|d| d.name.cmp(name)) {
-            Ok(index) if self.domains[index].offset >= offset => return,
-            Ok(index) => self.domains[index] = domain,
+            Ok(index) => {
+                let held = &self.domains[index];
+                let is_withdrawal = offset == held.offset && held.is_out && !is_out;
+                if held.offset >= offset && !is_withdrawal {
+                    return;
+                }
+                self.domains[index] = domain;
+            }
             Err(index) => self.domains.insert(index, domain),
         }
         self.revision += 1;
--- a/buckthorn/tests/config_relay.rs
+++ b/buckthorn/tests/config_relay.rs
@@ -573,3 +573,42 @@
     assert!(excerpt(4).policy.is_some());
     assert!(excerpt(5).policy.is_none());
 }
+
+/// A reader whose history was deleted sees that a failure domain is back in service only by the
+/// missing order, which has no offset; its followers kept the domain out for good.
+#[test]
+fn a_withdrawal_that_the_sender_saw_as_a_missing_order_reaches_the_receiver() {
+    let batch = |end, is_complete, entries: Vec<(u64, Order)>| OrderBatch {
+        is_complete,
+        end,
+        follows_failure: false,
+        entries: entries
+            .into_iter()
+            .map(|(offset, order)| Entry { offset, order })
+            .collect(),
+    };
+    let out = Order::Domain {
+        name: "b".into(),
+        is_out: true,
+    };
+    let first = batch(5, true, vec![(3, policy(1, 3)), (4, out)]);
+    let (mut reader, mut follower) = (Orders::default(), Orders::default());
+    reader.apply(&first, START);
+    follower.apply(&first, START);
+    assert_eq!(follower.domains_out(), ["b".into()]);
+    reader.apply(&batch(7, true, vec![(6, policy(2, 3))]), START);
+    assert!(reader.domains_out().is_empty());
+    let excerpt = |orders: &Orders, from| {
+        let compress = |_, policy: &Policy| CompressedPolicy::new(policy);
+        Excerpt::new(orders, from, compress)
+            .unwrap()
+            .to_batch()
+            .unwrap()
+    };
+    let late = excerpt(&follower, 5);
+    follower.apply(&excerpt(&reader, 5), START);
+    assert!(follower.domains_out().is_empty());
+    // An older state that arrives late doesn't take it out again.
+    follower.apply(&late, START);
+    assert!(follower.domains_out().is_empty());
+}
