--- a/buckthorn/src/proxy/ingress.rs
+++ b/buckthorn/src/proxy/ingress.rs
@@ -43,10 +43,6 @@
         );
     }
     let (mut parts, body) = request.into_parts();
-    // These headers are only valid between nodes.
-    for name in [SECRET, ROLE, URGENCY, CALLER_HOST, MAX_WAIT, REPEAT] {
-        parts.headers.remove(name);
-    }
     let now = plane.clock.now();
     let mut call = match route(plane, &parts, now) {
         Ok(call) => call,
@@ -57,6 +53,10 @@
             return response;
         }
     };
+    // These headers are only valid between nodes.
+    for name in [SECRET, ROLE, URGENCY, CALLER_HOST, MAX_WAIT, REPEAT] {
+        parts.headers.remove(name);
+    }
     if origin == Origin::Local {
         call.repeat_permille = plane.repeat_share.permille();
     }
