--- a/buckthorn/src/config/intake.rs
+++ b/buckthorn/src/config/intake.rs
@@ -18,7 +18,7 @@
 use crate::rpc::message::Message;
 
 use super::excerpt::{CompressedPolicy, Excerpt};
-use super::order::{Decision, OrderBatch};
+use super::order::{Decision, Entry, Order, OrderBatch};
 use super::policy::Policy;
 use super::relay::{Relay, RelayAction};
 
@@ -185,6 +185,7 @@
             cx.log_event(LogEvent::DomainsOut, now_out.join(","), detail);
         }
         cx.shared.is_synced = cx.shared.orders.policy().is_some();
+        log_ignored(cx, batch);
         if has_changed {
             cx.act(Action::RebuildTable);
         }
@@ -313,6 +314,23 @@
     }
 }
 
+/// Logs a policy of a batch that is not in force after the batch was applied.
+fn log_ignored(cx: &mut Context<'_>, batch: &OrderBatch) {
+    for Entry { offset, order } in &batch.entries {
+        let Order::Policy(policy) = order else {
+            continue;
+        };
+        let held = cx.shared.orders.policy_order();
+        let Some((held_offset, held)) = held.filter(|(_, held)| held.version != policy.version)
+        else {
+            continue;
+        };
+        let version = held.version;
+        let detail = format!("at offset {offset}; in force: {version} from offset {held_offset}");
+        cx.log_event(LogEvent::OrdersIgnored, policy.version, detail);
+    }
+}
+
 /// Applies published decisions on moves.
 fn apply_decisions(cx: &mut Context<'_>, decisions: &[Decision]) {
     if cx.shared.orders.apply_decisions(decisions) {
