--- a/buckthorn/src/config/excerpt.rs
+++ b/buckthorn/src/config/excerpt.rs
@@ -19,6 +19,7 @@
 
 use super::order::{Entry, Order, OrderBatch, Orders};
 use super::policy::Policy;
+use super::position::Position;
 
 /// Maximum bytes of a compressed policy in an excerpt, below the limit of a control message.
 pub const MAX_COMPRESSED_BYTES: usize = 512 * 1024;
@@ -93,25 +94,32 @@
 /// Orders in force at a node that are sent to another node.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Excerpt {
-    /// Offset after the last order that the sender has read.
-    pub next: u64,
-    /// Policy with the offset of its order; `None` when the receiver has it.
-    pub policy: Option<(u64, CompressedPolicy)>,
-    /// All moves and failure domains, with the offsets of their orders.
-    pub rest: Vec<(u64, SmallOrder)>,
+    /// Position after the last order that the sender has read.
+    pub next: Position,
+    /// Policy with the position of its order; `None` when the receiver has it.
+    pub policy: Option<(Position, CompressedPolicy)>,
+    /// All moves and failure domains of the sender's era, with the positions of their orders.
+    pub rest: Vec<(Position, SmallOrder)>,
 }
 
 impl Excerpt {
-    /// Excerpt for a node that has read up to `from`. `compress` is called only when that node
-    /// lacks the policy.
+    /// Excerpt for a node that has read up to `from` and serves a version of the policy. `compress`
+    /// is called only when that node lacks the policy.
     pub fn new<E>(
         orders: &Orders,
-        from: u64,
-        compress: impl FnOnce(u64, &Policy) -> Result<CompressedPolicy, E>,
+        (from, version): (Position, u64),
+        compress: impl FnOnce(Position, &Policy) -> Result<CompressedPolicy, E>,
     ) -> Result<Self, E> {
-        let policy = orders.policy_order().filter(|(offset, _)| *offset >= from);
+        let era = orders.next().era;
+        let policy = orders.policy_order().filter(|(position, policy)| {
+            // A policy of an earlier era was lost by the log, wherever the node has read to.
+            let is_unread = *position >= from || position.era < era;
+            is_unread && policy.version > version
+        });
         let policy = policy
-            .map(|(offset, policy)| compress(offset, policy).map(|compressed| (offset, compressed)))
+            .map(|(position, policy)| {
+                compress(position, policy).map(|compressed| (position, compressed))
+            })
             .transpose()?;
         let moves = orders.moves().iter().map(|entry| {
             let order = SmallOrder::Move {
@@ -121,14 +129,18 @@
             };
             (entry.order, order)
         });
-        let domains = orders.domains().map(|(offset, name, is_out)| {
+        let domains = orders.domains().map(|(position, name, is_out)| {
             let name = name.clone();
-            (offset, SmallOrder::Domain { name, is_out })
+            (position, SmallOrder::Domain { name, is_out })
         });
+        // An order of an earlier era stays in force only where it was before.
+        let rest = moves
+            .chain(domains)
+            .filter(|(position, _)| position.era == era);
         Ok(Self {
             next: orders.next(),
             policy,
-            rest: moves.chain(domains).collect(),
+            rest: rest.collect(),
         })
     }
 
@@ -139,9 +151,9 @@
     /// Fails when the policy cannot be decoded.
     pub fn to_batch(&self) -> anyhow::Result<OrderBatch> {
         let mut entries: Vec<Entry> = self.rest.iter().map(SmallOrder::entry).collect();
-        if let Some((offset, compressed)) = &self.policy {
+        if let Some((position, compressed)) = &self.policy {
             entries.push(Entry {
-                offset: *offset,
+                position: *position,
                 order: Order::Policy(Arc::new(compressed.decompress()?)),
             });
         }
@@ -156,7 +168,7 @@
 
 impl SmallOrder {
     /// Converts to an entry of a batch.
-    fn entry((offset, order): &(u64, Self)) -> Entry {
+    fn entry((position, order): &(Position, Self)) -> Entry {
         let order = match order.clone() {
             Self::Move {
                 service,
@@ -170,7 +182,7 @@
             Self::Domain { name, is_out } => Order::Domain { name, is_out },
         };
         Entry {
-            offset: *offset,
+            position: *position,
             order,
         }
     }
--- a/buckthorn/src/config/intake.rs
+++ b/buckthorn/src/config/intake.rs
@@ -2,7 +2,7 @@
 //!
 //! A node reads the topic itself or receives the orders from nodes that do ([`super::relay`]). A
 //! read that makes no progress is restarted when a peer has newer orders, and the peer is asked for
-//! them: probes carry the offset up to which a node has read. A node that reads new orders after a
+//! them: probes carry the position up to which a node has read. A node that reads new orders after a
 //! failed read notifies a few peers at once, whose reads may hang for the same cause; they notify
 //! others in turn.
 
@@ -20,6 +20,7 @@
 use super::excerpt::{CompressedPolicy, Excerpt};
 use super::order::{Decision, Entry, Order, OrderBatch};
 use super::policy::Policy;
+use super::position::Position;
 use super::relay::{Relay, RelayAction};
 
 /// Fraction of the time within which an order has to be in force that a node waits for its own
@@ -53,9 +54,9 @@
     is_monitor: bool,
     /// Decides whether the node reads the log or follows other nodes.
     relay: Relay,
-    /// Cached compressed policy with the offset of its order; the policy is `None` when it is too
+    /// Cached compressed policy with the position of its order; the policy is `None` when it is too
     /// large to send.
-    compressed: Option<(u64, Option<CompressedPolicy>)>,
+    compressed: Option<(Position, Option<CompressedPolicy>)>,
 }
 
 /// Peer that has newer orders than this node.
@@ -96,6 +97,11 @@
 impl Intake {
     /// Requests orders when due. A node without a policy reads the log itself.
     fn tick(&mut self, cx: &mut Context<'_>) {
+        let out = cx.shared.orders.domains_out();
+        if cx.shared.orders.settle(cx.now) {
+            log_domains_out(cx, &out);
+            cx.act(Action::RebuildTable);
+        }
         if !cx.shared.is_synced || cx.shared.is_stopping {
             return;
         }
@@ -123,10 +129,14 @@
         match action {
             RelayAction::Nothing => {}
             RelayAction::Request(hosts) => {
-                let decisions = cx.shared.orders.decisions_hash();
+                let request = Message::WantOrders {
+                    from,
+                    policy: policy_version(cx),
+                    decisions: cx.shared.orders.decisions_hash(),
+                };
                 for host in hosts {
                     if let Some(reader) = cx.shared.view.get(&host).cloned() {
-                        cx.send(&reader, vec![Message::WantOrders { from, decisions }]);
+                        cx.send(&reader, vec![request.clone()]);
                     }
                 }
             }
@@ -179,11 +189,7 @@
         self.ahead = None;
         let out = cx.shared.orders.domains_out();
         let has_changed = cx.shared.orders.apply(batch, cx.now);
-        let now_out = cx.shared.orders.domains_out();
-        if now_out != out {
-            let detail = format!("read up to offset {}", cx.shared.orders.next());
-            cx.log_event(LogEvent::DomainsOut, now_out.join(","), detail);
-        }
+        log_domains_out(cx, &out);
         cx.shared.is_synced = cx.shared.orders.policy().is_some();
         log_ignored(cx, batch);
         if has_changed {
@@ -197,8 +203,9 @@
         match message {
             Message::WantOrders {
                 from: next,
+                policy,
                 decisions,
-            } => self.reply(cx, from, *next, *decisions),
+            } => self.reply(cx, from, (*next, *policy), *decisions),
             Message::Orders {
                 is_reader,
                 excerpt,
@@ -232,14 +239,26 @@
         }
     }
 
-    /// Replies to a node that requests orders from offset `next` on and has the decisions with this
-    /// hash.
-    fn reply(&mut self, cx: &mut Context<'_>, from: &Name, next: u64, decisions_hash: u64) {
+    /// Replies to a node that requests orders from a position on, serves a version of the policy and
+    /// has the decisions with this hash.
+    fn reply(
+        &mut self,
+        cx: &mut Context<'_>,
+        from: &Name,
+        (next, policy): (Position, u64),
+        decisions_hash: u64,
+    ) {
         if cx.shared.view.get(from).is_some() {
             self.relay.record_follower(cx.now, from);
         }
-        let excerpt = (next < cx.shared.orders.next())
-            .then(|| Excerpt::new(&cx.shared.orders, next, |o, p| self.compress(o, p)))
+        let is_behind = next < cx.shared.orders.next()
+            || next == cx.shared.orders.next() && policy < policy_version(cx);
+        let excerpt = is_behind
+            .then(|| {
+                Excerpt::new(&cx.shared.orders, (next, policy), |at, p| {
+                    self.compress(at, p)
+                })
+            })
             .transpose();
         // A node whose policy is too large to send is of no use as a reader.
         let is_reader = self.relay.is_reader() && excerpt.is_ok();
@@ -254,22 +273,29 @@
     }
 
     /// Compressed policy, from the cache if it was compressed before.
-    fn compress(&mut self, offset: u64, policy: &Policy) -> Result<CompressedPolicy, TooLarge> {
+    fn compress(
+        &mut self,
+        position: Position,
+        policy: &Policy,
+    ) -> Result<CompressedPolicy, TooLarge> {
         let cached = self
             .compressed
             .as_ref()
-            .filter(|(cached_offset, _)| *cached_offset == offset);
+            .filter(|(cached_position, _)| *cached_position == position);
         let compressed = match cached {
             Some((_, compressed)) => compressed.clone(),
             None => CompressedPolicy::new(policy).ok(),
         };
-        self.compressed = Some((offset, compressed.clone()));
+        self.compressed = Some((position, compressed.clone()));
         compressed.ok_or(TooLarge)
     }
 
     /// Applies orders that a reader sent; malformed ones make the node read the log itself.
     fn apply_excerpt(&mut self, cx: &mut Context<'_>, from: &Name, excerpt: &Excerpt) {
-        if excerpt.next <= cx.shared.orders.next() {
+        // An excerpt that ends where this node has read to has only a policy that the log lost.
+        let is_newer = excerpt.next > cx.shared.orders.next();
+        let has_policy = excerpt.next == cx.shared.orders.next() && excerpt.policy.is_some();
+        if !is_newer && !has_policy {
             return;
         }
         match excerpt.to_batch() {
@@ -307,26 +333,39 @@
         cx.log_event(
             LogEvent::OrdersBehind,
             &host,
-            format!("this node has read up to offset {from}"),
+            format!("this node has read up to {from}"),
         );
         cx.act(Action::ReadOrders(OrderPolling::From(from)));
         self.execute(cx, RelayAction::Request(vec![host]));
     }
 }
 
+/// Version of the policy in force; 0 if there is none.
+fn policy_version(cx: &Context<'_>) -> u64 {
+    let policy = cx.shared.orders.policy();
+    policy.map_or(0, |policy| policy.version)
+}
+
+/// Logs the failure domains out of service if they are not the same as before.
+fn log_domains_out(cx: &mut Context<'_>, before: &[Name]) {
+    let out = cx.shared.orders.domains_out();
+    if out != before {
+        let detail = format!("read up to {}", cx.shared.orders.next());
+        cx.log_event(LogEvent::DomainsOut, out.join(","), detail);
+    }
+}
+
 /// Logs a policy of a batch that is not in force after the batch was applied.
 fn log_ignored(cx: &mut Context<'_>, batch: &OrderBatch) {
-    for Entry { offset, order } in &batch.entries {
+    for Entry { position, order } in &batch.entries {
         let Order::Policy(policy) = order else {
             continue;
         };
         let held = cx.shared.orders.policy_order();
-        let Some((held_offset, held)) = held.filter(|(_, held)| held.version != policy.version)
-        else {
+        let Some((held_at, held)) = held.filter(|(_, held)| held.version != policy.version) else {
             continue;
         };
-        let version = held.version;
-        let detail = format!("at offset {offset}; in force: {version} from offset {held_offset}");
+        let detail = format!("at {position}; in force: {} from {held_at}", held.version);
         cx.log_event(LogEvent::OrdersIgnored, policy.version, detail);
     }
 }
--- a/buckthorn/src/config/mod.rs
+++ b/buckthorn/src/config/mod.rs
@@ -7,5 +7,6 @@
 pub mod order;
 pub mod plan;
 pub mod policy;
+pub mod position;
 pub mod relay;
 pub mod sheet;
--- a/buckthorn/src/config/order.rs
+++ b/buckthorn/src/config/order.rs
@@ -1,9 +1,15 @@
 //! Operators' orders in force at a node: the policy, moves of services, failure domains out of
 //! service, and the decisions on moves that the mesh has published.
 //!
-//! Orders are keyed, and each has its offset in the platform's log. An order replaces another of
-//! the same key only if its offset is higher, so repeated and late reads are harmless and the state
-//! never returns to an older version.
+//! Orders are keyed, and each has its position in the platform's log. An order replaces another of
+//! the same key only if its position is higher, so repeated and late reads are harmless and the
+//! state never returns to an older version.
+//!
+//! A log that was restored from an older copy has lost orders that are in force here, and may return
+//! older ones in their place, until the operators have written them again. Therefore policies are
+//! ordered by their versions across eras, and other orders of the earlier era stay in force for a
+//! grace period unless the log has a newer one. An order that is written again, or that the copy
+//! kept, is the same order under a new position: a move keeps its progress.
 
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
@@ -16,6 +22,11 @@
 use crate::name::Name;
 
 use super::policy::Policy;
+use super::position::Position;
+
+/// Time after a restore of the log within which operators write again what it lost. Orders that have
+/// to be in force within 5 s still are when they replace one that is kept for so long.
+pub const RESTORE_GRACE: Duration = Duration::from_secs(2);
 
 /// Order published by operators.
 #[derive(Clone, Debug)]
@@ -45,11 +56,11 @@
     },
 }
 
-/// Order with its offset in the log.
+/// Order with its position in the log.
 #[derive(Clone, Debug)]
 pub struct Entry {
-    /// Offset in the log.
-    pub offset: u64,
+    /// Position in the log.
+    pub position: Position,
     /// The order itself.
     pub order: Order,
 }
@@ -59,9 +70,9 @@
 pub struct OrderBatch {
     /// Whether the batch holds the newest order of every key, so that missing keys were withdrawn.
     pub is_complete: bool,
-    /// Offset after the last order that the batch covers; a key that a complete batch lacks is
-    /// withdrawn only if its order has a lower offset.
-    pub end: u64,
+    /// Position after the last order that the batch covers; a key that a complete batch lacks is
+    /// withdrawn only if its order has a lower position in the same era.
+    pub end: Position,
     /// Whether the previous read failed, so that other nodes may lack these orders.
     pub follows_failure: bool,
     /// Orders with their offsets.
@@ -87,8 +98,8 @@
     pub service: Name,
     /// Version that it moves to.
     pub version: Name,
-    /// Offset of the order.
-    pub order: u64,
+    /// Position of the order.
+    pub order: Position,
     /// Phase that was decided.
     pub phase: Phase,
 }
@@ -102,8 +113,10 @@
     pub version: Name,
     /// Time within which it is to be completed.
     pub window: Duration,
-    /// Offset of the order; identifies the move.
-    pub order: u64,
+    /// Position of the order; identifies the move.
+    pub order: Position,
+    /// Position of the same order in an earlier era.
+    pub previous: Option<Position>,
     /// Time at which this node first read or received the order.
     pub started: Time,
     /// Share of the new version in thousandths.
@@ -112,30 +125,54 @@
     pub phase: Phase,
 }
 
+impl Move {
+    /// Whether the move is that of the order at a position.
+    pub fn is_of(&self, order: Position) -> bool {
+        self.order == order || self.previous == Some(order)
+    }
+}
+
 /// Failure domain that operators have named.
 #[derive(Clone, Debug)]
 struct Domain {
     /// Name of the failure domain.
     name: Name,
-    /// Offset of the newest order about it.
-    offset: u64,
+    /// Position of the newest order about it.
+    position: Position,
     /// Whether it is out of service.
     is_out: bool,
 }
 
+/// How an order that was read or received relates to the one that is in force for its key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Relation {
+    /// It is the same order, or an older one.
+    Old,
+    /// It is the same order in a later era.
+    Moved,
+    /// It replaces the one in force.
+    Newer,
+    /// It is from a later era, and either older, kept by the copy, or written since the restore.
+    Unclear,
+}
+
 /// Orders and decisions that are in force.
 #[derive(Debug, Default)]
 pub struct Orders {
-    /// Policy with the offset of its order.
-    policy: Option<(u64, Arc<Policy>)>,
+    /// Policy with the position of its order.
+    policy: Option<(Position, Arc<Policy>)>,
     /// Moves, sorted by service.
     moves: Vec<Move>,
     /// Failure domains, sorted by name.
     domains: Vec<Domain>,
     /// Published decisions, sorted by service.
     decisions: Vec<Decision>,
-    /// Offset after the last order read.
-    next: u64,
+    /// Position after the last order read.
+    next: Position,
+    /// Time at which this node learned that the log was restored, until the grace period is over.
+    restored_at: Option<Time>,
+    /// Orders of the era that take effect after the grace period, if nothing newer has.
+    deferred: Vec<Entry>,
     /// Number of changes so far.
     revision: u64,
 }
@@ -146,17 +183,17 @@
         self.policy.as_ref().map(|(_, policy)| policy)
     }
 
-    /// Policy in force with the offset of its order.
-    pub fn policy_order(&self) -> Option<(u64, &Arc<Policy>)> {
+    /// Policy in force with the position of its order.
+    pub fn policy_order(&self) -> Option<(Position, &Arc<Policy>)> {
         self.policy
             .as_ref()
-            .map(|(offset, policy)| (*offset, policy))
+            .map(|(position, policy)| (*position, policy))
     }
 
-    /// Failure domains that operators have named: offset of the last order, name, whether out.
-    pub fn domains(&self) -> impl Iterator<Item = (u64, &Name, bool)> {
+    /// Failure domains that operators have named: position of the last order, name, whether out.
+    pub fn domains(&self) -> impl Iterator<Item = (Position, &Name, bool)> {
         let domains = self.domains.iter();
-        domains.map(|domain| (domain.offset, &domain.name, domain.is_out))
+        domains.map(|domain| (domain.position, &domain.name, domain.is_out))
     }
 
     /// Moves, sorted by service.
@@ -181,8 +218,8 @@
         out.map(|domain| domain.name.clone()).collect()
     }
 
-    /// Offset after the last order read.
-    pub fn next(&self) -> u64 {
+    /// Position after the last order read.
+    pub fn next(&self) -> Position {
         self.next
     }
 
@@ -196,19 +233,24 @@
         self.revision += 1;
     }
 
-    /// Applies orders and returns whether anything changed.
+    /// Applies orders and returns whether anything changed. Those of an era that is over are
+    /// ignored, and the first batch of an era has to be complete.
     pub fn apply(&mut self, batch: &OrderBatch, now: Time) -> bool {
-        let before = self.revision;
-        for Entry { offset, order } in &batch.entries {
-            match order {
-                Order::Policy(policy) => self.put_policy(*offset, policy),
-                Order::Move {
-                    service,
-                    version,
-                    window,
-                } => self.put_move(*offset, (service, version, *window), now),
-                Order::Withdraw { service } => self.withdraw(*offset, service),
-                Order::Domain { name, is_out } => self.put_domain(*offset, name, *is_out),
+        let (before, era) = (self.revision, self.next.era);
+        if batch.end.era < era || batch.end.era > era && !batch.is_complete {
+            return false;
+        }
+        if batch.end.era > era {
+            let has_orders = self.next != Position::default();
+            self.restored_at = has_orders.then_some(now);
+            self.deferred.clear();
+        }
+        for entry in &batch.entries {
+            let relation = self.relation(entry);
+            if relation == Relation::Unclear && self.restored_at.is_some() {
+                self.defer(entry);
+            } else {
+                self.put(entry, relation, now);
             }
         }
         if batch.is_complete {
@@ -218,12 +260,118 @@
         self.revision != before
     }
 
-    /// Applies published decisions and returns whether anything changed.
+    /// Ends the grace period after a restore of the log once it is over: from then on only what the
+    /// log has is in force, except that the policy never returns to an older version. Returns whether
+    /// anything changed.
+    pub fn settle(&mut self, now: Time) -> bool {
+        let before = self.revision;
+        if self
+            .restored_at
+            .is_none_or(|restored_at| now.since(restored_at) < RESTORE_GRACE)
+        {
+            return false;
+        }
+        self.restored_at = None;
+        for entry in std::mem::take(&mut self.deferred) {
+            let relation = self.relation(&entry);
+            self.put(&entry, relation, now);
+        }
+        let era = self.next.era;
+        let held = self.moves.len() + self.domains.len();
+        self.moves.retain(|entry| entry.order.era == era);
+        self.domains.retain(|domain| domain.position.era == era);
+        self.revision += (held - self.moves.len() - self.domains.len()) as u64;
+        self.revision != before
+    }
+
+    /// How an order relates to the one in force for its key.
+    fn relation(&self, entry: &Entry) -> Relation {
+        let (held, is_equal) = match &entry.order {
+            // Versions order policies in all eras.
+            Order::Policy(_) => return Relation::Newer,
+            Order::Move {
+                service,
+                version,
+                window,
+            } => match self.find_move(service) {
+                Some(held) => (
+                    held.order,
+                    held.version == *version && held.window == *window,
+                ),
+                None => return Relation::Newer,
+            },
+            Order::Withdraw { service } => match self.find_move(service) {
+                Some(held) => (held.order, false),
+                None => return Relation::Old,
+            },
+            Order::Domain { name, is_out } => match self.domain(name) {
+                Some(held) => (held.position, held.is_out == *is_out),
+                None => return Relation::Newer,
+            },
+        };
+        let position = entry.position;
+        if position <= held {
+            Relation::Old
+        } else if position.era == held.era {
+            Relation::Newer
+        } else if is_equal {
+            Relation::Moved
+        } else if position.offset >= held.offset || position >= self.next_of(position.era) {
+            // The copy holds only offsets below that of the order that it lost, and this node has
+            // read all that it holds.
+            Relation::Newer
+        } else {
+            Relation::Unclear
+        }
+    }
+
+    /// Position up to which this node has read in an era, or the greatest one if it has not read
+    /// there.
+    fn next_of(&self, era: u16) -> Position {
+        if era == self.next.era {
+            self.next
+        } else {
+            Position::new(u16::MAX, u64::MAX)
+        }
+    }
+
+    /// Keeps an order until the grace period is over.
+    fn defer(&mut self, entry: &Entry) {
+        let is_known = |held: &Entry| held.position == entry.position;
+        if !self.deferred.iter().any(is_known) {
+            self.deferred.push(entry.clone());
+        }
+    }
+
+    /// Applies one order with its relation to the one in force.
+    fn put(&mut self, entry: &Entry, relation: Relation, now: Time) {
+        let position = entry.position;
+        match &entry.order {
+            Order::Policy(policy) => self.put_policy(position, policy),
+            Order::Move {
+                service,
+                version,
+                window,
+            } => self.put_move(position, (service, version, *window), relation, now),
+            Order::Withdraw { service } => self.withdraw(service, relation),
+            Order::Domain { name, is_out } => self.put_domain(position, name, *is_out, relation),
+        }
+    }
+
+    /// Failure domain that operators have named.
+    fn domain(&self, name: &Name) -> Option<&Domain> {
+        let index = self.domains.binary_search_by(|d| d.name.cmp(name)).ok()?;
+        Some(&self.domains[index])
+    }
+
+    /// Applies published decisions and returns whether anything changed. Those on an order older than
+    /// that of the decision already held are ignored.
     pub fn apply_decisions(&mut self, decisions: &[Decision]) -> bool {
         let before = self.revision;
         for decision in decisions {
             let key = &decision.service;
             match self.decisions.binary_search_by(|d| d.service.cmp(key)) {
+                Ok(index) if self.decisions[index].order > decision.order => continue,
                 Ok(index) => self.decisions[index] = decision.clone(),
                 Err(index) => self.decisions.insert(index, decision.clone()),
             }
@@ -234,12 +382,12 @@
 
     /// Ends an open move on the findings of other nodes, ahead of the published decision. Returns
     /// whether the move ended.
-    pub fn end_move(&mut self, service: &str, order: u64, phase: Phase) -> bool {
+    pub fn end_move(&mut self, service: &str, order: Position, phase: Phase) -> bool {
         let Ok(index) = self.index(service) else {
             return false;
         };
         let entry = &mut self.moves[index];
-        if entry.order != order || entry.phase != Phase::Running || phase == Phase::Running {
+        if !entry.is_of(order) || entry.phase != Phase::Running || phase == Phase::Running {
             return false;
         }
         entry.phase = phase;
@@ -252,43 +400,59 @@
         self.moves.binary_search_by(|m| (*m.service).cmp(service))
     }
 
-    /// Replaces the policy if both the offset and the version are newer.
-    fn put_policy(&mut self, offset: u64, policy: &Arc<Policy>) {
-        let is_newer = self
-            .policy
-            .as_ref()
-            .is_none_or(|(old_offset, old)| offset > *old_offset && policy.version > old.version);
-        if is_newer {
-            self.policy = Some((offset, policy.clone()));
-            self.revision += 1;
+    /// Replaces the policy if both the position and the version are newer. The same version at a
+    /// later position is the same policy, written again.
+    fn put_policy(&mut self, position: Position, policy: &Arc<Policy>) {
+        if let Some((held_position, held)) = &mut self.policy {
+            if policy.version == held.version {
+                *held_position = position.max(*held_position);
+            }
+            let is_stale = position.era == held_position.era && position <= *held_position;
+            if is_stale || policy.version <= held.version {
+                return;
+            }
         }
+        self.policy = Some((position, policy.clone()));
+        self.revision += 1;
     }
 
     /// Replaces a service's move if it was ordered later.
-    fn put_move(&mut self, offset: u64, order: (&Name, &Name, Duration), now: Time) {
+    fn put_move(
+        &mut self,
+        position: Position,
+        order: (&Name, &Name, Duration),
+        relation: Relation,
+        now: Time,
+    ) {
         let (service, version, window) = order;
         let entry = Move {
             service: service.clone(),
             version: version.clone(),
             window,
-            order: offset,
+            order: position,
+            previous: None,
             started: now,
             share: 0,
             phase: Phase::Running,
         };
-        match self.index(service) {
-            Ok(index) if self.moves[index].order >= offset => return,
-            Ok(index) => self.moves[index] = entry,
-            Err(index) => self.moves.insert(index, entry),
+        match (self.index(service), relation) {
+            (Ok(_), Relation::Old) => return,
+            (Ok(index), Relation::Moved) => {
+                let held = &mut self.moves[index];
+                held.previous = Some(held.order);
+                held.order = position;
+            }
+            (Ok(index), Relation::Newer | Relation::Unclear) => self.moves[index] = entry,
+            (Err(index), _) => self.moves.insert(index, entry),
         }
         self.revision += 1;
         self.apply_decision(service);
     }
 
     /// Removes a service's move if it was ordered earlier.
-    fn withdraw(&mut self, offset: u64, service: &Name) {
+    fn withdraw(&mut self, service: &Name, relation: Relation) {
         if let Ok(index) = self.index(service)
-            && self.moves[index].order < offset
+            && relation != Relation::Old
         {
             self.moves.remove(index);
             self.revision += 1;
@@ -297,18 +461,18 @@
 
     /// Sets a failure domain's state if the order is newer than the last one about it. A node that
     /// learned of a withdrawal only because the order is missing from a complete batch has no newer
-    /// offset for it, and sends the domain as in service under the offset of that order.
-    fn put_domain(&mut self, offset: u64, name: &Name, is_out: bool) {
+    /// position for it, and sends the domain as in service under the position of that order.
+    fn put_domain(&mut self, position: Position, name: &Name, is_out: bool, relation: Relation) {
         let domain = Domain {
             name: name.clone(),
-            offset,
+            position,
             is_out,
         };
         match self.domains.binary_search_by(|d| d.name.cmp(name)) {
             Ok(index) => {
                 let held = &self.domains[index];
-                let is_withdrawal = offset == held.offset && held.is_out && !is_out;
-                if held.offset >= offset && !is_withdrawal {
+                let is_withdrawal = position == held.position && held.is_out && !is_out;
+                if relation == Relation::Old && !is_withdrawal {
                     return;
                 }
                 self.domains[index] = domain;
@@ -318,14 +482,16 @@
         self.revision += 1;
     }
 
-    /// Withdraws orders that a complete batch no longer contains.
+    /// Withdraws orders that a complete batch no longer contains. Those of an earlier era stay until
+    /// [`Self::settle`].
     fn drop_missing(&mut self, batch: &OrderBatch) {
+        let is_covered = |position: Position| position.era == batch.end.era && position < batch.end;
         for index in 0..self.domains.len() {
             let domain = &mut self.domains[index];
             let is_named = batch.entries.iter().any(
                 |entry| matches!(&entry.order, Order::Domain { name, .. } if *name == domain.name),
             );
-            if domain.is_out && domain.offset < batch.end && !is_named {
+            if domain.is_out && is_covered(domain.position) && !is_named {
                 domain.is_out = false;
                 self.revision += 1;
             }
@@ -335,7 +501,7 @@
             let is_named = batch.entries.iter().any(|entry| {
                 matches!(&entry.order, Order::Move { service, .. } if *service == m.service)
             });
-            is_named || m.order >= batch.end
+            is_named || !is_covered(m.order)
         });
         self.revision += (before - self.moves.len()) as u64;
     }
@@ -348,7 +514,7 @@
         let decision = &self.decisions[index];
         if let Ok(index) = self.moves.binary_search_by(|m| m.service.cmp(service)) {
             let entry = &mut self.moves[index];
-            if entry.order == decision.order && entry.phase != decision.phase {
+            if entry.is_of(decision.order) && entry.phase != decision.phase {
                 entry.phase = decision.phase;
                 self.revision += 1;
             }
--- a/buckthorn/src/journal/plugin.rs
+++ b/buckthorn/src/journal/plugin.rs
@@ -322,7 +322,7 @@
                 send_to(cx, from, vec![pull]);
             }
             Message::Ping(digest) | Message::Ack(digest)
-                if digest.is_synced && digest.next <= cx.shared.tail.state().next =>
+                if digest.is_synced && digest.next <= cx.shared.tail.state().next.into() =>
             {
                 mark_synced(cx);
             }
--- a/buckthorn/src/kernel/mod.rs
+++ b/buckthorn/src/kernel/mod.rs
@@ -13,6 +13,7 @@
 
 use crate::clock::Time;
 use crate::config::order::{Decision, OrderBatch, Orders};
+use crate::config::position::Position;
 use crate::counter::{Counter, Counters};
 use crate::journal::lease::LeaseManager;
 use crate::journal::tail::Tail;
@@ -159,8 +160,8 @@
 pub enum OrderPolling {
     /// The node does not read them; other nodes send them.
     Paused,
-    /// The node reads from an offset on, starting at once even if a read is in progress.
-    From(u64),
+    /// The node reads from a position on, starting at once even if a read is in progress.
+    From(Position),
 }
 
 /// Maximum number of messages in an envelope; an envelope with more is refused whole.
--- a/buckthorn/src/membership/exchange.rs
+++ b/buckthorn/src/membership/exchange.rs
@@ -136,7 +136,7 @@
     /// Compares a peer's digest with the local state and starts what is needed to converge: pulling
     /// records, comparing views or sending accusations.
     pub(super) fn catch_up(&mut self, cx: &mut Context<'_>, from: &Name, theirs: &Digest) {
-        if theirs.next > cx.shared.tail.state().next
+        if theirs.next > cx.shared.tail.state().next.into()
             && cx.now.since(self.pulled_at) >= PULL_INTERVAL
         {
             self.pulled_at = cx.now;
--- a/buckthorn/src/membership/plugin.rs
+++ b/buckthorn/src/membership/plugin.rs
@@ -7,6 +7,7 @@
 use rand::seq::IteratorRandom;
 
 use crate::clock::Time;
+use crate::config::position::Position;
 use crate::counter::Counter;
 use crate::journal::record::JOIN_STREAM;
 use crate::kernel::{Action, Context, Event, Plugin, Registry};
@@ -409,7 +410,7 @@
 pub(super) fn digest(cx: &Context<'_>) -> Digest {
     Digest {
         // One of the two is always zero: orders come either from the log or from their own topic.
-        next: cx.shared.tail.state().next.max(cx.shared.orders.next()),
+        next: Position::from(cx.shared.tail.state().next).max(cx.shared.orders.next()),
         view: cx.shared.view.digest(),
         quarantine: cx.shared.quarantine.digest(),
         is_synced: cx.shared.is_synced,
--- a/buckthorn/src/rollout/cutover.rs
+++ b/buckthorn/src/rollout/cutover.rs
@@ -15,6 +15,7 @@
 use crate::clock::Time;
 use crate::config::intent::FULL_SHARE;
 use crate::config::order::{Decision, Move, Orders, Phase};
+use crate::config::position::Position;
 use crate::counter::Counter;
 use crate::kernel::{Action, Context, Event, Plugin, PublishOutcome, Registry, TICK_INTERVAL};
 use crate::log_event::LogEvent;
@@ -67,9 +68,9 @@
     /// Service whose traffic is moved.
     #[serde(rename = "s")]
     pub service: Name,
-    /// Offset of the order in its topic, which identifies the move.
+    /// Position of the order in its topic, which identifies the move.
     #[serde(rename = "o")]
-    pub order: u64,
+    pub order: Position,
     /// Time since the move started in milliseconds, by the evaluator's clock.
     #[serde(rename = "t")]
     pub elapsed_ms: u64,
@@ -106,8 +107,10 @@
 struct MoveState {
     /// Service whose traffic is moved.
     service: Name,
-    /// Offset of the order in its topic.
-    order: u64,
+    /// Version that it moves to.
+    version: Name,
+    /// Position of the order in its topic.
+    order: Position,
     /// Counts and permissions that decide on the share; without counts unless this node is an
     /// evaluator.
     trial: Trial,
@@ -130,6 +133,7 @@
     fn new(entry: &Move) -> Self {
         Self {
             service: entry.service.clone(),
+            version: entry.version.clone(),
             order: entry.order,
             trial: Trial::default(),
             broadcast_at: Time::default(),
@@ -177,7 +181,7 @@
         // A decision is accepted only from a node that has read the topic to its end, so an
         // evaluator reads the topic itself.
         let reads = |state: &MoveState| {
-            !cx.shared.is_following || evaluator_index(cx, state.order).is_some()
+            !cx.shared.is_following || evaluator_index(cx, &state.service, &state.version).is_some()
         };
         let mut open = self.states.iter().filter(|state| state.ended_at.is_none());
         if open.any(reads) && cx.now.since(self.read_at) >= READ_INTERVAL {
@@ -200,13 +204,18 @@
         }
     }
 
-    /// Drops the state of moves that are over and adds state for newly opened ones.
+    /// Drops the state of moves that are over and adds state for newly opened ones. A move whose order
+    /// was written again after a restore of the log keeps its state.
     fn sync_states(&mut self, cx: &mut Context<'_>) {
         for state in &mut self.states {
             let Some(entry) = cx.shared.orders.find_move(&state.service).cloned() else {
                 continue;
             };
-            if entry.order == state.order && entry.phase != Phase::Running {
+            if !entry.is_of(state.order) {
+                continue;
+            }
+            state.order = entry.order;
+            if entry.phase != Phase::Running {
                 log_end(cx, state, &entry);
             }
         }
@@ -254,7 +263,8 @@
         }
         state.reported_at = cx.now;
         state.reported_calls = calls;
-        let members: Vec<Member> = evaluators(cx, state.order).cloned().collect();
+        let evaluators = evaluators(cx, &state.service, &state.version);
+        let members: Vec<Member> = evaluators.cloned().collect();
         for evaluator in members {
             if evaluator.host == cx.shared.identity.host {
                 record_report(cx, state, report);
@@ -279,7 +289,14 @@
 
     /// Applies an evaluator's finding.
     fn apply_finding(&mut self, cx: &mut Context<'_>, from: &Name, finding: &Finding) {
-        let is_same = |state: &&mut MoveState| state.order == finding.order;
+        let mut moves = cx.shared.orders.moves().iter();
+        let Some(order) = moves
+            .find(|entry| entry.is_of(finding.order))
+            .map(|entry| entry.order)
+        else {
+            return;
+        };
+        let is_same = |state: &&mut MoveState| state.order == order;
         let Some(state) = self.states.iter_mut().find(is_same) else {
             return;
         };
@@ -304,29 +321,31 @@
         }
         let started = cx.now - Duration::from_millis(finding.elapsed_ms);
         let entries = cx.shared.orders.moves_mut().iter_mut();
-        if let Some(entry) = entries
-            .into_iter()
-            .find(|entry| entry.order == finding.order)
-        {
+        if let Some(entry) = entries.into_iter().find(|entry| entry.order == order) {
             entry.started = entry.started.min(started);
         }
     }
 }
 
-/// Whether no final decision about the move is published yet.
+/// Whether no final decision about the move is published yet, or it was lost by the log.
 fn is_open(orders: &Orders, entry: &Move) -> bool {
     let decision = orders.decision(&entry.service);
     !decision.is_some_and(|d| d.order == entry.order && d.phase != Phase::Running)
 }
 
-/// Evaluators of a move, in order of rank.
-fn evaluators<'a>(cx: &'a Context<'_>, order: u64) -> impl Iterator<Item = &'a Member> {
-    evaluator::select(&cx.shared.view, &format!("move-{order}")).into_iter()
+/// Evaluators of the move of a service to a version, in order of rank. They stay the same when the
+/// order is written again, since they hold the counts of the move.
+fn evaluators<'a>(
+    cx: &'a Context<'_>,
+    service: &Name,
+    version: &Name,
+) -> impl Iterator<Item = &'a Member> + use<'a> {
+    evaluator::select(&cx.shared.view, &format!("move-{service}-{version}")).into_iter()
 }
 
 /// Rank of this node among the evaluators of a move, if it is one.
-fn evaluator_index(cx: &Context<'_>, order: u64) -> Option<usize> {
-    evaluators(cx, order).position(|member| member.host == cx.shared.identity.host)
+fn evaluator_index(cx: &Context<'_>, service: &Name, version: &Name) -> Option<usize> {
+    evaluators(cx, service, version).position(|member| member.host == cx.shared.identity.host)
 }
 
 /// Interval at which this node's owner sends its counts while the share is raised, when late counts
@@ -362,7 +381,7 @@
 /// Advances a running move; returns whether routing changed.
 fn advance(cx: &mut Context<'_>, state: &mut MoveState, entry: &Move, bound: Bound) -> bool {
     let part = elapsed_part(entry, cx.now);
-    let rank = evaluator_index(cx, entry.order);
+    let rank = evaluator_index(cx, &entry.service, &entry.version);
     if let Some(rank) = rank
         && evaluate(cx, state, entry, rank, bound).is_break()
     {
@@ -401,7 +420,7 @@
     let (version, phase, order) = (&entry.version, entry.phase, entry.order);
     let detail = format!("{version}: {phase:?}, order {order}");
     cx.log_event(LogEvent::MoveEnded, &entry.service, detail);
-    if evaluator_index(cx, order).is_some() {
+    if evaluator_index(cx, &entry.service, version).is_some() {
         log_evidence(cx, state, entry);
     }
     cx.now
@@ -473,7 +492,7 @@
 /// Broadcasts and publishes how a move ended. Never changes routing, so it returns `false`.
 fn handle_ended(cx: &mut Context<'_>, state: &mut MoveState, entry: &Move) -> bool {
     let ended_at = log_end(cx, state, entry);
-    let Some(index) = evaluator_index(cx, entry.order) else {
+    let Some(index) = evaluator_index(cx, &entry.service, &entry.version) else {
         return false;
     };
     if cx.now.since(state.broadcast_at) >= FINDING_INTERVAL {
--- a/buckthorn/src/rpc/message.rs
+++ b/buckthorn/src/rpc/message.rs
@@ -6,6 +6,7 @@
 
 use crate::config::excerpt::Excerpt;
 use crate::config::order::Decision;
+use crate::config::position::Position;
 use crate::journal::fold::State;
 use crate::journal::record::Record;
 use crate::membership::member::{Member, Status};
@@ -70,18 +71,21 @@
     Accusations(Vec<Accusation>),
     /// Cumulative evidence from one owner, for the move controller.
     Evidence(evidence::Report),
-    /// Notifies the receiver that the sender has read the operators' orders up to an offset. Sent
+    /// Notifies the receiver that the sender has read the operators' orders up to a position. Sent
     /// to followers after every read that brought orders, and to other nodes only when reads had
     /// failed before.
     #[serde(rename = "ordered")]
     OrdersRead {
-        /// Offset of the next order.
-        next: u64,
+        /// Position of the next order.
+        next: Position,
     },
-    /// Requests operators' orders from an offset on, sent to a node that reads them.
+    /// Requests operators' orders from a position on, sent to a node that reads them.
     WantOrders {
-        /// First offset requested.
-        from: u64,
+        /// First position requested.
+        from: Position,
+        /// Version of the sender's policy; 0 if it has none.
+        #[serde(default)]
+        policy: u64,
         /// Hash of the published decisions that the sender holds.
         decisions: u64,
     },
@@ -107,9 +111,9 @@
 /// Digest of a node's state, by which peers detect that they differ.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Digest {
-    /// Next offset of the configuration stream, or of the orders' topic if there is one.
+    /// Next position in the configuration stream, or in the orders' topic if there is one.
     #[serde(rename = "o")]
-    pub next: u64,
+    pub next: Position,
     /// Hash over the usable members of the view.
     #[serde(rename = "v")]
     pub view: u64,
--- a/buckthorn/tests/config_orders.rs
+++ b/buckthorn/tests/config_orders.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use buckthorn::clock::Time;
-use buckthorn::config::order::{Decision, Entry, Order, OrderBatch, Orders, Phase};
+use buckthorn::config::order::{Decision, Entry, Order, OrderBatch, Orders, Phase, RESTORE_GRACE};
 use buckthorn::config::policy::{Kind, Policy, Route, SplitPart};
+use buckthorn::config::position::Position;
 use proptest::prelude::*;
 
 const NOW: Time = Time::from_secs(1_000);
@@ -29,11 +30,14 @@
     let end = entries.iter().map(|(offset, _)| offset + 1).max();
     OrderBatch {
         is_complete: false,
-        end: end.unwrap_or(0),
+        end: end.unwrap_or(0).into(),
         follows_failure: false,
         entries: entries
             .into_iter()
-            .map(|(offset, order)| Entry { offset, order })
+            .map(|(offset, order)| Entry {
+                position: offset.into(),
+                order,
+            })
             .collect(),
     }
 }
@@ -41,7 +45,7 @@
 fn complete(end: u64, entries: Vec<(u64, Order)>) -> OrderBatch {
     OrderBatch {
         is_complete: true,
-        end,
+        end: end.into(),
         ..batch(entries)
     }
 }
@@ -65,7 +69,7 @@
     Decision {
         service: "rungs".into(),
         version: "v2".into(),
-        order,
+        order: order.into(),
         phase,
     }
 }
@@ -159,9 +163,185 @@
 fn peer_reports_do_not_change_an_ended_move() {
     let mut orders = Orders::default();
     orders.apply(&batch(vec![(3, to("v2"))]), NOW);
-    assert!(!orders.end_move("rungs", 2, Phase::RolledBack));
-    assert!(orders.end_move("rungs", 3, Phase::RolledBack));
-    assert!(!orders.end_move("rungs", 3, Phase::Completed));
+    assert!(!orders.end_move("rungs", 2.into(), Phase::RolledBack));
+    assert!(orders.end_move("rungs", 3.into(), Phase::RolledBack));
+    assert!(!orders.end_move("rungs", 3.into(), Phase::Completed));
+    assert_eq!(orders.find_move("rungs").unwrap().phase, Phase::RolledBack);
+}
+
+/// Complete batch of an era; `end` is the offset at which the log ends there.
+fn complete_in(era: u16, end: u64, entries: Vec<(u64, Order)>) -> OrderBatch {
+    let mut batch = complete(end, entries);
+    for entry in &mut batch.entries {
+        entry.position.era = era;
+    }
+    batch.end.era = era;
+    batch
+}
+
+/// Later batch of an era, as a reader receives it.
+fn batch_in(era: u16, entries: Vec<(u64, Order)>) -> OrderBatch {
+    let end = entries.iter().map(|(offset, _)| offset + 1).max();
+    OrderBatch {
+        is_complete: false,
+        ..complete_in(era, end.unwrap_or(0), entries)
+    }
+}
+
+/// Orders of a node that has read three orders in the first era.
+fn orders_before_restore() -> Orders {
+    let mut orders = Orders::default();
+    let read = vec![(2, policy(9)), (3, out("a", true)), (5, to("v2"))];
+    orders.apply(&complete_in(1, 6, read), NOW);
+    orders
+}
+
+#[test]
+fn positions_are_ordered_by_era_first_and_keep_their_order_when_encoded() {
+    let positions = [
+        Position::new(0, 7),
+        Position::new(1, 0),
+        Position::new(1, 1 << 40),
+        Position::new(2, 3),
+    ];
+    assert!(positions.is_sorted());
+    let encoded = positions.map(u64::from);
+    assert!(encoded.is_sorted());
+    assert_eq!(encoded.map(Position::from), positions);
+    assert_eq!(u64::from(Position::new(0, 7)), 7);
+}
+
+/// Every node ignored a policy whose offset had been given out before the store was restored.
+#[test]
+fn a_policy_of_a_later_era_is_in_force_at_any_offset() {
+    let mut orders = orders_before_restore();
+    orders.apply(&complete_in(2, 1, vec![(0, policy(9))]), NOW);
+    assert!(orders.apply(&batch_in(2, vec![(1, policy(12))]), NOW));
+    assert_eq!(orders.policy().unwrap().version, 12);
+}
+
+#[test]
+fn a_policy_that_the_store_lost_stays_in_force() {
+    let mut orders = orders_before_restore();
+    orders.apply(&complete_in(2, 1, vec![(0, policy(7))]), NOW);
+    let later = NOW + RESTORE_GRACE * 10;
+    orders.settle(later);
+    orders.apply(&complete_in(2, 1, vec![(0, policy(7))]), later);
+    assert_eq!(orders.policy().unwrap().version, 9);
+}
+
+#[test]
+fn orders_of_an_earlier_era_are_ignored() {
+    let mut orders = orders_before_restore();
+    orders.apply(&complete_in(2, 1, vec![(0, out("a", false))]), NOW);
+    orders.settle(NOW + RESTORE_GRACE);
+    assert!(orders.domains_out().is_empty());
+    assert!(!orders.apply(&complete_in(1, 9, vec![(8, out("a", true))]), NOW));
+    assert!(orders.domains_out().is_empty());
+    assert_eq!(orders.next(), Position::new(2, 1));
+}
+
+#[test]
+fn orders_that_the_store_lost_end_only_after_the_grace_period() {
+    let mut orders = orders_before_restore();
+    let lost = complete_in(2, 1, vec![(0, policy(9))]);
+    orders.apply(&lost, NOW);
+    orders.settle(NOW + RESTORE_GRACE / 2);
+    orders.apply(&lost, NOW + RESTORE_GRACE / 2);
+    assert_eq!(orders.domains_out(), vec!["a".into()]);
+    assert!(orders.find_move("rungs").is_some());
+    assert!(orders.settle(NOW + RESTORE_GRACE));
+    assert!(orders.domains_out().is_empty() && orders.find_move("rungs").is_none());
+    assert!(!orders.settle(NOW + RESTORE_GRACE * 2));
+}
+
+#[test]
+fn orders_that_are_written_again_keep_their_state() {
+    let mut orders = orders_before_restore();
+    let started = orders.find_move("rungs").unwrap().started;
+    orders.moves_mut()[0].share = 250;
+    let later = NOW + Duration::from_secs(1);
+    let again = vec![(0, policy(9)), (1, to("v2")), (2, out("a", true))];
+    orders.apply(&complete_in(2, 3, again), later);
+    orders.settle(later + RESTORE_GRACE);
+    let held = orders.find_move("rungs").unwrap();
+    assert_eq!((held.share, held.started), (250, started));
+    assert_eq!(held.order, Position::new(2, 1));
+    assert!(held.is_of(Position::new(1, 5)));
+    assert_eq!(orders.domains_out(), vec!["a".into()]);
+}
+
+/// An order that the copy kept, but that was replaced or withdrawn in the part that it lost.
+#[test]
+fn an_older_order_of_the_copy_takes_effect_only_if_it_is_not_replaced_again() {
+    let old = || complete_in(2, 4, vec![(1, to("v1")), (3, out("a", false))]);
+    let mut orders = Orders::default();
+    let read = vec![(4, out("a", true)), (5, to("v2"))];
+    orders.apply(&complete_in(1, 6, read), NOW);
+    let mut replaced = Orders::default();
+    replaced.apply(
+        &complete_in(1, 6, vec![(4, out("a", true)), (5, to("v2"))]),
+        NOW,
+    );
+    orders.apply(&old(), NOW);
+    replaced.apply(&old(), NOW);
+    assert_eq!(&*orders.find_move("rungs").unwrap().version, "v2");
+    let again = vec![(4, to("v2")), (5, out("a", true))];
+    replaced.apply(&batch_in(2, again), NOW);
+    let later = NOW + RESTORE_GRACE;
+    orders.settle(later);
+    replaced.settle(later);
+    assert_eq!(&*orders.find_move("rungs").unwrap().version, "v1");
+    assert!(orders.domains_out().is_empty());
+    assert_eq!(&*replaced.find_move("rungs").unwrap().version, "v2");
+    assert_eq!(replaced.domains_out(), vec!["a".into()]);
+}
+
+/// What operators write after the restore is carried out at once, also at an offset below that of
+/// the order in force.
+#[test]
+fn a_new_order_after_the_restore_does_not_wait_for_the_grace_period() {
+    let mut orders = orders_before_restore();
+    orders.apply(&complete_in(2, 1, vec![(0, policy(9))]), NOW);
+    orders.apply(&batch_in(2, vec![(1, out("a", false)), (2, to("v3"))]), NOW);
+    assert!(orders.domains_out().is_empty());
+    assert_eq!(&*orders.find_move("rungs").unwrap().version, "v3");
+    // The same through a peer, whose excerpts are complete.
+    let mut follower = orders_before_restore();
+    follower.apply(&complete_in(2, 1, vec![(0, policy(9))]), NOW);
+    let excerpt = vec![(1, out("a", false)), (2, to("v3"))];
+    follower.apply(&complete_in(2, 3, excerpt), NOW);
+    assert!(follower.domains_out().is_empty());
+    assert_eq!(&*follower.find_move("rungs").unwrap().version, "v3");
+}
+
+#[test]
+fn a_second_restore_begins_another_grace_period() {
+    let mut orders = orders_before_restore();
+    orders.apply(&complete_in(2, 1, vec![(0, policy(9))]), NOW);
+    let later = NOW + RESTORE_GRACE / 2;
+    orders.apply(&complete_in(3, 1, vec![(0, policy(9))]), later);
+    orders.settle(NOW + RESTORE_GRACE);
+    assert_eq!(orders.domains_out(), vec!["a".into()]);
+    orders.apply(&batch_in(3, vec![(1, out("a", true))]), later);
+    orders.settle(later + RESTORE_GRACE);
+    assert_eq!(orders.domains_out(), vec!["a".into()]);
+    assert!(orders.find_move("rungs").is_none());
+}
+
+#[test]
+fn a_decision_on_an_order_of_an_earlier_era_does_not_replace_a_later_one() {
+    let mut orders = orders_before_restore();
+    let decide = |era, offset, phase| Decision {
+        order: Position::new(era, offset),
+        ..decision(0, phase)
+    };
+    assert!(orders.apply_decisions(&[decide(1, 5, Phase::RolledBack)]));
+    orders.apply(&complete_in(2, 2, vec![(1, to("v2"))]), NOW);
+    assert_eq!(orders.find_move("rungs").unwrap().phase, Phase::RolledBack);
+    orders.apply_decisions(&[decide(2, 1, Phase::RolledBack)]);
+    orders.apply_decisions(&[decide(1, 5, Phase::Completed)]);
+    assert_eq!(orders.decision("rungs").unwrap().order, Position::new(2, 1));
     assert_eq!(orders.find_move("rungs").unwrap().phase, Phase::RolledBack);
 }
 
--- a/buckthorn/tests/config_relay.rs
+++ b/buckthorn/tests/config_relay.rs
@@ -11,6 +11,7 @@
 use buckthorn::config::intake;
 use buckthorn::config::order::{Decision, Entry, Order, OrderBatch, Orders, Phase};
 use buckthorn::config::policy::{Kind, Policy, Route, Service, SplitPart};
+use buckthorn::config::position::Position;
 use buckthorn::kernel::{Action, Event, Kernel, OrderPolling, TICK_INTERVAL};
 use buckthorn::membership::member::{Member, Status};
 use buckthorn::name::Name;
@@ -127,7 +128,7 @@
                 Action::MonitorOrders(is_monitor) => self.nodes[index].is_monitor = is_monitor,
                 Action::ReadDecisions => self.nodes[index].decision_reads += 1,
                 Action::ReadOrders(OrderPolling::From(from)) => {
-                    self.nodes[index].reads = Some(from);
+                    self.nodes[index].reads = Some(from.offset);
                     self.log_reads += 1;
                 }
                 _ => {}
@@ -194,10 +195,13 @@
         let entries = orders.zip(from..);
         let batch = OrderBatch {
             is_complete: false,
-            end,
+            end: end.into(),
             follows_failure: false,
             entries: entries
-                .map(|(order, offset)| Entry { offset, order })
+                .map(|(order, offset)| Entry {
+                    position: offset.into(),
+                    order,
+                })
                 .collect(),
         };
         self.nodes[index].reads = Some(end);
@@ -225,7 +229,7 @@
         self.log.push(order);
         let (end, start) = (self.log.len() as u64, self.now);
         let is_behind = |node: &Node| {
-            !node.is_dead && !node.is_log_silent && node.kernel.shared().orders.next() < end
+            !node.is_dead && !node.is_log_silent && node.kernel.shared().orders.next() < end.into()
         };
         while self.nodes.iter().any(is_behind) {
             self.step();
@@ -305,7 +309,7 @@
     for node in &mesh.nodes {
         let orders = &node.kernel.shared().orders;
         assert_eq!(orders.domains_out(), ["b".into()]);
-        assert_eq!(orders.find_move("desk").unwrap().order, 2);
+        assert_eq!(orders.find_move("desk").unwrap().order, 2.into());
     }
     mesh.order(domain(false));
     mesh.order(Order::Withdraw {
@@ -329,7 +333,7 @@
     let decision = Decision {
         service: "desk".into(),
         version: "v2".into(),
-        order: 1,
+        order: 1.into(),
         phase: Phase::Completed,
     };
     mesh.run(BOUND);
@@ -384,11 +388,11 @@
     mesh.log.push(policy(2, 3));
     let ordered = Event::Received {
         from: "elsewhere".into(),
-        messages: vec![Message::OrdersRead { next: 2 }],
+        messages: vec![Message::OrdersRead { next: 2.into() }],
     };
     mesh.handle(follower, &ordered);
     mesh.run(BOUND / 2);
-    assert_eq!(mesh.nodes[follower].kernel.shared().orders.next(), 2);
+    assert_eq!(mesh.nodes[follower].kernel.shared().orders.next(), 2.into());
 }
 
 /// A reader whose reads took longer than the time after which they were restarted never received a
@@ -401,7 +405,7 @@
     mesh.nodes[slow].is_log_silent = true;
     mesh.order(policy(2, 3));
     let ordered_at = mesh.now;
-    let next = mesh.log.len() as u64;
+    let next = Position::from(mesh.log.len() as u64);
     let from = mesh.members[peer].host.clone();
     while mesh.nodes[slow].kernel.shared().orders.next() < next {
         if mesh
@@ -508,8 +512,8 @@
     let follower = (0..25).find(|index| !readers.contains(index)).unwrap();
     let bad: CompressedPolicy = serde_json::from_str("\"bm8gZGVmbGF0ZQ==\"").unwrap();
     let excerpt = Excerpt {
-        next: 9,
-        policy: Some((8, bad)),
+        next: 9.into(),
+        policy: Some((8.into(), bad)),
         rest: Vec::new(),
     };
     let replied = Event::Replied {
@@ -521,7 +525,7 @@
         }],
     };
     mesh.handle(follower, &replied);
-    assert_eq!(mesh.nodes[follower].kernel.shared().orders.next(), 1);
+    assert_eq!(mesh.nodes[follower].kernel.shared().orders.next(), 1.into());
     assert!(mesh.readers().contains(&follower));
 }
 
@@ -597,18 +601,21 @@
     let mut orders = Orders::default();
     let batch = OrderBatch {
         is_complete: true,
-        end: 5,
+        end: 5.into(),
         follows_failure: false,
         entries: vec![Entry {
-            offset: 4,
+            position: 4.into(),
             order: policy(1, 3),
         }],
     };
     orders.apply(&batch, START);
-    let excerpt =
-        |from| Excerpt::new(&orders, from, |_, policy| CompressedPolicy::new(policy)).unwrap();
-    assert!(excerpt(4).policy.is_some());
-    assert!(excerpt(5).policy.is_none());
+    let excerpt = |from, version| {
+        let known = (Position::from(from), version);
+        Excerpt::new(&orders, known, |_, policy| CompressedPolicy::new(policy)).unwrap()
+    };
+    assert!(excerpt(4, 0).policy.is_some());
+    assert!(excerpt(4, 1).policy.is_none());
+    assert!(excerpt(5, 0).policy.is_none());
 }
 
 /// A reader whose history was deleted sees that a failure domain is back in service only by the
@@ -617,11 +624,14 @@
 fn a_withdrawal_that_the_sender_saw_as_a_missing_order_reaches_the_receiver() {
     let batch = |end, is_complete, entries: Vec<(u64, Order)>| OrderBatch {
         is_complete,
-        end,
+        end: Position::from(end),
         follows_failure: false,
         entries: entries
             .into_iter()
-            .map(|(offset, order)| Entry { offset, order })
+            .map(|(offset, order)| Entry {
+                position: offset.into(),
+                order,
+            })
             .collect(),
     };
     let out = Order::Domain {
@@ -635,9 +645,9 @@
     assert_eq!(follower.domains_out(), ["b".into()]);
     reader.apply(&batch(7, true, vec![(6, policy(2, 3))]), START);
     assert!(reader.domains_out().is_empty());
-    let excerpt = |orders: &Orders, from| {
+    let excerpt = |orders: &Orders, from: u64| {
         let compress = |_, policy: &Policy| CompressedPolicy::new(policy);
-        Excerpt::new(orders, from, compress)
+        Excerpt::new(orders, (from.into(), 0), compress)
             .unwrap()
             .to_batch()
             .unwrap()
--- a/buckthorn/tests/input_message.rs
+++ b/buckthorn/tests/input_message.rs
@@ -9,6 +9,7 @@
 use buckthorn::config::change::{Change, Operation};
 use buckthorn::config::excerpt::Excerpt;
 use buckthorn::config::intent::Phase;
+use buckthorn::config::position::Position;
 use buckthorn::counter::{Counter, Counters};
 use buckthorn::journal::check;
 use buckthorn::journal::fold::State;
@@ -436,7 +437,7 @@
     let digest = || {
         (prop::array::uniform3(any_number()), any::<bool>()).prop_map(
             |([next, view, quarantine], is_synced)| Digest {
-                next,
+                next: Position::from(next),
                 view,
                 quarantine,
                 is_synced,
@@ -489,15 +490,16 @@
         1 => prop::collection::vec(accusation, list()).prop_map(Message::Accusations),
         4 => any_report().prop_map(Message::Evidence),
         1 => any_number().prop_map(|version| Message::Applied { version }),
-        1 => any_number().prop_map(|next| Message::OrdersRead { next }),
-        1 => (any_number(), any::<u64>())
-            .prop_map(|(from, decisions)| Message::WantOrders { from, decisions }),
+        1 => any_number().prop_map(|next| Message::OrdersRead { next: next.into() }),
+        1 => (any_number(), any_number(), any::<u64>()).prop_map(|(from, policy, decisions)| {
+            Message::WantOrders { from: from.into(), policy, decisions }
+        }),
         1 => (any::<bool>(), any_number(), "[A-Za-z0-9+/=]{0,40}").prop_map(
             |(is_reader, next, packed)| Message::Orders {
                 is_reader,
                 excerpt: Some(Box::new(Excerpt {
-                    next,
-                    policy: Some((next, serde_json::from_value(packed.into()).unwrap())),
+                    next: next.into(),
+                    policy: Some((next.into(), serde_json::from_value(packed.into()).unwrap())),
                     rest: Vec::new(),
                 })),
                 decisions: Vec::new(),
--- a/buckthorn/tests/rollout_cutover.rs
+++ b/buckthorn/tests/rollout_cutover.rs
@@ -171,10 +171,13 @@
         let entries = orders.into_iter().zip(ORDER - 1..);
         let batch = OrderBatch {
             is_complete: true,
-            end: ORDER + 1,
+            end: (ORDER + 1).into(),
             follows_failure: false,
             entries: entries
-                .map(|(order, offset)| Entry { offset, order })
+                .map(|(order, offset)| Entry {
+                    position: offset.into(),
+                    order,
+                })
                 .collect(),
         };
         for index in 0..mesh.kernels.len() {
@@ -341,7 +344,7 @@
     mesh.run(Version::Good, WINDOW);
     assert_eq!(mesh.phase(), Some(Phase::Completed));
     assert!((0..8).all(|index| mesh.share(index) == 1_000));
-    assert_eq!(mesh.published[0].order, ORDER);
+    assert_eq!(mesh.published[0].order, ORDER.into());
 }
 
 #[test]
@@ -629,7 +632,7 @@
     assert_eq!(mesh.phase(), None);
     let finding = Finding {
         service: SERVICE.into(),
-        order: ORDER,
+        order: ORDER.into(),
         elapsed_ms: mesh.now.since(START).as_millis() as u64,
         phase: Phase::Running,
         max_share: 1_000,
