Test a restore of the log in the virtual mesh and during moves

A relay mesh whose log is restored: followers, a node without the log, a node that misses the restore, one that starts after it; and moves whose decision or order the log lost.

--- a/buckthorn/tests/config_relay.rs
+++ b/buckthorn/tests/config_relay.rs
@@ -31,6 +31,8 @@
     kernel: Kernel,
     /// Offset from which it reads the log; `None` while it follows readers.
     reads: Option<u64>,
+    /// Era of the log in which it last read.
+    era: u16,
     is_dead: bool,
     /// Whether its reads hang: the log neither responds nor fails.
     is_log_silent: bool,
@@ -46,6 +48,8 @@
     members: Vec<Member>,
     nodes: Vec<Node>,
     log: Vec<Order>,
+    /// Number of times that the log was restored.
+    era: u16,
     /// Exchanges that will fail: time, index of the sender, index of the receiver.
     failures: Vec<(Time, usize, usize)>,
     /// Number of reads of the log.
@@ -98,6 +102,7 @@
                 cutover::register(registry, Bound::default());
             }),
             reads: Some(0),
+            era: 0,
             is_dead: false,
             is_log_silent: false,
             is_log_lost: false,
@@ -110,6 +115,7 @@
             members,
             nodes,
             log: vec![policy(1, 3)],
+            era: 0,
             failures: Vec::new(),
             log_reads: 0,
             policies_sent: 0,
@@ -185,6 +191,9 @@
     fn read(&mut self, index: usize) {
         let node = &self.nodes[index];
         let end = self.log.len() as u64;
+        if node.era != self.era {
+            return self.read_newest(index);
+        }
         let Some(from) = node.reads.filter(|from| *from < end) else {
             return;
         };
@@ -195,11 +204,11 @@
         let entries = orders.zip(from..);
         let batch = OrderBatch {
             is_complete: false,
-            end: end.into(),
+            end: Position::new(self.era, end),
             follows_failure: false,
             entries: entries
                 .map(|(order, offset)| Entry {
-                    position: offset.into(),
+                    position: Position::new(self.era, offset),
                     order,
                 })
                 .collect(),
@@ -209,6 +218,49 @@
         self.handle(index, &Event::OrdersRead(batch));
     }
 
+    /// Lets a node read the newest order of each key, as it does when the log was restored.
+    fn read_newest(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        if node.reads.is_none() || node.is_log_silent || node.is_log_lost {
+            return;
+        }
+        let end = self.log.len() as u64;
+        (node.reads, node.era) = (Some(end), self.era);
+        self.log_reads += 1;
+        let key = |order: &Order| match order {
+            Order::Policy(_) => "policy".into(),
+            Order::Move { service, .. } | Order::Withdraw { service } => format!("move {service}"),
+            Order::Domain { name, .. } => format!("domain {name}"),
+        };
+        let is_deleted = |order: &Order| {
+            matches!(
+                order,
+                Order::Withdraw { .. } | Order::Domain { is_out: false, .. }
+            )
+        };
+        let newest = self.log.iter().enumerate().filter(|(offset, order)| {
+            let mut later = self.log[offset + 1..].iter();
+            !is_deleted(order) && !later.any(|other| key(other) == key(order))
+        });
+        let entries = newest.map(|(offset, order)| Entry {
+            position: Position::new(self.era, offset as u64),
+            order: order.clone(),
+        });
+        let batch = OrderBatch {
+            is_complete: true,
+            end: Position::new(self.era, end),
+            follows_failure: true,
+            entries: entries.collect(),
+        };
+        self.handle(index, &Event::OrdersRead(batch));
+    }
+
+    /// Restores the log from a copy with `kept` orders.
+    fn restore(&mut self, kept: usize) {
+        self.log.truncate(kept);
+        self.era += 1;
+    }
+
     fn run(&mut self, span: Duration) {
         let end = self.now + span;
         while self.now < end {
@@ -227,9 +279,9 @@
     /// do not hang.
     fn order(&mut self, order: Order) -> Duration {
         self.log.push(order);
-        let (end, start) = (self.log.len() as u64, self.now);
+        let (end, start) = (Position::new(self.era, self.log.len() as u64), self.now);
         let is_behind = |node: &Node| {
-            !node.is_dead && !node.is_log_silent && node.kernel.shared().orders.next() < end.into()
+            !node.is_dead && !node.is_log_silent && node.kernel.shared().orders.next() < end
         };
         while self.nodes.iter().any(is_behind) {
             self.step();
@@ -659,3 +711,113 @@
     follower.apply(&late, START);
     assert!(follower.domains_out().is_empty());
 }
+
+fn out(is_out: bool) -> Order {
+    Order::Domain {
+        name: "b".into(),
+        is_out,
+    }
+}
+
+/// Followers refused what their readers sent, since it ended at a lower offset than their own.
+#[test]
+fn orders_reach_followers_in_time_after_the_log_was_restored() {
+    for (kept, again) in [(1, 0), (1, 3), (2, 1), (4, 0)] {
+        let mut mesh = Mesh::new(25);
+        for version in 2..6 {
+            mesh.order(policy(version, 3));
+        }
+        mesh.restore(kept);
+        mesh.log.extend((0..again).map(|_| policy(5, 3)));
+        mesh.run(BOUND);
+        let reads = mesh.log_reads;
+        let took = mesh.order(policy(6, 3));
+        assert!(took < BOUND, "{took:?}");
+        for node in &mesh.nodes {
+            assert_eq!(node.kernel.shared().orders.policy().unwrap().version, 6);
+        }
+        assert!(mesh.log_reads - reads <= 5, "{}", mesh.log_reads - reads);
+    }
+}
+
+#[test]
+fn a_node_that_is_cut_off_from_the_log_learns_of_the_restore_from_peers() {
+    let mut mesh = Mesh::new(25);
+    mesh.order(policy(2, 3));
+    mesh.order(policy(3, 3));
+    let readers = mesh.readers();
+    mesh.nodes[readers[0]].is_log_silent = true;
+    mesh.restore(1);
+    mesh.log.push(policy(3, 3));
+    let took = mesh.order(policy(4, 3));
+    assert!(took < BOUND, "{took:?}");
+    mesh.run(BOUND);
+    let orders = &mesh.nodes[readers[0]].kernel.shared().orders;
+    assert_eq!(orders.policy().unwrap().version, 4);
+}
+
+/// An order of the part that was lost, which operators did not write again, must not come back from
+/// the memory of a node that missed the restore.
+#[test]
+fn an_order_that_the_log_lost_does_not_return_from_a_peer() {
+    let mut mesh = Mesh::new(25);
+    mesh.order(out(true));
+    let readers = mesh.readers();
+    mesh.nodes[readers[0]].is_dead = true;
+    mesh.restore(1);
+    mesh.run(Duration::from_secs(8));
+    let is_out = |node: &Node| !node.kernel.shared().orders.domains_out().is_empty();
+    assert!(mesh.nodes.iter().all(|node| node.is_dead == is_out(node)));
+    mesh.nodes[readers[0]].is_dead = false;
+    for _ in 0..80 {
+        mesh.run(TICK_INTERVAL);
+        let mut others = mesh.nodes.iter().enumerate();
+        assert!(others.all(|(index, node)| index == readers[0] || !is_out(node)));
+    }
+    assert!(!mesh.nodes.iter().any(is_out));
+}
+
+#[test]
+fn an_order_that_the_log_lost_holds_until_it_is_written_again() {
+    let mut mesh = Mesh::new(25);
+    mesh.order(out(true));
+    mesh.restore(1);
+    for _ in 0..15 {
+        mesh.run(TICK_INTERVAL);
+        for node in &mesh.nodes {
+            assert_eq!(node.kernel.shared().orders.domains_out(), ["b".into()]);
+        }
+    }
+    mesh.order(out(true));
+    mesh.run(Duration::from_secs(8));
+    for node in &mesh.nodes {
+        assert_eq!(node.kernel.shared().orders.domains_out(), ["b".into()]);
+    }
+    mesh.order(out(false));
+    for node in &mesh.nodes {
+        assert!(node.kernel.shared().orders.domains_out().is_empty());
+    }
+}
+
+/// The log has an older policy than the mesh, and a node that starts knows no other.
+#[test]
+fn a_node_that_starts_after_the_restore_gets_the_newer_policy_from_its_peers() {
+    let mut mesh = Mesh::new(25);
+    mesh.order(policy(2, 3));
+    mesh.restore(1);
+    mesh.run(BOUND);
+    let follower = (0..25)
+        .find(|index| !mesh.readers().contains(index))
+        .unwrap();
+    let members = mesh.members.clone();
+    let node = &mut mesh.nodes[follower];
+    node.kernel = kernel_support::kernel(&members[follower], &members, 1, mesh.now, |registry| {
+        intake::register(registry, BOUND);
+        cutover::register(registry, Bound::default());
+    });
+    (node.reads, node.era) = (Some(0), 0);
+    mesh.run(BOUND * 2);
+    for node in &mesh.nodes {
+        assert_eq!(node.kernel.shared().orders.policy().unwrap().version, 2);
+    }
+}
--- a/buckthorn/tests/rollout_cutover.rs
+++ b/buckthorn/tests/rollout_cutover.rs
@@ -10,6 +10,7 @@
 use buckthorn::config::intake;
 use buckthorn::config::order::{Decision, Entry, Order, OrderBatch, Phase};
 use buckthorn::config::policy::Policy;
+use buckthorn::config::position::Position;
 use buckthorn::kernel::{Action, Event, Kernel, PublishOutcome, TICK_INTERVAL};
 use buckthorn::membership::member::{BackendServer, Member, Status};
 use buckthorn::name::Name;
@@ -159,6 +160,12 @@
             calls: [0, 0],
             new_call_credit: 0.0,
         };
+        mesh.read_orders(ORDER.into());
+        mesh
+    }
+
+    /// Lets every node read the policy and the order of the move, which is at a position.
+    fn read_orders(&mut self, position: Position) {
         let policy = Policy::new(1, Vec::new(), Vec::new());
         let orders = [
             Order::Policy(Arc::new(policy)),
@@ -168,22 +175,22 @@
                 window: WINDOW,
             },
         ];
-        let entries = orders.into_iter().zip(ORDER - 1..);
+        let Position { era, offset } = position;
+        let entries = orders.into_iter().zip(offset - 1..);
         let batch = OrderBatch {
             is_complete: true,
-            end: (ORDER + 1).into(),
+            end: Position::new(era, offset + 1),
             follows_failure: false,
             entries: entries
                 .map(|(order, offset)| Entry {
-                    position: offset.into(),
+                    position: Position::new(era, offset),
                     order,
                 })
                 .collect(),
         };
-        for index in 0..mesh.kernels.len() {
-            mesh.handle(index, &Event::OrdersRead(batch.clone()));
+        for index in 0..self.kernels.len() {
+            self.handle(index, &Event::OrdersRead(batch.clone()));
         }
-        mesh
     }
 
     fn handle(&mut self, index: usize, event: &Event) {
@@ -646,3 +653,43 @@
     mesh.run(Version::Good, WINDOW.mul_f64(0.1));
     assert_eq!(mesh.phase(), Some(Phase::Completed));
 }
+
+/// The store comes back from a copy without the order and the decision; operators write the order
+/// again and wait for its status.
+#[test]
+fn a_decision_that_the_store_lost_is_published_again() {
+    for version in [Version::Good, Version::FailsOnOneRoute] {
+        let mut mesh = Mesh::new();
+        mesh.run(version, WINDOW);
+        let phase = mesh.phase().unwrap();
+        mesh.published.clear();
+        let again = Position::new(1, 3);
+        mesh.read_orders(again);
+        mesh.run(version, Duration::from_secs(3));
+        assert_eq!(mesh.phase(), Some(phase));
+        assert_eq!(mesh.published[0].order, again);
+        for index in 0..8 {
+            let share = mesh.share(index);
+            assert_eq!(share, if phase == Phase::Completed { 1_000 } else { 0 });
+        }
+    }
+}
+
+/// Evaluators keep their counts of a move whose order is written again.
+#[test]
+fn a_move_goes_on_when_its_order_is_written_again() {
+    let mut mesh = Mesh::new();
+    mesh.run(Version::Good, WINDOW.mul_f64(0.8));
+    let share = mesh.share(0);
+    assert!(share > 30, "{share}");
+    mesh.read_orders(Position::new(1, 3));
+    mesh.run(Version::Good, Duration::from_secs(1));
+    assert!(mesh.share(0) >= share);
+    mesh.run(Version::Good, WINDOW.mul_f64(0.2));
+    assert_eq!(mesh.phase(), Some(Phase::Completed));
+    let mut faulty = Mesh::new();
+    faulty.run(Version::FailsUnderLoad, WINDOW.mul_f64(0.8));
+    faulty.read_orders(Position::new(1, 3));
+    faulty.run(Version::FailsUnderLoad, WINDOW.mul_f64(0.2));
+    assert_eq!(faulty.phase(), Some(Phase::RolledBack));
+}
