List node addresses again that a restore of the store lost

A node that started after the store had come back from an older copy found no address, or only those of nodes that were gone, for up to 45 s: listed nodes read the directory every half a minute and took themselves as listed.

--- a/buckthorn/src/config/order.rs
+++ b/buckthorn/src/config/order.rs
@@ -241,6 +241,8 @@
             return false;
         }
         if batch.end.era > era {
+            // Nodes are told of the era even if no order changes.
+            self.revision += 1;
             let has_orders = self.next != Position::default();
             self.restored_at = has_orders.then_some(now);
             self.deferred.clear();
--- a/buckthorn/src/node/adapter.rs
+++ b/buckthorn/src/node/adapter.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use crossbeam::channel::Sender;
@@ -144,6 +145,11 @@
         self.data_path.peers.load().len() > 1
     }
 
+    /// Returns the era of the operators' topic, as this node or its peers have read it.
+    pub fn log_era(&self) -> u16 {
+        self.data_path.log_era.load(Ordering::Relaxed)
+    }
+
     /// Whether the node can route calls.
     pub fn is_synced(&self) -> bool {
         self.data_path.table.load().version > 0
--- a/buckthorn/src/node/driver.rs
+++ b/buckthorn/src/node/driver.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU16, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -82,6 +82,8 @@
     pub(super) clock: Clock,
     /// Nodes known to be alive, including this one.
     pub(super) peers: Arc<ArcSwap<Vec<Peer>>>,
+    /// Era of the operators' topic.
+    pub(super) log_era: Arc<AtomicU16>,
 }
 
 /// Clients, threads and registries that the driver uses to perform actions.
@@ -317,6 +319,8 @@
         let peers: Vec<Peer> = shared.view.live().map(Peer::from_member).collect();
         self.resources.loads.share_slack(peers.len());
         self.data_path.peers.store(Arc::new(peers));
+        let era = shared.orders.next().era;
+        self.data_path.log_era.store(era, Ordering::Relaxed);
         let table = if shared.orders.policy().is_some() {
             Table::from_orders(
                 &shared.orders,
--- a/buckthorn/src/node/mod.rs
+++ b/buckthorn/src/node/mod.rs
@@ -136,6 +136,7 @@
             counters: counters.clone(),
             clock: clock.clone(),
             peers: Arc::default(),
+            log_era: Arc::default(),
         };
         let runtime = runtime::Builder::new_multi_thread()
             .worker_threads(settings.threads)
