Name the requests in progress at a crash of a backend server

Callers of a service were refused in 30% of the calls while its servers crashed one after the other, and no line said that a server had crashed, or under what. The ingress now gives each request a fingerprint of method, host, path, caller and the beginning of its body, which the owner gets in a header of the mesh. The owner's watch takes lost calls as a crash if the backend server accepts no connection 10 ms later, and logs the fingerprints that it has not seen complete. A body that is streamed is forwarded once 4 KB of it, its end, or 20 ms have passed. No decision changes yet.

--- a/buckthorn/src/kernel/mod.rs
+++ b/buckthorn/src/kernel/mod.rs
@@ -22,6 +22,7 @@
 use crate::membership::member::{BackendServer, Departure, Member};
 use crate::membership::view::View;
 use crate::name::Name;
+use crate::poison::watch::Crash;
 use crate::rollout::evidence;
 use crate::rollout::quarantine::Quarantine;
 use crate::rpc::message::Message;
@@ -75,6 +76,8 @@
     Announced(Option<BackendServer>),
     /// The local backend server said that it leaves.
     Departed(Departure),
+    /// The local backend server crashed.
+    BackendCrashed(Crash),
     /// Evidence that this node counted as owner, at most once per tick.
     EvidenceCollected(evidence::Report),
     /// Operators' orders were read from their topic.
--- a/buckthorn/src/lib.rs
+++ b/buckthorn/src/lib.rs
@@ -4,7 +4,7 @@
 //! backend server; it folds the log into a configuration state, agrees with its peers on which
 //! backend servers exist, and forwards calls between them.
 //!
-//! Decision modules ([`journal`], [`membership`], [`rollout`], [`routing`], [`admission`]) take
+//! Decision modules ([`journal`], [`membership`], [`rollout`], [`routing`], [`admission`], [`poison`]) take
 //! events and the current time and return the actions to perform; they perform no I/O. [`proxy`],
 //! [`rpc`] and [`log`] perform the I/O, and [`kernel`] connects the two sides.
 
@@ -21,6 +21,7 @@
 pub mod metrics;
 pub mod name;
 pub mod node;
+pub mod poison;
 pub mod proxy;
 pub mod rollout;
 pub mod routing;
--- a/buckthorn/src/log_event.rs
+++ b/buckthorn/src/log_event.rs
@@ -55,6 +55,7 @@
     MemberChanged "member.changed" "subject, detail" "A node was discovered, suspected, found alive again, marked dead or left.",
     BackendAnnounced "backend.announced" "service, version, instance" "The local backend server registered or changed its announcement.",
     BackendLeaves "backend.leaves" "service" "The local backend server is draining or leaving.",
+    BackendCrashed "backend.crashed" "subject, detail" "The local backend server crashed: the fingerprints of the calls that were lost, except of requests that have completed before.",
     BackendExpired "backend.expired" "service" "The local backend server was removed because its heartbeats stopped.",
     DomainsOut "domains.out" "subject, detail" "The set of failure domains out of service changed.",
     MoveStep "move.step" "subject, detail" "A move changed the share of the new version.",
--- a/buckthorn/src/node/driver.rs
+++ b/buckthorn/src/node/driver.rs
@@ -25,6 +25,7 @@
 use crate::log::AppendOutcome;
 use crate::log_event::LogEvent;
 use crate::name::Name;
+use crate::poison::watch::Crash;
 use crate::proxy::owner::Owner;
 use crate::rollout::evidence::Recorder;
 use crate::routing::load::Registry;
@@ -154,6 +155,7 @@
         mut self,
         inputs: &Receiver<Input>,
         inbound: &Receiver<rpc::server::Inbound>,
+        crashes: &Receiver<Crash>,
     ) {
         let ticker = channel::tick(TICK_INTERVAL);
         let mut ticked = Instant::now();
@@ -167,6 +169,10 @@
                     Ok(inbound) => self.handle_inbound(inbound),
                     Err(_) => return,
                 },
+                recv(crashes) -> crash => match crash {
+                    Ok(crash) => self.handle(&Event::BackendCrashed(crash)),
+                    Err(_) => return,
+                },
                 recv(ticker) -> _ => {}
             }
             // The time is checked after every input, so that a flood of messages cannot delay
--- a/buckthorn/src/node/mod.rs
+++ b/buckthorn/src/node/mod.rs
@@ -37,13 +37,14 @@
 use crate::kernel::{Event, Identity, Kernel, Registry};
 use crate::log::client::Client;
 use crate::log_event::LogEvent;
+use crate::poison::watch::Watch;
 use crate::proxy::limit::Limits;
 use crate::proxy::{Drained, Plane};
 use crate::rollout::exposure::Bound;
 use crate::routing::load::Registry as Loads;
 use crate::routing::table::Table;
 use crate::secret::Secrets;
-use crate::{config, journal, membership, name, proxy, rollout, rpc};
+use crate::{config, journal, membership, name, poison, proxy, rollout, rpc};
 
 /// Capacity of the kernel thread's input queue.
 const MAX_INPUTS: usize = 4_096;
@@ -51,6 +52,9 @@
 /// Capacity of the kernel thread's queue of control messages from peers.
 const MAX_INBOUND: usize = 512;
 
+/// Capacity of the kernel thread's queue of crashes of the local backend server.
+const MAX_CRASHES: usize = 16;
+
 /// Timeout for a reply of the kernel thread to a status request, an announcement or a leave.
 const KERNEL_REPLY_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -146,6 +150,8 @@
             .context("failed to start the runtime")?;
         let (inputs, input_queue) = channel::bounded(MAX_INPUTS);
         let (inbound, inbound_queue) = channel::bounded(MAX_INBOUND);
+        let (crashes, crash_queue) = channel::bounded(MAX_CRASHES);
+        let watch = Arc::new(Watch::new(crashes));
 
         let addresses = Addresses {
             callers: caller_listener.local_addr()?,
@@ -163,7 +169,13 @@
             seeds: settings.seeds.clone(),
         };
         let (proxy, rpc, client) = runtime.block_on(async {
-            let plane = build_plane(settings, &data_path, source.adapter(), logger.clone());
+            let plane = build_plane(
+                settings,
+                &data_path,
+                source.adapter(),
+                watch.clone(),
+                logger.clone(),
+            );
             let caller_listener = tokio::net::TcpListener::from_std(caller_listener)?;
             let hop_listener = tokio::net::TcpListener::from_std(hop_listener)?;
             let secrets = secrets(settings);
@@ -222,7 +234,7 @@
         let driver = Driver::new(kernel, data_path.clone(), resources, inputs.clone());
         let kernel = thread::Builder::new()
             .name("kernel".into())
-            .spawn(move || driver.run(&input_queue, &inbound_queue))
+            .spawn(move || driver.run(&input_queue, &inbound_queue, &crash_queue))
             .context("failed to start the kernel thread")?;
 
         let handler = Handler {
@@ -340,6 +352,7 @@
     membership::plugin::register_seeded(registry);
     config::intake::register(registry, max_apply_time);
     rollout::cutover::register(registry, exposure_bound);
+    poison::containment::register(registry);
 }
 
 /// Registers the plug-ins of a node that reads the log, in the order in which they handle events.
@@ -347,6 +360,7 @@
     membership::plugin::register(registry);
     journal::plugin::register(registry);
     rollout::plugin::register(registry);
+    poison::containment::register(registry);
 }
 
 /// Binds a listener; the error names the setting.
@@ -362,6 +376,7 @@
     settings: &Settings,
     data_path: &DataPath,
     adapter: Option<&PlatformAdapter>,
+    watch: Arc<Watch>,
     logger: Logger,
 ) -> Arc<Plane> {
     let limits = adapter.map_or_else(Limits::default, |adapter| adapter.limits.clone());
@@ -380,6 +395,7 @@
     .counters(data_path.counters.clone())
     .clock(data_path.clock.clone())
     .limits(limits)
+    .watch(watch)
     .logger(logger);
     if let Some(adapter) = adapter {
         builder = builder.contract(adapter.contract.clone());
--- /dev/null
+++ b/buckthorn/src/poison/mod.rs
@@ -0,0 +1,9 @@
+//! Containment of poison requests: requests that crash each backend server that runs them.
+//!
+//! Such a request comes again with a new identifier, at any node, so it is recognised by its
+//! [`fingerprint`]. The owner of a backend server notices a crash and which calls were lost in it
+//! ([`watch`]); most of these are innocent.
+
+pub mod containment;
+pub mod fingerprint;
+pub mod watch;
--- a/buckthorn/src/proxy/body.rs
+++ b/buckthorn/src/proxy/body.rs
@@ -1,5 +1,6 @@
 //! Streamed bodies, checked against their declared length and limited in size and idle time.
 
+use std::collections::VecDeque;
 use std::fmt;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
@@ -263,6 +264,72 @@
     }
 }
 
+/// Body whose first frames were already read.
+pub struct Peeked {
+    /// Frames that were already read.
+    first: VecDeque<Result<Frame<Bytes>, Fault>>,
+    /// Remainder of the body.
+    rest: Body,
+}
+
+impl Peeked {
+    /// Reads a body until it has `max_bytes`, ends, or no more arrives in time. Returns an
+    /// equivalent body and the bytes that were read.
+    pub async fn read(mut body: Body, max_bytes: usize, wait: Duration) -> (Body, Bytes) {
+        let deadline = Instant::now() + wait;
+        let (mut first, mut read) = (VecDeque::new(), BytesMut::new());
+        while read.len() < max_bytes {
+            let Ok(Some(frame)) = tokio::time::timeout_at(deadline, body.frame()).await else {
+                break;
+            };
+            if let Ok(frame) = &frame
+                && let Some(data) = frame.data_ref()
+            {
+                read.extend_from_slice(data);
+            }
+            let is_fault = frame.is_err();
+            first.push_back(frame);
+            if is_fault {
+                break;
+            }
+        }
+        let peeked = Self { first, rest: body };
+        (peeked.boxed_unsync(), read.freeze())
+    }
+}
+
+impl http_body::Body for Peeked {
+    type Data = Bytes;
+    type Error = Fault;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Fault>>> {
+        match self.first.pop_front() {
+            Some(frame) => Poll::Ready(Some(frame)),
+            None => Pin::new(&mut self.rest).poll_frame(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.first.is_empty() && self.rest.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let frames = self.first.iter().flatten();
+        let first = frames.filter_map(Frame::data_ref).map(Bytes::len);
+        let first = first.sum::<usize>() as u64;
+        let rest = self.rest.size_hint();
+        let mut hint = SizeHint::new();
+        hint.set_lower(first + rest.lower());
+        if let Some(upper) = rest.upper() {
+            hint.set_upper(first + upper);
+        }
+        hint
+    }
+}
+
 /// Body whose first part was already read.
 pub struct Prefixed {
     /// Part that was already read.
--- a/buckthorn/src/proxy/header.rs
+++ b/buckthorn/src/proxy/header.rs
@@ -9,6 +9,7 @@
 use crate::admission::gate::{DEFAULT_URGENCY, Offer, Urgency};
 use crate::clock::Time;
 use crate::config::policy::{Kind, Policy};
+use crate::poison::fingerprint::Suspect;
 use crate::routing::choice::{BULK_SPILL_LOAD, FULL_LOAD};
 
 /// Milliseconds until the deadline of the call.
@@ -41,6 +42,8 @@
 pub const REPEAT: &str = "x-buckthorn-repeat";
 /// `Host` header of the caller; on the hop the service's name stands in its place.
 pub const CALLER_HOST: &str = "x-buckthorn-host";
+/// Fingerprint of the request and hash of its identifier, from ingress to owner.
+pub const FINGERPRINT: &str = "x-buckthorn-fingerprint";
 /// Priority of a call (RFC 9218).
 pub const PRIORITY: &str = "priority";
 /// Identifier of a request, optionally set by the caller.
@@ -132,6 +135,8 @@
     pub max_wait: Option<Duration>,
     /// Probability in thousandths that the call is made on behalf of a retried one, at its ingress.
     pub repeat_permille: u32,
+    /// Identity of the request as a possible poison request; absent if the ingress set none.
+    pub suspect: Option<Suspect>,
 }
 
 /// Fraction of a route's latency target that a call may wait in owners' queues. The rest is about
@@ -194,6 +199,7 @@
             received_at: now,
             max_wait: Some(route.latency_target.min(wait).mul_f64(MAX_WAIT_FRACTION)),
             repeat_permille: 0,
+            suspect: None,
         })
     }
 
@@ -235,6 +241,7 @@
             received_at: now,
             max_wait: parse_number(&parts.headers, MAX_WAIT)?.map(Duration::from_millis),
             repeat_permille: 0,
+            suspect: parts.headers.get(FINGERPRINT).and_then(Suspect::parse),
         })
     }
 
@@ -284,7 +291,7 @@
 }
 
 /// Returns the service from the request target or the `Host` header, without the port.
-fn service(uri: &Uri, headers: &HeaderMap) -> Option<String> {
+pub(super) fn service(uri: &Uri, headers: &HeaderMap) -> Option<String> {
     let host = match uri.host() {
         Some(host) => host,
         None => headers.get(header::HOST)?.to_str().ok()?,
--- a/buckthorn/src/proxy/ingress.rs
+++ b/buckthorn/src/proxy/ingress.rs
@@ -9,7 +9,9 @@
 use tokio::time::Instant;
 
 use super::body::{Body, Monitor};
-use super::header::{CALLER_HOST, Call, LOAD, MAX_WAIT, REPEAT, ROLE, RouteError, SECRET, URGENCY};
+use super::header::{
+    self, CALLER_HOST, Call, FINGERPRINT, LOAD, MAX_WAIT, REPEAT, ROLE, RouteError, SECRET, URGENCY,
+};
 use super::payload::{Payload, UploadStatus};
 use super::response::{self, Ran, Reason};
 use super::{Plane, dispatch, keyed, request_log};
@@ -18,6 +20,7 @@
 use crate::counter::Counter;
 use crate::log_event::LogEvent;
 use crate::metrics::Stage;
+use crate::poison::fingerprint::{Fingerprint, Suspect};
 
 /// Where a caller's connection comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,7 +57,15 @@
         }
     };
     // These headers are only valid between nodes.
-    for name in [SECRET, ROLE, URGENCY, CALLER_HOST, MAX_WAIT, REPEAT] {
+    for name in [
+        SECRET,
+        ROLE,
+        URGENCY,
+        CALLER_HOST,
+        MAX_WAIT,
+        REPEAT,
+        FINGERPRINT,
+    ] {
         parts.headers.remove(name);
     }
     if origin == Origin::Local {
@@ -66,7 +77,11 @@
         .unwrap_or_default();
     let started = Instant::now();
     let mut disconnect_guard = DisconnectGuard(Some(plane.clone()));
-    let response = match Payload::read(plane, &parts, body).await {
+    let read = Payload::read(plane, &parts, body).await;
+    if let Ok(payload) = &read {
+        call.suspect = Some(identify(plane, &mut parts, payload));
+    }
+    let response = match read {
         Ok(payload) if call.is_keyed() => keyed::handle(plane, call, parts, payload).await,
         Ok(payload) => dispatch::dispatch(plane, &call, parts, payload).await,
         Err(reason) => response::refuse(&plane.counters, reason, Ran::NotRun),
@@ -77,6 +92,28 @@
     finish(plane, prefer_upload_fault(plane, &upload, response))
 }
 
+/// Identifies a request beyond this call, and adds the identity for the owner.
+fn identify(plane: &Plane, parts: &mut Parts, payload: &Payload) -> Suspect {
+    let caller = plane.contract.as_ref().map(|c| &*c.caller_service);
+    let host = header::service(&parts.uri, &parts.headers).unwrap_or_default();
+    let fingerprint = Fingerprint::new(
+        parts,
+        &host,
+        caller.unwrap_or_default(),
+        payload.beginning(),
+    );
+    let id = match plane.request_id(&parts.headers) {
+        // Without identifiers every call counts as one of its own.
+        id if id.is_empty() => rand::random::<u64>().to_string(),
+        id => id,
+    };
+    let suspect = Suspect::new(fingerprint, &id);
+    if let Some(value) = suspect.header_value() {
+        parts.headers.insert(FINGERPRINT, value);
+    }
+    suspect
+}
+
 /// Logs a refusal that precedes the choice of a backend server.
 fn log_refusal(plane: &Plane, parts: &Parts, response: &Response<Body>, reason: Reason) {
     if request_log::may_write(plane, request_log::Class::Response) {
--- a/buckthorn/src/proxy/keyed.rs
+++ b/buckthorn/src/proxy/keyed.rs
@@ -182,7 +182,7 @@
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let body = match payload {
         Payload::Kept(bytes) => xxhash_rust::xxh3::xxh3_64(bytes),
-        Payload::Streamed(_) => 0,
+        Payload::Streamed { .. } => 0,
     };
     name::hash(&format!("{} {path} {body}", parts.method))
 }
--- a/buckthorn/src/proxy/mod.rs
+++ b/buckthorn/src/proxy/mod.rs
@@ -48,6 +48,7 @@
 use crate::counter::Counters;
 use crate::name::Name;
 use crate::node::telemetry;
+use crate::poison::watch::Watch;
 use crate::routing::repeat::RepeatShare;
 use crate::routing::table::Table;
 
@@ -77,6 +78,8 @@
     pub limits: Limits,
     /// Contract with callers and backend servers, when the platform defines its own headers.
     pub contract: Option<Contract>,
+    /// Watch of the local backend server for crashes, if anything is to be learned from them.
+    pub watch: Option<Arc<Watch>>,
     /// Logger for decisions on calls.
     pub logger: Logger,
     /// Rate limits of the log lines about calls.
@@ -108,6 +111,7 @@
             secrets,
             limits: Limits::default(),
             contract: None,
+            watch: None,
             logger: telemetry::silent(),
         }
     }
@@ -160,6 +164,8 @@
     limits: Limits,
     /// Contract with callers and backend servers.
     contract: Option<Contract>,
+    /// Watch of the local backend server for crashes.
+    watch: Option<Arc<Watch>>,
     /// Logger for decisions on calls.
     logger: Logger,
 }
@@ -201,6 +207,12 @@
         self
     }
 
+    /// Sets the watch of the local backend server for crashes.
+    pub fn watch(mut self, watch: Arc<Watch>) -> Self {
+        self.watch = Some(watch);
+        self
+    }
+
     /// Sets the logger for decisions on calls.
     pub fn logger(mut self, logger: Logger) -> Self {
         self.logger = logger;
@@ -222,6 +234,7 @@
             secrets: self.secrets,
             limits: self.limits,
             contract: self.contract,
+            watch: self.watch,
             logger: self.logger,
             rate_limiters: request_log::RateLimiters::default(),
             is_draining: AtomicBool::new(false),
--- a/buckthorn/src/proxy/owner.rs
+++ b/buckthorn/src/proxy/owner.rs
@@ -13,7 +13,7 @@
 
 use super::body::{self, Body, Bounds, Ending, Fault, Monitor};
 use super::contract::Validation;
-use super::header::{self, Call, DEADLINE, LOAD, REPEAT};
+use super::header::{self, Call, DEADLINE, FINGERPRINT, LOAD, REPEAT};
 use super::limit::Limits;
 use super::pool::{CheckoutError, Pool, ResponseBody, SendError};
 use super::response::{self, Ran, Reason};
@@ -28,6 +28,8 @@
 use crate::log_event::LogEvent;
 use crate::metrics::Stage;
 use crate::name::Name;
+use crate::poison::fingerprint::Suspect;
+use crate::poison::watch::Watch;
 use crate::rollout::evidence::{self, Outcome, Recorder};
 
 /// Connections tried for one call before it is refused. Another is tried only while no byte of the
@@ -227,6 +229,34 @@
     route: Name,
     /// When the call was sent to the backend server.
     started: Instant,
+    /// Watch that is told how the call ended.
+    watch: CallWatch,
+}
+
+/// Reports the end of a call to the watch of the backend server, if there is one.
+struct CallWatch {
+    /// Watch of the backend server.
+    watch: Option<Arc<Watch>>,
+    /// Identity of the request.
+    suspect: Option<Suspect>,
+    /// Address of the backend server.
+    address: SocketAddr,
+}
+
+impl CallWatch {
+    /// Reports that the backend server ran the call to its end.
+    fn record_completed(&self) {
+        if let Some(watch) = &self.watch {
+            watch.record_completed(self.suspect);
+        }
+    }
+
+    /// Reports that the connection of the call broke.
+    fn record_lost(&self) {
+        if let Some(watch) = &self.watch {
+            watch.record_lost(self.suspect, self.address);
+        }
+    }
 }
 
 impl RunningCall {
@@ -260,6 +290,11 @@
         counters: plane.counters.clone(),
         route: admitted.route,
         started: Instant::now(),
+        watch: CallWatch {
+            watch: plane.watch.clone(),
+            suspect: call.suspect,
+            address: owner.address,
+        },
     }));
     let repeat_permille = header::mesh_number(request.headers(), REPEAT).unwrap_or_default();
     plane
@@ -312,7 +347,10 @@
                     owner.circuit_breaker.record_no_response(latency.min(left));
                     Outcome::Timeout
                 }
-                _ => Outcome::Reset,
+                _ => {
+                    run.watch.record_lost();
+                    Outcome::Reset
+                }
             };
             run.finish(outcome, latency);
             response::refuse(&plane.counters, reason, Ran::Unknown)
@@ -502,6 +540,7 @@
     headers.remove(header::SECRET);
     headers.remove(header::ROLE);
     headers.remove(REPEAT);
+    headers.remove(FINGERPRINT);
     headers.remove(names::EXPECT);
     let authority = request.uri().authority().cloned();
     match &plane.contract {
@@ -552,6 +591,11 @@
         if outcome == Outcome::Broken {
             run.counters.increment(Counter::BrokenResponses);
         }
+        match ending {
+            Ending::Complete => run.watch.record_completed(),
+            Ending::Fault(Fault::Lost | Fault::Short) => run.watch.record_lost(),
+            Ending::Fault(_) | Ending::Dropped => {}
+        }
         run.finish(outcome, latency);
     };
     response::boxed(response.map(|body| Monitor::new(body, bounds, on_end)))
--- a/buckthorn/src/proxy/payload.rs
+++ b/buckthorn/src/proxy/payload.rs
@@ -1,6 +1,7 @@
 //! Request bodies: small ones are kept so that they can be resent, others are streamed once.
 
 use std::sync::{Arc, OnceLock};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::request::Parts;
@@ -8,17 +9,27 @@
 use hyper::body::Incoming;
 
 use super::Plane;
-use super::body::{self, Body, Ending, Fault, Monitor};
+use super::body::{self, Body, Ending, Fault, Monitor, Peeked};
 use super::header;
 use super::response::Reason;
+use crate::poison::fingerprint::BODY_BYTES;
+
+/// Longest wait for the beginning of a body that is streamed. It mostly arrives with the head; a
+/// caller that sends it later is not held up.
+const PEEK_TIMEOUT: Duration = Duration::from_millis(20);
 
 /// Body of a request, kept or streamed.
 #[derive(Debug)]
 pub enum Payload {
     /// Kept in memory, so that it can be resent.
     Kept(Bytes),
-    /// Streamed once; `None` after it was sent.
-    Streamed(Option<Body>),
+    /// Streamed once.
+    Streamed {
+        /// The body; `None` after it was sent.
+        body: Option<Body>,
+        /// Its first bytes.
+        beginning: Bytes,
+    },
 }
 
 impl Payload {
@@ -37,13 +48,13 @@
             return Ok(Self::Kept(Bytes::new()));
         }
         let Some(length) = declared else {
-            return Ok(Self::Streamed(Some(body.boxed_unsync())));
+            return Ok(Self::stream(body).await);
         };
         if length > plane.limits.body_bytes {
             return Err(Reason::BodySize);
         }
         if length > plane.limits.kept_body_bytes {
-            return Ok(Self::Streamed(Some(body.boxed_unsync())));
+            return Ok(Self::stream(body).await);
         }
         match body.collect().await {
             Ok(collected) => Ok(Self::Kept(collected.to_bytes())),
@@ -51,12 +62,30 @@
         }
     }
 
+    /// Leaves a body to be streamed after its beginning was read.
+    async fn stream(body: Monitor<Incoming>) -> Self {
+        let body = body.boxed_unsync();
+        let (body, beginning) = Peeked::read(body, BODY_BYTES, PEEK_TIMEOUT).await;
+        Self::Streamed {
+            body: Some(body),
+            beginning,
+        }
+    }
+
+    /// Returns the bytes by which the body is recognised: all of it, or its beginning.
+    pub fn beginning(&self) -> &[u8] {
+        match self {
+            Self::Kept(bytes) => bytes,
+            Self::Streamed { beginning, .. } => beginning,
+        }
+    }
+
     /// Returns the body for another attempt, `None` when it cannot be resent.
     pub fn take(&mut self) -> Option<Body> {
         match self {
             Self::Kept(bytes) if bytes.is_empty() => Some(body::empty()),
             Self::Kept(bytes) => Some(body::full(bytes.clone())),
-            Self::Streamed(body) => body.take(),
+            Self::Streamed { body, .. } => body.take(),
         }
     }
 
