Refuse requests that crash backend servers

A crash counted against the server only, and against one attempt of one node; the request came again with another identifier, and its ingress sent each call to up to three servers. The owner now reports the fingerprints of the calls that were lost in a crash to two collectors. A request that was lost in three crashes under two identifiers is refused by all nodes for 10 min, as not run, at the ingress and at the owner; one that was lost three times under one identifier is not sent to another server. Crashes that are explained so don't count against the other requests in progress, nor do requests that have completed at the owner. Nodes that lack a part of the list are found by a hash in their probes.

--- a/buckthorn/src/counter.rs
+++ b/buckthorn/src/counter.rs
@@ -62,6 +62,7 @@
     RefusedByBackend "refused.backend" "Calls that the backend server itself refused as not run.",
     RefusedCold "refused.cold" "Calls over the rate that a cold backend server bears.",
     RefusedRateLimited "refused.rate_limited" "Calls over the rate limit that the backend server names.",
+    RefusedPoison "refused.poison" "Calls of requests that have crashed backend servers.",
     RefusedUnreachable "refused.unreachable" "Calls refused because no connection could be opened.",
     KeysNotReplicated "key.held_once" "Idempotency keys that could not be noted at a second node.",
     ReplayedFromKey "call.answered_from_key" "Repeats answered with the first outcome of their key.",
@@ -82,6 +83,7 @@
     RetryDeniedDeadline "retry_denied.deadline" "Retries denied because the deadline is too near.",
     RetryDeniedAttempts "retry_denied.attempts" "Retries denied because no attempts remain.",
     RetryDeniedLayer "retry_denied.layer" "Retries denied because an outer layer retries.",
+    RetryDeniedPoison "retry_denied.poison" "Retries denied because the request may have crashed backend servers.",
     RetryDeniedBody "retry_denied.body" "Retries denied because the body was not kept.",
     // Admission and routing.
     LimitRaised "limit.raised" "Raises of the concurrency limit.",
--- a/buckthorn/src/kernel/mod.rs
+++ b/buckthorn/src/kernel/mod.rs
@@ -22,6 +22,7 @@
 use crate::membership::member::{BackendServer, Departure, Member};
 use crate::membership::view::View;
 use crate::name::Name;
+use crate::poison::blocklist::Blocklist;
 use crate::poison::watch::Crash;
 use crate::rollout::evidence;
 use crate::rollout::quarantine::Quarantine;
@@ -154,6 +155,8 @@
     /// Refuse announcements of a backend server that left before this process started, and drain it
     /// if it is registered.
     RecallDeparture(Departure),
+    /// Pass the list of poison requests to the data path.
+    UpdateBlocklist,
     /// Log a decision or a change of the node's state.
     Log(LogEntry),
 }
@@ -212,6 +215,8 @@
     pub lease_manager: LeaseManager,
     /// Operators' orders; used only if they come from a topic of their own.
     pub orders: Orders,
+    /// Requests that crash backend servers.
+    pub blocklist: Blocklist,
     /// Whether orders and decisions are received from other nodes instead of read.
     pub is_following: bool,
     /// Counters of the node.
@@ -321,6 +326,7 @@
             view,
             quarantine: Quarantine::new(),
             orders: Orders::default(),
+            blocklist: Blocklist::default(),
             is_following: false,
             counters,
             is_synced: false,
--- a/buckthorn/src/log_event.rs
+++ b/buckthorn/src/log_event.rs
@@ -56,6 +56,7 @@
     BackendAnnounced "backend.announced" "service, version, instance" "The local backend server registered or changed its announcement.",
     BackendLeaves "backend.leaves" "service" "The local backend server is draining or leaving.",
     BackendCrashed "backend.crashed" "subject, detail" "The local backend server crashed: the fingerprints of the calls that were lost, except of requests that have completed before.",
+    RequestBlocked "request.blocked" "subject, detail" "A request, by its fingerprint, is no longer sent to another backend server after it was lost, or is refused, as it has crashed backend servers.",
     BackendExpired "backend.expired" "service" "The local backend server was removed because its heartbeats stopped.",
     DomainsOut "domains.out" "subject, detail" "The set of failure domains out of service changed.",
     MoveStep "move.step" "subject, detail" "A move changed the share of the new version.",
--- a/buckthorn/src/membership/plugin.rs
+++ b/buckthorn/src/membership/plugin.rs
@@ -413,6 +413,7 @@
         next: Position::from(cx.shared.tail.state().next).max(cx.shared.orders.next()),
         view: cx.shared.view.digest(),
         quarantine: cx.shared.quarantine.digest(),
+        blocklist: cx.shared.blocklist.digest(),
         is_synced: cx.shared.is_synced,
     }
 }
--- a/buckthorn/src/node/driver.rs
+++ b/buckthorn/src/node/driver.rs
@@ -25,6 +25,7 @@
 use crate::log::AppendOutcome;
 use crate::log_event::LogEvent;
 use crate::name::Name;
+use crate::poison::blocklist::Blocklist;
 use crate::poison::watch::Crash;
 use crate::proxy::owner::Owner;
 use crate::rollout::evidence::Recorder;
@@ -83,6 +84,8 @@
     pub(super) clock: Clock,
     /// Nodes known to be alive, including this one.
     pub(super) peers: Arc<ArcSwap<Vec<Peer>>>,
+    /// Poison requests, which are not sent to backend servers.
+    pub(super) blocklist: Arc<ArcSwap<Blocklist>>,
     /// Era of the operators' topic.
     pub(super) log_era: Arc<AtomicU16>,
 }
@@ -306,6 +309,10 @@
                     let transition = self.registration.recall(departure, now);
                     self.report_if_drained(transition);
                 }
+                Action::UpdateBlocklist => {
+                    let blocklist = self.kernel.shared().blocklist.clone();
+                    self.data_path.blocklist.store(Arc::new(blocklist));
+                }
                 Action::Log(entry) => info!(self.resources.logger, "{}", entry.event.name();
                     "subject" => entry.subject, "detail" => entry.detail),
             }
--- a/buckthorn/src/node/mod.rs
+++ b/buckthorn/src/node/mod.rs
@@ -140,6 +140,7 @@
             counters: counters.clone(),
             clock: clock.clone(),
             peers: Arc::default(),
+            blocklist: Arc::default(),
             log_era: Arc::default(),
         };
         let runtime = runtime::Builder::new_multi_thread()
@@ -395,6 +396,7 @@
     .counters(data_path.counters.clone())
     .clock(data_path.clock.clone())
     .limits(limits)
+    .blocklist(data_path.blocklist.clone())
     .watch(watch)
     .logger(logger);
     if let Some(adapter) = adapter {
--- a/buckthorn/src/poison/containment.rs
+++ b/buckthorn/src/poison/containment.rs
@@ -1,18 +1,49 @@
 //! Plug-in that contains poison requests.
+//!
+//! The owner of a backend server that crashed reports the lost calls to two collectors, chosen by
+//! rendezvous hashing among the live members and in different failure domains, and compares them
+//! itself as well. Which request is responsible a collector tells all nodes at once. Nodes whose
+//! probes show that they lack a part of the list, because they have just started or were cut off,
+//! get it whole.
 
-use crate::kernel::{Context, Event, Plugin, Registry};
+use std::time::Duration;
+
+use crate::clock::Time;
+use crate::counter::Counter;
+use crate::kernel::{Action, Context, Event, Plugin, Registry};
 use crate::log_event::LogEvent;
+use crate::membership::member::Member;
+use crate::name::Name;
+use crate::rollout::evaluator;
+use crate::rpc::message::{Digest, Message};
+
+use super::blocklist::{Level, MAX_ENTRIES, Notice, RETENTION};
+use super::collector::Collector;
+use super::fingerprint::Fingerprint;
+use super::watch::{Crash, MAX_SUSPECTS};
+
+/// Key of the rendezvous hash that chooses collectors.
+const COLLECTOR_KEY: &str = "poison.collector";
 
-use super::watch::Crash;
+/// Interval at which a node sends its whole list to nodes that lack a part of it.
+const SYNC_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Registers the plug-in.
 pub fn register(registry: &mut Registry) {
-    registry.add(Containment);
+    registry.add(Containment {
+        collector: Collector::default(),
+        synced_at: Time::default(),
+    });
 }
 
-/// Reports crashes of the local backend server.
+/// Reports crashes, compares them and keeps the list of poison requests.
 #[derive(Debug)]
-struct Containment;
+struct Containment {
+    /// Crashes that this node knows of.
+    collector: Collector,
+    /// When this node last sent its whole list.
+    synced_at: Time,
+}
 
 impl Plugin for Containment {
     fn name(&self) -> &'static str {
@@ -20,10 +51,100 @@
     }
 
     fn handle(&mut self, cx: &mut Context<'_>, event: &Event) {
-        if let Event::BackendCrashed(crash) = event {
-            log_crash(cx, crash);
+        match event {
+            Event::Tick if cx.shared.blocklist.prune(cx.now) => cx.act(Action::UpdateBlocklist),
+            Event::BackendCrashed(crash) => self.report(cx, crash),
+            Event::Received { from, messages } | Event::Replied { from, messages } => {
+                for message in messages {
+                    self.receive(cx, from, message);
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+impl Containment {
+    /// Reports a crash of the local backend server to the collectors.
+    fn report(&mut self, cx: &mut Context<'_>, crash: &Crash) {
+        log_crash(cx, crash);
+        if crash.suspects.is_empty() {
+            return;
+        }
+        let collectors = evaluator::select(&cx.shared.view, COLLECTOR_KEY);
+        let collectors: Vec<Member> = collectors.into_iter().cloned().collect();
+        for collector in collectors {
+            if collector.host != cx.shared.identity.host {
+                cx.send(&collector, vec![Message::Crash(crash.clone())]);
+            }
+        }
+        self.collect(cx, crash);
+    }
+
+    /// Handles one message of a peer.
+    fn receive(&mut self, cx: &mut Context<'_>, from: &Name, message: &Message) {
+        match message {
+            Message::Crash(crash) if crash.suspects.len() <= MAX_SUSPECTS => {
+                self.collect(cx, crash);
+            }
+            Message::Blocklist(notices) if notices.len() <= MAX_ENTRIES => {
+                merge(cx, notices, &format!("reported by {from}"));
+            }
+            Message::Crash(_) | Message::Blocklist(_) => {
+                cx.shared.counters.increment(Counter::MessagesRefused);
+            }
+            Message::Ping(digest) | Message::Ack(digest) => self.sync(cx, from, digest),
+            _ => {}
         }
     }
+
+    /// Compares a crash with others and tells all nodes what follows.
+    fn collect(&mut self, cx: &mut Context<'_>, crash: &Crash) {
+        let levels = self.collector.add(crash, cx.now);
+        let notice = |(fingerprint, level): &(Fingerprint, Level)| Notice {
+            fingerprint: *fingerprint,
+            level: *level,
+            remaining_ms: RETENTION.as_millis() as u64,
+        };
+        let notices: Vec<Notice> = levels.iter().map(notice).collect();
+        let added = merge(cx, &notices, "lost in repeated crashes");
+        if added.is_empty() {
+            return;
+        }
+        let local_host = cx.shared.identity.host.clone();
+        let live = cx.shared.view.live();
+        let peers: Vec<Member> = live.filter(|m| m.host != local_host).cloned().collect();
+        for peer in peers {
+            cx.send(&peer, vec![Message::Blocklist(added.clone())]);
+        }
+    }
+
+    /// Sends the whole list to a node whose digest shows another one.
+    fn sync(&mut self, cx: &mut Context<'_>, from: &Name, digest: &Digest) {
+        let blocklist = &cx.shared.blocklist;
+        let is_due = cx.now.since(self.synced_at) >= SYNC_INTERVAL;
+        if blocklist.is_empty() || digest.blocklist == blocklist.digest() || !is_due {
+            return;
+        }
+        let notices = blocklist.notices(cx.now);
+        if let Some(member) = cx.shared.view.get(from).cloned() {
+            self.synced_at = cx.now;
+            cx.send(&member, vec![Message::Blocklist(notices)]);
+        }
+    }
+}
+
+/// Merges entries into the list of this node; returns those that are new.
+fn merge(cx: &mut Context<'_>, notices: &[Notice], cause: &str) -> Vec<Notice> {
+    let added = cx.shared.blocklist.merge(notices, cx.now);
+    for notice in &added {
+        let detail = format!("{:?}, {cause}", notice.level);
+        cx.log_event(LogEvent::RequestBlocked, notice.fingerprint, detail);
+    }
+    if !added.is_empty() {
+        cx.act(Action::UpdateBlocklist);
+    }
+    added
 }
 
 /// Logs a crash of the local backend server.
--- a/buckthorn/src/poison/fingerprint.rs
+++ b/buckthorn/src/poison/fingerprint.rs
@@ -60,7 +60,7 @@
 
     /// Parses the value of a header between nodes.
     pub fn parse(value: &HeaderValue) -> Option<Self> {
-        let text = value.to_str().ok().filter(|text| text.is_ascii())?;
+        let text = value.to_str().ok().filter(|text| text.len() == 32)?;
         let (fingerprint, call) = text.split_at_checked(16)?;
         Some(Self {
             fingerprint: Fingerprint(u64::from_str_radix(fingerprint, 16).ok()?),
--- a/buckthorn/src/proxy/contract.rs
+++ b/buckthorn/src/proxy/contract.rs
@@ -56,6 +56,8 @@
     pub load: HeaderValue,
     /// Used when individual backend servers or hosts refused a call that others may accept at once.
     pub other_backend: HeaderValue,
+    /// Delay after which a request that has crashed backend servers may be tried again.
+    pub poison: HeaderValue,
 }
 
 /// Result of validating the head of a response.
--- a/buckthorn/src/proxy/dispatch.rs
+++ b/buckthorn/src/proxy/dispatch.rs
@@ -24,6 +24,7 @@
 use crate::counter::Counter;
 use crate::log_event::LogEvent;
 use crate::name::Name;
+use crate::poison::blocklist::Level;
 use crate::rollout::evidence::Outcome;
 use crate::routing::budget::{self, Budget, Layer, Next, NextHopDeadline};
 use crate::routing::choice::{self, Choice, choose};
@@ -96,6 +97,7 @@
             attempts_left: attempts.left(),
             layer: layer(call),
             is_body_replayable: payload.is_kept(),
+            is_poison: is_poison(plane, call, &failed),
         };
         let is_budget_exempt = failed.is_out_of_rotation
             || call.max_backend_attempts.is_some() && !failed.may_have_reached_backend;
@@ -125,6 +127,17 @@
     }
 }
 
+/// Returns whether a call must not be sent to another backend server after a failed attempt, as it
+/// may have crashed those that it was sent to.
+fn is_poison(plane: &Plane, call: &Call, failed: &FailedAttempt) -> bool {
+    match plane.block_level(call) {
+        Some(Level::Blocked) => true,
+        Some(Level::NoRetry) => failed.ran == budget::Execution::Unknown,
+        // The owner may have learned it first.
+        None => response::has_reason(&failed.response, Reason::Poison),
+    }
+}
+
 /// Returns the retry budget of a call's service.
 pub(super) fn service_budget(plane: &Plane, call: &Call) -> Option<Arc<Budget>> {
     let table = plane.table.load();
--- a/buckthorn/src/proxy/ingress.rs
+++ b/buckthorn/src/proxy/ingress.rs
@@ -20,6 +20,7 @@
 use crate::counter::Counter;
 use crate::log_event::LogEvent;
 use crate::metrics::Stage;
+use crate::poison::blocklist::Level;
 use crate::poison::fingerprint::{Fingerprint, Suspect};
 
 /// Where a caller's connection comes from.
@@ -82,6 +83,9 @@
         call.suspect = Some(identify(plane, &mut parts, payload));
     }
     let response = match read {
+        Ok(_) if plane.block_level(&call) == Some(Level::Blocked) => {
+            response::refuse(&plane.counters, Reason::Poison, Ran::NotRun)
+        }
         Ok(payload) if call.is_keyed() => keyed::handle(plane, call, parts, payload).await,
         Ok(payload) => dispatch::dispatch(plane, &call, parts, payload).await,
         Err(reason) => response::refuse(&plane.counters, reason, Ran::NotRun),
--- a/buckthorn/src/proxy/mod.rs
+++ b/buckthorn/src/proxy/mod.rs
@@ -48,6 +48,7 @@
 use crate::counter::Counters;
 use crate::name::Name;
 use crate::node::telemetry;
+use crate::poison::blocklist::{Blocklist, Level};
 use crate::poison::watch::Watch;
 use crate::routing::repeat::RepeatShare;
 use crate::routing::table::Table;
@@ -78,6 +79,8 @@
     pub limits: Limits,
     /// Contract with callers and backend servers, when the platform defines its own headers.
     pub contract: Option<Contract>,
+    /// Poison requests, which are not sent to backend servers.
+    pub blocklist: Arc<ArcSwap<Blocklist>>,
     /// Watch of the local backend server for crashes, if anything is to be learned from them.
     pub watch: Option<Arc<Watch>>,
     /// Logger for decisions on calls.
@@ -111,6 +114,7 @@
             secrets,
             limits: Limits::default(),
             contract: None,
+            blocklist: Arc::default(),
             watch: None,
             logger: telemetry::silent(),
         }
@@ -137,6 +141,13 @@
         text.unwrap_or_default().to_owned()
     }
 
+    /// Returns what is not done with the request of a call, as it crashes backend servers.
+    pub(crate) fn block_level(&self, call: &header::Call) -> Option<Level> {
+        let fingerprint = call.suspect?.fingerprint;
+        let blocklist = self.blocklist.load();
+        blocklist.level(fingerprint, self.clock.now())
+    }
+
     /// Returns whether the node drains and refuses new calls.
     pub fn is_draining(&self) -> bool {
         self.is_draining.load(Ordering::Acquire)
@@ -164,6 +175,8 @@
     limits: Limits,
     /// Contract with callers and backend servers.
     contract: Option<Contract>,
+    /// Poison requests, which are not sent to backend servers.
+    blocklist: Arc<ArcSwap<Blocklist>>,
     /// Watch of the local backend server for crashes.
     watch: Option<Arc<Watch>>,
     /// Logger for decisions on calls.
@@ -207,6 +220,12 @@
         self
     }
 
+    /// Sets the shared list of poison requests.
+    pub fn blocklist(mut self, blocklist: Arc<ArcSwap<Blocklist>>) -> Self {
+        self.blocklist = blocklist;
+        self
+    }
+
     /// Sets the watch of the local backend server for crashes.
     pub fn watch(mut self, watch: Arc<Watch>) -> Self {
         self.watch = Some(watch);
@@ -234,6 +253,7 @@
             secrets: self.secrets,
             limits: self.limits,
             contract: self.contract,
+            blocklist: self.blocklist,
             watch: self.watch,
             logger: self.logger,
             rate_limiters: request_log::RateLimiters::default(),
--- a/buckthorn/src/proxy/owner.rs
+++ b/buckthorn/src/proxy/owner.rs
@@ -28,6 +28,7 @@
 use crate::log_event::LogEvent;
 use crate::metrics::Stage;
 use crate::name::Name;
+use crate::poison::blocklist::Level;
 use crate::poison::fingerprint::Suspect;
 use crate::poison::watch::Watch;
 use crate::rollout::evidence::{self, Outcome, Recorder};
@@ -150,6 +151,7 @@
     if plane.is_draining() {
         return Err(Reason::Refused(Refusal::Draining));
     }
+    check_blocklist(plane, call)?;
     let route = check(plane, owner, call)?;
     let started = Instant::now();
     let permit = owner
@@ -159,6 +161,8 @@
         .map_err(Reason::Refused)?;
     let stages = &plane.counters.stages;
     stages.get(Stage::Queue).observe(started.elapsed());
+    // The request may have been found responsible for crashes meanwhile.
+    check_blocklist(plane, call)?;
     if !owner.circuit_breaker.admits(owner.semaphore.running()) {
         return Err(Reason::Unreachable);
     }
@@ -192,6 +196,14 @@
     }
 }
 
+/// Refuses a call of a request that has crashed backend servers.
+fn check_blocklist(plane: &Plane, call: &Call) -> Result<(), Reason> {
+    match plane.block_level(call) {
+        Some(Level::Blocked) => Err(Reason::Poison),
+        Some(Level::NoRetry) | None => Ok(()),
+    }
+}
+
 /// Checks a call against the current table and returns the route under which it is recorded.
 fn check(plane: &Plane, owner: &Owner, call: &Call) -> Result<Name, Reason> {
     if *owner.service != *call.service {
--- a/buckthorn/src/proxy/response.rs
+++ b/buckthorn/src/proxy/response.rs
@@ -63,6 +63,8 @@
     KeyResponseNotKept,
     /// The store of idempotency keys is full.
     KeysFull,
+    /// The request has crashed backend servers.
+    Poison,
     /// The backend server refused to run the call.
     BackendRefused,
     /// The node or the backend server could not be reached, or did not accept the call.
@@ -94,6 +96,7 @@
             Self::KeyReused => "key-reused",
             Self::KeyResponseNotKept => "key-answer-not-kept",
             Self::KeysFull => "keys-full",
+            Self::Poison => "crashes-backend",
             Self::BackendRefused => "backend-refused",
             Self::Unreachable => "unreachable",
             Self::Reset => "reset",
@@ -110,6 +113,7 @@
             | Self::NotReady
             | Self::Connections
             | Self::KeysFull
+            | Self::Poison
             | Self::BackendRefused => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BadRequest | Self::BodyShort => StatusCode::BAD_REQUEST,
@@ -139,6 +143,7 @@
             Self::KeyInProgress => Some(Counter::RefusedKeyInProgress),
             Self::KeyReused => Some(Counter::RefusedKeyReused),
             Self::KeysFull => Some(Counter::RefusedKeysFull),
+            Self::Poison => Some(Counter::RefusedPoison),
             Self::KeyResponseNotKept => Some(Counter::RefusedKeyResponseNotStored),
             Self::BackendRefused => Some(Counter::RefusedByBackend),
             Self::Unreachable => Some(Counter::RefusedUnreachable),
@@ -256,7 +261,9 @@
         let can_retry_elsewhere = [Reason::BackendRefused, Reason::Unreachable]
             .into_iter()
             .any(|reason| has_reason(response, reason));
-        let delay = if can_retry_elsewhere {
+        let delay = if has_reason(response, Reason::Poison) {
+            &retry_after.poison
+        } else if can_retry_elsewhere {
             &retry_after.other_backend
         } else {
             &retry_after.load
--- a/buckthorn/src/proxy/resume.rs
+++ b/buckthorn/src/proxy/resume.rs
@@ -127,6 +127,7 @@
                     attempts_left: self.attempts_left,
                     layer: layer(&self.call),
                     is_body_replayable: true,
+                    is_poison: self.plane.block_level(&self.call).is_some(),
                 },
             );
             self.plane.counters.increment(next.counter());
--- a/buckthorn/src/routing/budget.rs
+++ b/buckthorn/src/routing/budget.rs
@@ -175,6 +175,8 @@
     pub layer: Layer,
     /// Whether the complete request body is buffered and can be sent again.
     pub is_body_replayable: bool,
+    /// Whether the request may have crashed the backend servers that it was sent to.
+    pub is_poison: bool,
 }
 
 /// Why a call is retried.
@@ -197,6 +199,8 @@
 /// Why a call is not retried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Denial {
+    /// The request may have crashed backend servers.
+    Poison,
     /// The call may have run and must run at most once.
     NotIdempotent,
     /// An outer layer retries the call.
@@ -238,6 +242,7 @@
     /// Counter incremented for the denial.
     pub const fn counter(self) -> Counter {
         match self {
+            Self::Poison => Counter::RetryDeniedPoison,
             Self::NotIdempotent => Counter::RetryDeniedNotIdempotent,
             Self::Layer => Counter::RetryDeniedLayer,
             Self::Attempts => Counter::RetryDeniedAttempts,
@@ -296,6 +301,9 @@
 
 /// Returns the first rule that forbids another attempt.
 fn denial(attempt: &Attempt) -> Option<Denial> {
+    if attempt.is_poison {
+        return Some(Denial::Poison);
+    }
     if attempt.ran == Execution::Unknown && !attempt.is_idempotent {
         return Some(Denial::NotIdempotent);
     }
--- a/buckthorn/src/rpc/message.rs
+++ b/buckthorn/src/rpc/message.rs
@@ -11,6 +11,8 @@
 use crate::journal::record::Record;
 use crate::membership::member::{Member, Status};
 use crate::name::Name;
+use crate::poison::blocklist::Notice;
+use crate::poison::watch::Crash;
 use crate::rollout::quarantine::Accusation;
 use crate::rollout::{cutover, evidence};
 
@@ -100,6 +102,10 @@
     },
     /// Finding on a service's move by a node that evaluates it.
     Finding(cutover::Finding),
+    /// Calls that were lost in a crash of the sender's backend server.
+    Crash(Crash),
+    /// Poison requests that are not sent to backend servers.
+    Blocklist(Vec<Notice>),
     /// Notifies the failure domain's reader of the configuration version that the sender has
     /// applied.
     Applied {
@@ -120,11 +126,19 @@
     /// Hash over the held accusations.
     #[serde(rename = "q")]
     pub quarantine: u64,
+    /// Hash over the list of poison requests; 0 if it is empty.
+    #[serde(rename = "b", default, skip_serializing_if = "is_zero")]
+    pub blocklist: u64,
     /// Whether the sender's fold has ever caught up with the log, or with a peer that had.
     #[serde(rename = "s", default, skip_serializing_if = "std::ops::Not::not")]
     pub is_synced: bool,
 }
 
+/// Whether a field has the value that stands for an absent one.
+const fn is_zero(value: &u64) -> bool {
+    *value == 0
+}
+
 /// Liveness of a member, without its attributes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StatusUpdate {
--- a/buckthorn/tests/config_relay.rs
+++ b/buckthorn/tests/config_relay.rs
@@ -470,6 +470,7 @@
                 next,
                 view: 0,
                 quarantine: 0,
+                blocklist: 0,
                 is_synced: true,
             };
             let messages = vec![Message::Ack(digest)];
--- a/buckthorn/tests/input_message.rs
+++ b/buckthorn/tests/input_message.rs
@@ -21,6 +21,9 @@
 use buckthorn::membership::plugin::MAX_MEMBERS;
 use buckthorn::name::Name;
 use buckthorn::node;
+use buckthorn::poison::blocklist::{Level, Notice};
+use buckthorn::poison::fingerprint::{Fingerprint, Suspect};
+use buckthorn::poison::watch::Crash;
 use buckthorn::rollout::evidence::{BUCKETS, MAX_COUNT, MAX_ROUTES, OUTCOMES, Report, Tally};
 use buckthorn::rollout::quarantine::{Accusation, Degree, MAX_ACCUSATIONS};
 use buckthorn::routing::load;
@@ -440,6 +443,7 @@
                 next: Position::from(next),
                 view,
                 quarantine,
+                blocklist: view,
                 is_synced,
             },
         )
@@ -490,6 +494,24 @@
         1 => prop::collection::vec(accusation, list()).prop_map(Message::Accusations),
         4 => any_report().prop_map(Message::Evidence),
         1 => any_number().prop_map(|version| Message::Applied { version }),
+        2 => (any::<u64>(), prop::collection::vec((0_u64..9, any::<u64>()), 0..80)).prop_map(
+            |(id, suspects)| {
+                let suspects = suspects.into_iter().map(|(fingerprint, call)| Suspect {
+                    fingerprint: Fingerprint(fingerprint),
+                    call,
+                });
+                Message::Crash(Crash { id, lost: 1, suspects: suspects.collect() })
+            },
+        ),
+        2 => prop::collection::vec((any::<u64>(), any::<bool>(), any_number()), 0..300).prop_map(
+            |notices| {
+                let notices = notices.into_iter().map(|(fingerprint, is_blocked, remaining_ms)| {
+                    let level = if is_blocked { Level::Blocked } else { Level::NoRetry };
+                    Notice { fingerprint: Fingerprint(fingerprint), level, remaining_ms }
+                });
+                Message::Blocklist(notices.collect())
+            },
+        ),
         1 => any_number().prop_map(|next| Message::OrdersRead { next: next.into() }),
         1 => (any_number(), any_number(), any::<u64>()).prop_map(|(from, policy, decisions)| {
             Message::WantOrders { from: from.into(), policy, decisions }
--- a/buckthorn/tests/proxy_kit/mod.rs
+++ b/buckthorn/tests/proxy_kit/mod.rs
@@ -83,6 +83,7 @@
         retry_after: RetryAfter {
             load: HeaderValue::from_static("0.2"),
             other_backend: HeaderValue::from_static("0.1"),
+            poison: HeaderValue::from_static("60"),
         },
     }
 }
--- a/buckthorn/tests/routing_budget.rs
+++ b/buckthorn/tests/routing_budget.rs
@@ -21,6 +21,7 @@
     attempts_left: 1,
     layer: Layer::Outermost,
     is_body_replayable: true,
+    is_poison: false,
 };
 
 #[test]
--- a/buckthorn/tests/routing_repeat.rs
+++ b/buckthorn/tests/routing_repeat.rs
@@ -53,6 +53,7 @@
         attempts_left,
         layer: Layer::Outermost,
         is_body_replayable: true,
+        is_poison: false,
     };
     matches!(decide(budget, &failed), Next::Retry(_))
 }
--- a/buckthorn_lab/src/experiment/mesh.rs
+++ b/buckthorn_lab/src/experiment/mesh.rs
@@ -629,6 +629,7 @@
                     attempts_left: call.attempts_left,
                     layer: Layer::Outermost,
                     is_body_replayable: true,
+                    is_poison: false,
                 };
                 let next = service.map(|service| match response {
                     OwnerResponse::DomainOut => budget::decide_without_budget(&attempt),
--- a/buckthorn_lab/src/experiment/storm.rs
+++ b/buckthorn_lab/src/experiment/storm.rs
@@ -161,6 +161,7 @@
                 Layer::Inner
             },
             is_body_replayable: true,
+            is_poison: false,
         };
         let is_retried = match is_naive {
             true => attempts_left > 0,
--- a/buckthorn_lab/src/harness/mod.rs
+++ b/buckthorn_lab/src/harness/mod.rs
@@ -421,6 +421,7 @@
             | Action::MonitorOrders(_)
             | Action::CollectEvidence
             | Action::RecallDeparture(_)
+            | Action::UpdateBlocklist
             | Action::ReadDecisions
             | Action::Publish(_)
             | Action::Log(_) => {}
