Close the connection of a refusal that names no request

A copy that names its request is told by the identifier; a refusal without one was taken for the answer to whatever was sent last. Such a refusal now ends its connection, so that no copy of it can follow. proxy_contract, a_copy_of_an_earlier_refusal_...: told 'not run' after a run before, passes now.

--- a/buckthorn/src/proxy/contract.rs
+++ b/buckthorn/src/proxy/contract.rs
@@ -126,6 +126,12 @@
         headers.get(&self.leaving).is_some_and(|value| value == "1")
     }
 
+    /// Returns whether another request may be sent on the connection of a response. A refusal that
+    /// names no request could not be told from a copy of it in place of a later response.
+    pub fn allows_reuse(&self, headers: &HeaderMap) -> bool {
+        !headers.contains_key(&self.not_executed) || headers.contains_key(&self.request_id)
+    }
+
     /// Validates the head of a response to the request with the given identifier.
     pub fn validate(
         &self,
--- a/buckthorn/src/proxy/owner.rs
+++ b/buckthorn/src/proxy/owner.rs
@@ -319,7 +319,7 @@
     let method = request.method().clone();
     let request_id = request_id(plane, &request);
     let request = rewrite_for_backend(plane, owner, request, left);
-    let sent = send(pool, request, deadline).await;
+    let sent = send(plane, pool, request, deadline).await;
     let Some(run) = run.release() else {
         return response::refuse(&plane.counters, Reason::Reset, Ran::Unknown);
     };
@@ -512,10 +512,15 @@
 
 /// Sends a request on a pooled connection; tries another one while no byte was sent.
 async fn send(
+    plane: &Plane,
     pool: &Arc<Pool>,
     mut request: Request<Body>,
     deadline: Instant,
 ) -> Result<Response<ResponseBody>, CallError> {
+    let allows_reuse = |headers: &HeaderMap| {
+        let contract = plane.contract.as_ref();
+        contract.is_none_or(|contract| contract.headers.allows_reuse(headers))
+    };
     for _ in 0..MAX_CONNECTIONS_TRIED {
         let connection = match pool.check_out(deadline).await {
             Ok(connection) => connection,
@@ -527,7 +532,7 @@
                 return Err(CallError::NotRun(Reason::Refused(Refusal::Deadline)));
             }
         };
-        match tokio::time::timeout_at(deadline, connection.send(request)).await {
+        match tokio::time::timeout_at(deadline, connection.send(request, allows_reuse)).await {
             Ok(Ok(response)) => return Ok(response),
             Ok(Err(SendError::NotSent(unsent))) => request = *unsent,
             Ok(Err(SendError::Lost)) => return Err(CallError::Unknown(Reason::Reset)),
--- a/buckthorn/src/proxy/pool.rs
+++ b/buckthorn/src/proxy/pool.rs
@@ -14,7 +14,7 @@
 
 use bytes::Bytes;
 use crossbeam::queue::ArrayQueue;
-use http::{Request, Response};
+use http::{HeaderMap, Request, Response};
 use http_body::{Frame, SizeHint};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -214,7 +214,8 @@
 }
 
 impl PooledConnection {
-    /// Sends a request and waits for the head of its response.
+    /// Sends a request and waits for the head of its response. The connection is closed after the
+    /// response unless `allows_reuse` its headers.
     ///
     /// # Errors
     ///
@@ -222,11 +223,15 @@
     pub async fn send(
         mut self,
         request: Request<Body>,
+        allows_reuse: impl Fn(&HeaderMap) -> bool,
     ) -> Result<Response<ResponseBody>, SendError> {
         let is_sent = Arc::new(AtomicBool::new(false));
         let request = request.map(|body| RequestBody::boxed(body, is_sent.clone()));
         match self.connection.sender.try_send_request(request).await {
-            Ok(response) => Ok(response.map(|body| ResponseBody::new(body, self, is_sent))),
+            Ok(response) => {
+                let connection = allows_reuse(response.headers()).then_some(self);
+                Ok(response.map(|body| ResponseBody::new(body, connection, is_sent)))
+            }
             Err(mut error) => Err(match error.take_message() {
                 Some(request) => SendError::NotSent(Box::new(request)),
                 None => SendError::Lost,
@@ -327,12 +332,17 @@
 }
 
 impl ResponseBody {
-    /// Wraps a response body that is received on a connection.
-    fn new(incoming: Incoming, connection: PooledConnection, is_sent: Arc<AtomicBool>) -> Self {
+    /// Wraps a response body. `connection` is the one on which it is received, unless that is closed
+    /// after it.
+    fn new(
+        incoming: Incoming,
+        connection: Option<PooledConnection>,
+        is_sent: Arc<AtomicBool>,
+    ) -> Self {
         let is_read = http_body::Body::is_end_stream(&incoming);
         let mut body = Self {
             incoming,
-            connection: Some(connection),
+            connection,
             last_frame: None,
             is_read,
             is_sent,
--- a/buckthorn/tests/proxy_contract.rs
+++ b/buckthorn/tests/proxy_contract.rs
@@ -4,7 +4,7 @@
 mod proxy_kit;
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use buckthorn::clock::Time;
@@ -454,3 +454,77 @@
         "{retries} attempts at unreachable hosts"
     );
 }
+
+/// Callers got a success with an empty or short body when a backend server stopped in the middle of
+/// its response's head.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_that_ends_within_its_head_is_an_error() {
+    let address = scripted(|mut exchange: Exchange| async move {
+        let Some(request) = exchange.request().await else {
+            return;
+        };
+        let response = signed(&request, "200 OK", "whole");
+        let path = request.split(' ').nth(1).unwrap();
+        let at: usize = path.rsplit('/').next().unwrap().parse().unwrap();
+        exchange.send(response[..at].to_owned()).await;
+    })
+    .await;
+    let (ingress, _owners) = mesh(&[address], 1).await;
+    let example = signed("test-id: r-1", "200 OK", "whole");
+    let head_end = example.find("\r\n\r\n").unwrap() + 4;
+    for (method, path) in [("GET", "/read"), ("POST", "/order")] {
+        for at in 0..head_end {
+            let response = call(&ingress, method, &format!("{path}/{at}"), "r-1").await;
+            assert_eq!(response.status, 502, "after {at} bytes: {response:?}");
+            assert_eq!(response.ran(), "unknown", "after {at} bytes: {response:?}");
+        }
+    }
+}
+
+/// A faulty backend server sent an earlier refusal once more as the response to a request that it
+/// ran, whose caller was told that it had not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_copy_of_an_earlier_refusal_does_not_refuse_another_request() {
+    for names_request in [true, false] {
+        let runs = Arc::new(AtomicU64::new(0));
+        let counted = runs.clone();
+        let is_first = Arc::new(AtomicBool::new(true));
+        let address = scripted(move |mut exchange: Exchange| {
+            let (counted, is_first) = (counted.clone(), is_first.clone());
+            async move {
+                let mut refusal = None;
+                while let Some(request) = exchange.request().await {
+                    if is_first.swap(false, Ordering::SeqCst) {
+                        let id = header(&request, "test-id");
+                        let echo = if names_request {
+                            format!("test-id: {id}\r\n")
+                        } else {
+                            String::new()
+                        };
+                        let text = format!(
+                            "HTTP/1.1 503 Service Unavailable\r\ntest-not-executed: 1\r\n{echo}\
+                             content-length: 0\r\n\r\n"
+                        );
+                        exchange.send(&text).await;
+                        refusal = Some(text);
+                        continue;
+                    }
+                    counted.fetch_add(1, Ordering::SeqCst);
+                    let response = match &refusal {
+                        Some(copy) => copy.clone(),
+                        None => signed(&request, "200 OK", "ok"),
+                    };
+                    exchange.send(&response).await;
+                }
+            }
+        })
+        .await;
+        let (ingress, _owners) = mesh(&[address], 1).await;
+        let refused = call(&ingress, "POST", "/order/1", "r-1").await;
+        assert_eq!((refused.status, refused.ran()), (503, "not-run"));
+        let response = call(&ingress, "POST", "/order/2", "r-2").await;
+        assert_eq!(runs.load(Ordering::SeqCst), 1, "{response:?}");
+        assert_ne!(response.ran(), "not-run", "{response:?}");
+        assert!([200, 502].contains(&response.status), "{response:?}");
+    }
+}
