--- a/buckthorn/src/proxy/body.rs
+++ b/buckthorn/src/proxy/body.rs
@@ -265,17 +265,46 @@
 }
 
 /// Body whose first frames were already read.
-pub struct Peeked {
+pub struct Replayed {
     /// Frames that were already read.
     first: VecDeque<Result<Frame<Bytes>, Fault>>,
     /// Remainder of the body.
     rest: Body,
 }
 
-impl Peeked {
+impl Replayed {
+    /// Buffers a body until it ends or exceeds `max_bytes`. Returns an equivalent body and, if all
+    /// of it was read, its bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns the fault that the body ended with.
+    pub async fn buffer(mut body: Body, max_bytes: usize) -> Result<(Body, Option<Bytes>), Fault> {
+        let mut read = BytesMut::new();
+        loop {
+            match body.frame().await {
+                None => {
+                    let bytes = read.freeze();
+                    return Ok((full(bytes.clone()), Some(bytes)));
+                }
+                Some(Err(fault)) => return Err(fault),
+                Some(Ok(frame)) => {
+                    if let Some(data) = frame.data_ref() {
+                        read.extend_from_slice(data);
+                    }
+                }
+            }
+            if read.len() > max_bytes {
+                let first = VecDeque::from([Ok(Frame::data(read.freeze()))]);
+                let replayed = Self { first, rest: body };
+                return Ok((replayed.boxed_unsync(), None));
+            }
+        }
+    }
+
     /// Reads a body until it has `max_bytes`, ends, or no more arrives in time. Returns an
     /// equivalent body and the bytes that were read.
-    pub async fn read(mut body: Body, max_bytes: usize, wait: Duration) -> (Body, Bytes) {
+    pub async fn peek(mut body: Body, max_bytes: usize, wait: Duration) -> (Body, Bytes) {
         let deadline = Instant::now() + wait;
         let (mut first, mut read) = (VecDeque::new(), BytesMut::new());
         while read.len() < max_bytes {
@@ -293,12 +322,12 @@
                 break;
             }
         }
-        let peeked = Self { first, rest: body };
-        (peeked.boxed_unsync(), read.freeze())
+        let replayed = Self { first, rest: body };
+        (replayed.boxed_unsync(), read.freeze())
     }
 }
 
-impl http_body::Body for Peeked {
+impl http_body::Body for Replayed {
     type Data = Bytes;
     type Error = Fault;
 
@@ -329,72 +358,3 @@
         hint
     }
 }
-
-/// Body whose first part was already read.
-pub struct Prefixed {
-    /// Part that was already read.
-    first: Option<Bytes>,
-    /// Remainder of the body.
-    rest: Body,
-}
-
-impl Prefixed {
-    /// Buffers a body until it ends or exceeds `max_bytes`. Returns an equivalent body and, if all
-    /// of it was read, its bytes.
-    ///
-    /// # Errors
-    ///
-    /// Returns the fault that the body ended with.
-    pub async fn read(mut body: Body, max_bytes: usize) -> Result<(Body, Option<Bytes>), Fault> {
-        let mut read = BytesMut::new();
-        loop {
-            match body.frame().await {
-                None => {
-                    let bytes = read.freeze();
-                    return Ok((full(bytes.clone()), Some(bytes)));
-                }
-                Some(Err(fault)) => return Err(fault),
-                Some(Ok(frame)) => {
-                    if let Some(data) = frame.data_ref() {
-                        read.extend_from_slice(data);
-                    }
-                }
-            }
-            if read.len() > max_bytes {
-                let first = Some(read.freeze());
-                let prefixed = Self { first, rest: body };
-                return Ok((prefixed.boxed_unsync(), None));
-            }
-        }
-    }
-}
-
-impl http_body::Body for Prefixed {
-    type Data = Bytes;
-    type Error = Fault;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Fault>>> {
-        if let Some(first) = self.first.take() {
-            return Poll::Ready(Some(Ok(Frame::data(first))));
-        }
-        Pin::new(&mut self.rest).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.first.is_none() && self.rest.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        let first = self.first.as_ref().map_or(0, Bytes::len) as u64;
-        let rest = self.rest.size_hint();
-        let mut hint = SizeHint::new();
-        hint.set_lower(first + rest.lower());
-        if let Some(upper) = rest.upper() {
-            hint.set_upper(first + upper);
-        }
-        hint
-    }
-}
--- a/buckthorn/src/proxy/dispatch.rs
+++ b/buckthorn/src/proxy/dispatch.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 use super::attempts::{Attempts, FailedAttempt};
-use super::body::{self, Body, Bounds, Ending, Fault, Monitor, Prefixed};
+use super::body::{self, Body, Bounds, Ending, Fault, Monitor, Replayed};
 use super::header::{self, ATTEMPTS, Call, LOAD, MAX_WAIT, REPEAT, Role};
 use super::hop::{HopError, HopRequest};
 use super::payload::Payload;
@@ -314,7 +314,7 @@
 ) -> Result<Response<Body>, HopError> {
     let deadline = Instant::now() + call.deadline.since(plane.clock.now());
     let (parts, body) = response.into_parts();
-    let read = tokio::time::timeout_at(deadline, Prefixed::read(body, max_bytes));
+    let read = tokio::time::timeout_at(deadline, Replayed::buffer(body, max_bytes));
     match read.await {
         Ok(Ok((body, _))) => Ok(Response::from_parts(parts, body)),
         Ok(Err(_)) => Err(HopError::Unknown(Reason::Broken)),
--- a/buckthorn/src/proxy/keyed.rs
+++ b/buckthorn/src/proxy/keyed.rs
@@ -23,7 +23,7 @@
 use tokio::time::Instant;
 
 use super::Plane;
-use super::body::{self, Body, Fault, Prefixed};
+use super::body::{self, Body, Fault, Replayed};
 use super::dispatch::{dispatch, target};
 use super::header::{Call, KEY_STATE, LOAD, REPLAYED, Role};
 use super::hop::{HopError, HopRequest};
@@ -267,7 +267,7 @@
         return response;
     }
     let (head, body) = response.into_parts();
-    let (body, kept) = match Prefixed::read(body, plane.limits.key_body_bytes).await {
+    let (body, kept) = match Replayed::buffer(body, plane.limits.key_body_bytes).await {
         Ok(read) => read,
         Err(_) => {
             let refusal = response::refuse(&plane.counters, Reason::Broken, Ran::Unknown);
--- a/buckthorn/src/proxy/payload.rs
+++ b/buckthorn/src/proxy/payload.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 
 use super::Plane;
-use super::body::{self, Body, Ending, Fault, Monitor, Peeked};
+use super::body::{self, Body, Ending, Fault, Monitor, Replayed};
 use super::header;
 use super::response::Reason;
 use crate::poison::fingerprint::BODY_BYTES;
@@ -65,7 +65,7 @@
     /// Leaves a body to be streamed after its beginning was read.
     async fn stream(body: Monitor<Incoming>) -> Self {
         let body = body.boxed_unsync();
-        let (body, beginning) = Peeked::read(body, BODY_BYTES, PEEK_TIMEOUT).await;
+        let (body, beginning) = Replayed::peek(body, BODY_BYTES, PEEK_TIMEOUT).await;
         Self::Streamed {
             body: Some(body),
             beginning,
