--- a/buckthorn/tests/input_message.rs
+++ b/buckthorn/tests/input_message.rs
@@ -21,7 +21,7 @@
 use buckthorn::membership::plugin::MAX_MEMBERS;
 use buckthorn::name::Name;
 use buckthorn::node;
-use buckthorn::poison::blocklist::{Level, Notice};
+use buckthorn::poison::blocklist::{Level, MAX_ENTRIES, Notice};
 use buckthorn::poison::fingerprint::{Fingerprint, Suspect};
 use buckthorn::poison::watch::Crash;
 use buckthorn::rollout::evidence::{BUCKETS, MAX_COUNT, MAX_ROUTES, OUTCOMES, Report, Tally};
@@ -151,6 +151,7 @@
         );
         assert!(shared.view.len() <= MAX_MEMBERS);
         assert!(shared.quarantine.entries().len() <= MAX_ACCUSATIONS);
+        assert!(shared.blocklist.notices(self.now).len() <= MAX_ENTRIES);
         let (records, bytes) = shared.tail.kept();
         assert!(records <= tail::MAX_RECORDS && bytes <= tail::MAX_BYTES);
         assert_eq!(check::check(shared.tail.state()), Ok(()));
@@ -250,6 +251,8 @@
         Message::StatusUpdates(list) => list.len(),
         Message::Records(list) => list.len(),
         Message::Accusations(list) => list.len(),
+        Message::Crash(crash) => crash.suspects.len(),
+        Message::Blocklist(list) => list.len(),
         _ => 0,
     }
 }
