--- a/buckthorn/src/config/order.rs
+++ b/buckthorn/src/config/order.rs
@@ -319,8 +319,8 @@
         } else if is_equal {
             Relation::Moved
         } else if position.offset >= held.offset || position >= self.next_of(position.era) {
-            // The copy holds only offsets below that of the order that it lost, and this node has
-            // read all that it holds.
+            // The copy has the order in force, or ends before its offset. What lies behind that,
+            // and what was not there at an earlier read of the era, was written since.
             Relation::Newer
         } else {
             Relation::Unclear
