Keep the detection of crashes in the data plane, and log a report that is dropped

The watch of the backend server opens a connection, so it stands in proxy, and poison is free of I/O like the other decision modules, as lib.rs says. A crash that did not fit the kernel's queue was dropped without a line. No decision changes; poison_collector, poison_containment, input_message and proxy_contract pass as before.

--- a/buckthorn/src/kernel/mod.rs
+++ b/buckthorn/src/kernel/mod.rs
@@ -23,7 +23,7 @@
 use crate::membership::view::View;
 use crate::name::Name;
 use crate::poison::blocklist::Blocklist;
-use crate::poison::watch::Crash;
+use crate::poison::crash::Crash;
 use crate::rollout::evidence;
 use crate::rollout::quarantine::Quarantine;
 use crate::rpc::message::Message;
--- a/buckthorn/src/lib.rs
+++ b/buckthorn/src/lib.rs
@@ -4,9 +4,9 @@
 //! backend server; it folds the log into a configuration state, agrees with its peers on which
 //! backend servers exist, and forwards calls between them.
 //!
-//! Decision modules ([`journal`], [`membership`], [`rollout`], [`routing`], [`admission`], [`poison`]) take
-//! events and the current time and return the actions to perform; they perform no I/O. [`proxy`],
-//! [`rpc`] and [`log`] perform the I/O, and [`kernel`] connects the two sides.
+//! Decision modules ([`journal`], [`membership`], [`rollout`], [`routing`], [`admission`],
+//! [`poison`]) take events and the current time and return the actions to perform; they perform no
+//! I/O. [`proxy`], [`rpc`] and [`log`] perform the I/O, and [`kernel`] connects the two sides.
 
 pub mod admin;
 pub mod admission;
--- a/buckthorn/src/node/driver.rs
+++ b/buckthorn/src/node/driver.rs
@@ -26,7 +26,7 @@
 use crate::log_event::LogEvent;
 use crate::name::Name;
 use crate::poison::blocklist::Blocklist;
-use crate::poison::watch::Crash;
+use crate::poison::crash::Crash;
 use crate::proxy::owner::Owner;
 use crate::rollout::evidence::Recorder;
 use crate::routing::load::Registry;
--- a/buckthorn/src/node/mod.rs
+++ b/buckthorn/src/node/mod.rs
@@ -37,7 +37,7 @@
 use crate::kernel::{Event, Identity, Kernel, Registry};
 use crate::log::client::Client;
 use crate::log_event::LogEvent;
-use crate::poison::watch::Watch;
+use crate::proxy::crash_watch::Watch;
 use crate::proxy::limit::Limits;
 use crate::proxy::{Drained, Plane};
 use crate::rollout::exposure::Bound;
@@ -152,7 +152,7 @@
         let (inputs, input_queue) = channel::bounded(MAX_INPUTS);
         let (inbound, inbound_queue) = channel::bounded(MAX_INBOUND);
         let (crashes, crash_queue) = channel::bounded(MAX_CRASHES);
-        let watch = Arc::new(Watch::new(crashes));
+        let watch = Arc::new(Watch::new(crashes, logger.clone()));
 
         let addresses = Addresses {
             callers: caller_listener.local_addr()?,
--- a/buckthorn/src/poison/collector.rs
+++ b/buckthorn/src/poison/collector.rs
@@ -10,8 +10,8 @@
 use std::time::Duration;
 
 use super::blocklist::Level;
+use super::crash::Crash;
 use super::fingerprint::{Fingerprint, Suspect};
-use super::watch::Crash;
 use crate::clock::Time;
 
 /// Crashes in which a request was lost before it is held responsible.
--- a/buckthorn/src/poison/containment.rs
+++ b/buckthorn/src/poison/containment.rs
@@ -19,8 +19,8 @@
 
 use super::blocklist::{Level, MAX_ENTRIES, Notice, RETENTION};
 use super::collector::Collector;
+use super::crash::{Crash, MAX_SUSPECTS};
 use super::fingerprint::Fingerprint;
-use super::watch::{Crash, MAX_SUSPECTS};
 
 /// Key of the rendezvous hash that chooses collectors.
 const COLLECTOR_KEY: &str = "poison.collector";
--- a/buckthorn/src/poison/watch.rs
+++ b/buckthorn/src/proxy/crash_watch.rs
@@ -11,10 +11,11 @@
 use std::time::Duration;
 
 use crossbeam::channel::Sender;
-use serde::{Deserialize, Serialize};
+use slog::{Logger, warn};
 use tokio::net::TcpStream;
 
-use super::fingerprint::{Fingerprint, Suspect};
+use crate::poison::crash::{Crash, MAX_SUSPECTS};
+use crate::poison::fingerprint::{Fingerprint, Suspect};
 
 /// Requests that are remembered as complete. At 200 calls a second they were seen within 40 s.
 const COMPLETED: usize = 8 * 1024;
@@ -25,20 +26,6 @@
 /// Timeout for the connection that tells whether the backend server still runs.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Maximum suspects of one crash; more calls than that are rarely in progress at once.
-pub const MAX_SUSPECTS: usize = 64;
-
-/// Crash of a backend server.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Crash {
-    /// Random identifier.
-    pub id: u64,
-    /// Number of calls that were lost.
-    pub lost: u32,
-    /// Lost calls that may have caused the crash.
-    pub suspects: Vec<Suspect>,
-}
-
 /// Watches the local backend server for crashes.
 #[derive(Debug)]
 pub struct Watch {
@@ -48,15 +35,18 @@
     lost: Mutex<Vec<Option<Suspect>>>,
     /// Queue of detected crashes.
     crashes: Sender<Crash>,
+    /// Logger of the node.
+    logger: Logger,
 }
 
 impl Watch {
     /// Creates a watch that reports crashes to a queue.
-    pub fn new(crashes: Sender<Crash>) -> Self {
+    pub fn new(crashes: Sender<Crash>, logger: Logger) -> Self {
         Self {
             completed: (0..COMPLETED).map(|_| AtomicU64::new(0)).collect(),
             lost: Mutex::default(),
             crashes,
+            logger,
         }
     }
 
@@ -90,8 +80,9 @@
         if matches!(connected, Ok(Ok(_))) {
             return;
         }
-        // The queue is drained at once; a crash that doesn't fit is one of many.
-        let _ = self.crashes.try_send(self.crash(&lost));
+        if let Err(error) = self.crashes.try_send(self.crash(&lost)) {
+            warn!(self.logger, "crash not reported"; "error" => error.to_string());
+        }
     }
 
     /// Locks the list of lost calls.
--- a/buckthorn/src/proxy/mod.rs
+++ b/buckthorn/src/proxy/mod.rs
@@ -18,6 +18,7 @@
 mod attempts;
 pub mod body;
 pub mod contract;
+pub mod crash_watch;
 pub mod dispatch;
 pub mod header;
 pub mod hop;
@@ -49,11 +50,11 @@
 use crate::name::Name;
 use crate::node::telemetry;
 use crate::poison::blocklist::{Blocklist, Level};
-use crate::poison::watch::Watch;
 use crate::routing::repeat::RepeatShare;
 use crate::routing::table::Table;
 
 use self::contract::Contract;
+use self::crash_watch::Watch;
 use self::limit::Limits;
 use self::owner::Owner;
 use crate::secret::Secrets;
--- a/buckthorn/src/proxy/owner.rs
+++ b/buckthorn/src/proxy/owner.rs
@@ -13,6 +13,7 @@
 
 use super::body::{self, Body, Bounds, Ending, Fault, Monitor};
 use super::contract::Validation;
+use super::crash_watch::Watch;
 use super::header::{self, Call, DEADLINE, FINGERPRINT, LOAD, REPEAT};
 use super::limit::Limits;
 use super::pool::{CheckoutError, Pool, ResponseBody, SendError};
@@ -30,7 +31,6 @@
 use crate::name::Name;
 use crate::poison::blocklist::Level;
 use crate::poison::fingerprint::Suspect;
-use crate::poison::watch::Watch;
 use crate::rollout::evidence::{self, Outcome, Recorder};
 
 /// Connections tried for one call before it is refused. Another is tried only while no byte of the
--- a/buckthorn/src/rpc/message.rs
+++ b/buckthorn/src/rpc/message.rs
@@ -12,7 +12,7 @@
 use crate::membership::member::{Member, Status};
 use crate::name::Name;
 use crate::poison::blocklist::Notice;
-use crate::poison::watch::Crash;
+use crate::poison::crash::Crash;
 use crate::rollout::quarantine::Accusation;
 use crate::rollout::{cutover, evidence};
 
--- a/buckthorn/tests/poison_containment.rs
+++ b/buckthorn/tests/poison_containment.rs
@@ -12,8 +12,8 @@
 use buckthorn::name::Name;
 use buckthorn::poison::blocklist::Level;
 use buckthorn::poison::containment;
+use buckthorn::poison::crash::Crash;
 use buckthorn::poison::fingerprint::{Fingerprint, Suspect};
-use buckthorn::poison::watch::Crash;
 use buckthorn::rpc::message::Message;
 
 const START: Time = Time::from_secs(1_000);
