--- a/buckthorn/tests/config_relay.rs
+++ b/buckthorn/tests/config_relay.rs
@@ -13,7 +13,7 @@
 use buckthorn::config::policy::{Kind, Policy, Route, Service, SplitPart};
 use buckthorn::config::position::Position;
 use buckthorn::kernel::{Action, Event, Kernel, OrderPolling, TICK_INTERVAL};
-use buckthorn::membership::member::{Member, Status};
+use buckthorn::membership::member::Member;
 use buckthorn::name::Name;
 use buckthorn::rollout::cutover;
 use buckthorn::rollout::exposure::Bound;
@@ -59,19 +59,7 @@
 }
 
 fn member(index: usize) -> Member {
-    let address = ([127, 0, 0, 1], 1_000 + index as u16).into();
-    Member {
-        host: format!("h{index}").into(),
-        incarnation: 1,
-        sequence: 1,
-        region: "region".into(),
-        failure_domain: "a".into(),
-        rpc: address,
-        hop: address,
-        status: Status::Alive,
-        departure: None,
-        backend_server: None,
-    }
+    kernel_support::member(index, "a")
 }
 
 fn policy(version: u64, routes: usize) -> Order {
--- a/buckthorn/tests/kernel_support/mod.rs
+++ b/buckthorn/tests/kernel_support/mod.rs
@@ -5,7 +5,24 @@
 use buckthorn::clock::Time;
 use buckthorn::counter::Counters;
 use buckthorn::kernel::{Context, Event, Identity, Kernel, Plugin, Registry};
-use buckthorn::membership::member::Member;
+use buckthorn::membership::member::{Member, Status};
+
+/// Member of the mesh without a backend server.
+pub(crate) fn member(index: usize, failure_domain: &str) -> Member {
+    let address = ([127, 0, 0, 1], 1_000 + index as u16).into();
+    Member {
+        host: format!("h{index}").into(),
+        incarnation: 1,
+        sequence: 1,
+        region: "region".into(),
+        failure_domain: failure_domain.into(),
+        rpc: address,
+        hop: address,
+        status: Status::Alive,
+        departure: None,
+        backend_server: None,
+    }
+}
 
 /// Plug-in that merges the given members into the view at the first event.
 struct MemberInjector(Vec<Member>);
--- a/buckthorn/tests/poison_containment.rs
+++ b/buckthorn/tests/poison_containment.rs
@@ -7,7 +7,7 @@
 use buckthorn::clock::Time;
 use buckthorn::kernel::Action;
 use buckthorn::kernel::{Event, Kernel, TICK_INTERVAL};
-use buckthorn::membership::member::{Member, Status};
+use buckthorn::membership::member::Member;
 use buckthorn::membership::plugin as membership;
 use buckthorn::name::Name;
 use buckthorn::poison::blocklist::Level;
@@ -30,19 +30,7 @@
 }
 
 fn member(index: usize) -> Member {
-    let address = ([127, 0, 0, 1], 1_000 + index as u16).into();
-    Member {
-        host: format!("h{index}").into(),
-        incarnation: 1,
-        sequence: 1,
-        region: "region".into(),
-        failure_domain: ["a", "b", "c"][index % 3].into(),
-        rpc: address,
-        hop: address,
-        status: Status::Alive,
-        departure: None,
-        backend_server: None,
-    }
+    kernel_support::member(index, ["a", "b", "c"][index % 3])
 }
 
 fn start(index: usize, members: &[Member], now: Time) -> Kernel {
--- a/buckthorn/tests/rollout_cutover.rs
+++ b/buckthorn/tests/rollout_cutover.rs
@@ -12,7 +12,7 @@
 use buckthorn::config::policy::Policy;
 use buckthorn::config::position::Position;
 use buckthorn::kernel::{Action, Event, Kernel, PublishOutcome, TICK_INTERVAL};
-use buckthorn::membership::member::{BackendServer, Member, Status};
+use buckthorn::membership::member::{BackendServer, Member};
 use buckthorn::name::Name;
 use buckthorn::rollout::cutover::{self, Finding};
 use buckthorn::rollout::evidence::{MAX_COUNT, Outcome, Recorder, Report, Tally};
@@ -103,17 +103,7 @@
 }
 
 fn member(index: usize, servers: usize) -> Member {
-    let address = ([127, 0, 0, 1], 1_000 + index as u16).into();
     Member {
-        host: format!("h{index}").into(),
-        incarnation: 1,
-        sequence: 1,
-        region: "region".into(),
-        failure_domain: ["a", "b", "c"][index % 3].into(),
-        rpc: address,
-        hop: address,
-        status: Status::Alive,
-        departure: None,
         backend_server: Some(BackendServer {
             service: SERVICE.into(),
             version: if index < servers { "v1" } else { "v2" }.into(),
@@ -121,6 +111,7 @@
             connections: 18,
             is_draining: false,
         }),
+        ..kernel_support::member(index, ["a", "b", "c"][index % 3])
     }
 }
 
