Share the broadcast of a message to all live members

The findings on a move and the list of poison requests were sent by the same lines; Context::broadcast does it for both. The messages are the same: poison_containment, rollout_cutover and input_message pass as before.

--- a/buckthorn/src/kernel/mod.rs
+++ b/buckthorn/src/kernel/mod.rs
@@ -252,6 +252,16 @@
         self.act(Action::Log(LogEntry::new(event, subject, detail)));
     }
 
+    /// Adds a send of a message to every other live member.
+    pub fn broadcast(&mut self, message: &Message) {
+        let local_host = &self.shared.identity.host;
+        let live = self.shared.view.live();
+        let peers: Vec<Member> = live.filter(|m| m.host != *local_host).cloned().collect();
+        for peer in peers {
+            self.send(&peer, vec![message.clone()]);
+        }
+    }
+
     /// Adds a send of messages to a member.
     pub fn send(&mut self, member: &Member, messages: Vec<Message>) {
         let (host, address) = (member.host.clone(), member.rpc);
--- a/buckthorn/src/poison/containment.rs
+++ b/buckthorn/src/poison/containment.rs
@@ -2,7 +2,7 @@
 //!
 //! The owner of a backend server that crashed reports the lost calls to two collectors, chosen by
 //! rendezvous hashing among the live members and in different failure domains, and compares them
-//! itself as well. Which request is responsible a collector tells all nodes at once. Nodes whose
+//! itself as well. A collector notifies all nodes at once which request is responsible. Nodes whose
 //! probes show that they lack a part of the list, because they have just started or were cut off,
 //! get it whole.
 
@@ -98,7 +98,7 @@
         }
     }
 
-    /// Compares a crash with others and tells all nodes what follows.
+    /// Compares a crash with others and notifies all nodes of the requests to restrict.
     fn collect(&mut self, cx: &mut Context<'_>, crash: &Crash) {
         let levels = self.collector.add(crash, cx.now);
         let notice = |(fingerprint, level): &(Fingerprint, Level)| Notice {
@@ -108,14 +108,8 @@
         };
         let notices: Vec<Notice> = levels.iter().map(notice).collect();
         let added = merge(cx, &notices, "lost in repeated crashes");
-        if added.is_empty() {
-            return;
-        }
-        let local_host = cx.shared.identity.host.clone();
-        let live = cx.shared.view.live();
-        let peers: Vec<Member> = live.filter(|m| m.host != local_host).cloned().collect();
-        for peer in peers {
-            cx.send(&peer, vec![Message::Blocklist(added.clone())]);
+        if !added.is_empty() {
+            cx.broadcast(&Message::Blocklist(added));
         }
     }
 
--- a/buckthorn/src/rollout/cutover.rs
+++ b/buckthorn/src/rollout/cutover.rs
@@ -515,16 +515,7 @@
         max_share,
         is_proven,
     };
-    let local_host = cx.shared.identity.host.clone();
-    let live = cx
-        .shared
-        .view
-        .live()
-        .filter(|member| member.host != local_host);
-    let peers: Vec<Member> = live.cloned().collect();
-    for peer in peers {
-        cx.send(&peer, vec![Message::Finding(finding.clone())]);
-    }
+    cx.broadcast(&Message::Finding(finding));
 }
 
 /// Publishes how a move ended, at most once per [`PUBLISH_INTERVAL`]; the caller repeats this until
