--- a/buckthorn/src/config/order.rs
+++ b/buckthorn/src/config/order.rs
@@ -75,7 +75,7 @@
     pub end: Position,
     /// Whether the previous read failed, so that other nodes may lack these orders.
     pub follows_failure: bool,
-    /// Orders with their offsets.
+    /// Orders with their positions.
     pub entries: Vec<Entry>,
 }
 
@@ -318,7 +318,9 @@
             Relation::Newer
         } else if is_equal {
             Relation::Moved
-        } else if position.offset >= held.offset || position >= self.next_of(position.era) {
+        } else if position.offset >= held.offset
+            || position.era == self.next.era && position >= self.next
+        {
             // The copy has the order in force, or ends before its offset. What lies behind that,
             // and what was not there at an earlier read of the era, was written since.
             Relation::Newer
@@ -327,16 +329,6 @@
         }
     }
 
-    /// Position up to which this node has read in an era, or the greatest one if it has not read
-    /// there.
-    fn next_of(&self, era: u16) -> Position {
-        if era == self.next.era {
-            self.next
-        } else {
-            Position::new(u16::MAX, u64::MAX)
-        }
-    }
-
     /// Keeps an order until the grace period is over.
     fn defer(&mut self, entry: &Entry) {
         let is_known = |held: &Entry| held.position == entry.position;
--- a/buckthorn/src/poison/blocklist.rs
+++ b/buckthorn/src/poison/blocklist.rs
@@ -1,4 +1,4 @@
-//! Requests that are not sent to backend servers, as they crash them.
+//! Requests that are restricted because they crash backend servers.
 //!
 //! Each node holds the whole list. Entries only grow in level and in time, so lists of two nodes are
 //! merged in any order; entries end by themselves.
@@ -19,10 +19,10 @@
 /// Maximum entries of a list.
 pub const MAX_ENTRIES: usize = 256;
 
-/// Difference in the ends of an entry at two nodes that counts as none: messages take time.
+/// Difference in the ends of an entry at two nodes that the delay of messages accounts for.
 const TOLERANCE: Duration = Duration::from_secs(2);
 
-/// What is not done with a request, in order of increasing severity.
+/// Restriction on a request, in order of increasing severity.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Level {
@@ -38,7 +38,7 @@
     /// Fingerprint of the request.
     #[serde(rename = "f")]
     pub fingerprint: Fingerprint,
-    /// What is not done with it.
+    /// Restriction on it.
     #[serde(rename = "l")]
     pub level: Level,
     /// Milliseconds for which this is still in force.
@@ -51,7 +51,7 @@
 struct Entry {
     /// Fingerprint of the request.
     fingerprint: Fingerprint,
-    /// What is not done with it.
+    /// Restriction on it.
     level: Level,
     /// End of the entry.
     until: Time,
@@ -65,7 +65,7 @@
 }
 
 impl Blocklist {
-    /// What is not done with a request, if anything.
+    /// Restriction on a request, if there is one.
     pub fn level(&self, fingerprint: Fingerprint, now: Time) -> Option<Level> {
         let entry = &self.entries[self.index(fingerprint).ok()?];
         (now < entry.until).then_some(entry.level)
--- a/buckthorn/src/poison/collector.rs
+++ b/buckthorn/src/poison/collector.rs
@@ -1,11 +1,10 @@
 //! Comparison of crashes: which request was in progress at several of them.
 //!
-//! Most of what is in progress at a crash is innocent, and backend servers crash for other reasons
-//! as well. A request is held responsible once it was lost in [`CRASHES`] crashes under at least
-//! [`CALLS`] identifiers: an ingress sends a call that was lost to another backend server, together
-//! with others that were lost with it, so that a single call can be lost repeatedly by chance. The
-//! crashes of a request that is held responsible are explained by it and no longer count against
-//! others.
+//! Most calls in progress at a crash did not cause it, and backend servers crash for other reasons as
+//! well. A request is held responsible once it was lost in [`CRASHES`] crashes under at least
+//! [`CALLS`] identifiers: an ingress sends the calls that were lost in a crash to the next backend
+//! server together, so that any of them can be lost repeatedly beside the one that causes it. A crash
+//! that is attributed to a request no longer counts for others.
 
 use std::time::Duration;
 
@@ -81,7 +80,7 @@
 }
 
 impl Collector {
-    /// Adds a crash and returns the requests whose level follows from it.
+    /// Adds a crash and returns the requests that are to be restricted after it.
     pub fn add(&mut self, crash: &Crash, now: Time) -> Vec<(Fingerprint, Level)> {
         self.records
             .retain(|record| now.since(record.updated_at) < RETENTION);
@@ -90,7 +89,7 @@
             .iter()
             .filter(|suspect| self.is_responsible(suspect.fingerprint))
             .collect();
-        // A crash that is explained says nothing about the other requests.
+        // A crash that is attributed to a request is no evidence about the others.
         let counted = if known.is_empty() {
             crash.suspects.iter().collect()
         } else {
@@ -111,7 +110,7 @@
         self.conclude(&lost)
     }
 
-    /// Levels of requests that were lost in the last crash.
+    /// Restrictions on requests that were lost in the last crash.
     fn conclude(&mut self, lost: &[Fingerprint]) -> Vec<(Fingerprint, Level)> {
         let is_lost = |record: &&Record| lost.contains(&record.fingerprint);
         let repeated = self
@@ -138,13 +137,13 @@
         levels
     }
 
-    /// Holds a request responsible for its crashes, which no longer count against others.
+    /// Holds a request responsible for its crashes, which no longer count for others.
     fn hold_responsible(&mut self, fingerprint: Fingerprint) {
         let Ok(index) = self.index(fingerprint) else {
             return;
         };
         self.records[index].is_responsible = true;
-        let explained: Vec<u64> = self.records[index]
+        let attributed: Vec<u64> = self.records[index]
             .losses
             .iter()
             .map(|loss| loss.crash)
@@ -153,7 +152,7 @@
             if !record.is_responsible {
                 record
                     .losses
-                    .retain(|loss| !explained.contains(&loss.crash));
+                    .retain(|loss| !attributed.contains(&loss.crash));
             }
         }
         self.records.retain(|record| !record.losses.is_empty());
--- a/buckthorn/src/proxy/mod.rs
+++ b/buckthorn/src/proxy/mod.rs
@@ -82,7 +82,7 @@
     pub contract: Option<Contract>,
     /// Poison requests, which are not sent to backend servers.
     pub blocklist: Arc<ArcSwap<Blocklist>>,
-    /// Watch of the local backend server for crashes, if anything is to be learned from them.
+    /// Watch of the local backend server for crashes; absent where nothing handles its reports.
     pub watch: Option<Arc<Watch>>,
     /// Logger for decisions on calls.
     pub logger: Logger,
@@ -142,7 +142,7 @@
         text.unwrap_or_default().to_owned()
     }
 
-    /// Returns what is not done with the request of a call, as it crashes backend servers.
+    /// Returns the restriction on the request of a call, if it crashes backend servers.
     pub(crate) fn block_level(&self, call: &header::Call) -> Option<Level> {
         let fingerprint = call.suspect?.fingerprint;
         let blocklist = self.blocklist.load();
--- a/buckthorn/src/proxy/owner.rs
+++ b/buckthorn/src/proxy/owner.rs
@@ -241,7 +241,7 @@
     route: Name,
     /// When the call was sent to the backend server.
     started: Instant,
-    /// Watch that is told how the call ended.
+    /// Reports how the call ended.
     watch: CallWatch,
 }
 
