--- a/review/stand_in/case.rs
+++ b/review/stand_in/case.rs
@@ -43,6 +43,7 @@
         "late_beat" => late_beat(is_troubled, record),
         "deadly" => deadly(is_troubled, record),
         "limit" => limit(is_troubled, record),
+        "rollback" => rollback(is_troubled, record),
         "twice" => twice(is_troubled, record),
         "late_leave" => late_leave(is_troubled, record),
         _ => Err(format!("unknown case {name}")),
@@ -51,6 +52,7 @@
 
 /// Machines with their nodes, and the store.
 struct Mesh {
+    store: Store,
     nodes: Vec<Node>,
     site: Site,
     record: Record,
@@ -74,7 +76,7 @@
         store.put("keyed.op", "config", policy());
         let new = |index| Node::new(&site, index, SERVICE, store.address, record);
         let nodes: Vec<Node> = (0..count).map(new).collect();
-        let mesh = Self { nodes, site, record: record.clone() };
+        let mesh = Self { store, nodes, site, record: record.clone() };
         for node in &mesh.nodes {
             node.start();
         }
@@ -153,6 +155,7 @@
     Settings {
         id,
         service: SERVICE,
+        version: "v1",
         slots: 9,
         work: Duration::from_millis(work_ms),
         cold_time: Duration::ZERO,
@@ -641,3 +644,84 @@
         ),
     })
 }
+
+/// EXPOSURE: a bad version gets a bounded part of the requests to its service.
+fn rollback(is_troubled: bool, record: &Record) -> Result<Verdict> {
+    let window = Duration::from_secs(12);
+    let drain_delay = Duration::from_secs(5);
+    let mesh = Mesh::start(8, record)?;
+    let ids = ["i-0", "i-1", "i-2", "i-3", "i-4", "i-5", "i-6", "i-7"];
+    let start = |index: usize, version: &'static str| {
+        let settings = Settings { version, ..warm(ids[index], 40) };
+        Upstream::start(&mesh.nodes[index], &settings, record)
+    };
+    let old: Vec<Upstream> = (0..3).map(|index| start(index, "v1")).collect();
+    for node in &mesh.nodes {
+        mesh.wait_until_served(node)?;
+    }
+    thread::sleep(CONTACT_WINDOW + Duration::from_secs(1));
+    let loads: Vec<Load> = mesh
+        .nodes
+        .iter()
+        .map(|node| Load::start(record, node, "POST", "/order/1", 30))
+        .collect();
+    let bad: Vec<Upstream> = (3..6).map(|index| start(index, "v2")).collect();
+    for upstream in &bad {
+        upstream.set_behavior(Behavior::Failing(6));
+    }
+    let key = format!("rollout/{SERVICE}");
+    let order = |version: &str| {
+        let value = format!(
+            r#"{{"service":"{SERVICE}","targetVersion":"{version}","durationS":{}}}"#,
+            window.as_secs()
+        );
+        mesh.store.put("keyed.op", &key, &value);
+        record.line(format!("operator: {key} {value}"));
+    };
+    order("v2");
+    let ordered = Instant::now();
+    let status = || mesh.store.newest_value("keyed.status", &key).unwrap_or_default();
+    while !status().contains("rolled_back") {
+        if ordered.elapsed() > window {
+            return Err(format!("the bad version was not rolled back: {}", status()));
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    let rolled_back = Instant::now();
+    record.line(format!("operator: reads status/{key} {}", status()));
+    let mut next = Vec::new();
+    if is_troubled {
+        thread::sleep(Duration::from_millis(500));
+        next = (6..8).map(|index| start(index, "v3")).collect();
+        order("v3");
+    }
+    thread::sleep(drain_delay.saturating_sub(rolled_back.elapsed()));
+    bad.iter().for_each(Upstream::drain);
+    thread::sleep(window.saturating_sub(ordered.elapsed()));
+    let outcomes: Vec<_> = loads.into_iter().flat_map(Load::stop).collect();
+    let in_window = |at: Instant| at >= ordered && at < ordered + window;
+    let count = |upstreams: &[Upstream]| -> usize {
+        let count = |upstream: &Upstream| {
+            upstream.arrivals().iter().filter(|arrival| in_window(arrival.at)).count()
+        };
+        upstreams.iter().map(count).sum()
+    };
+    let exposed = count(&bad);
+    let all = count(&old) + exposed + count(&next);
+    let after = |upstream: &Upstream| {
+        upstream.arrivals().iter().filter(|arrival| arrival.at > rolled_back).count()
+    };
+    let late: usize = bad.iter().map(after).sum();
+    let failed = outcomes.iter().filter(|(.., outcome)| outcome.status == 500).count();
+    for upstream in old.iter().chain(&bad).chain(&next) {
+        upstream.end();
+    }
+    let bound = all / 10 + 50;
+    Ok(Verdict {
+        is_broken: exposed > bound,
+        text: format!(
+            "the bad version got {exposed} of {all} requests in its window, {late} of them after it \
+             was rolled back; the bound is {bound}; {failed} orders failed"
+        ),
+    })
+}
--- a/review/stand_in/store.rs
+++ b/review/stand_in/store.rs
@@ -49,6 +49,14 @@
         self.state.changed.notify_all();
     }
 
+    /// Newest value of a key, as text.
+    pub fn newest_value(&self, topic: &str, key: &str) -> Option<String> {
+        let topics = self.state.topics.lock().unwrap();
+        let records = topics.get(topic)?;
+        let (_, value) = records.iter().rev().find(|(name, _)| name == key)?;
+        Some(String::from_utf8_lossy(value).into_owned())
+    }
+
     fn serve(&self, stream: TcpStream) {
         let mut writer = stream.try_clone().unwrap();
         let mut reader = BufReader::new(stream);
--- a/review/stand_in/upstream.rs
+++ b/review/stand_in/upstream.rs
@@ -31,6 +31,8 @@
     BreakingOff(u64),
     /// Requests whose path begins with `/deadly/` crash it; it is back after this time.
     CrashedBy(Duration),
+    /// This many in ten of its answers are failures.
+    Failing(u64),
     /// It crashes when it gets more requests than this within a second; it is back after 3 s.
     Fragile(usize),
 }
@@ -46,6 +48,7 @@
 struct State {
     id: String,
     service: String,
+    version: String,
     address: SocketAddr,
     control: SocketAddr,
     zone: String,
@@ -67,6 +70,7 @@
     connections: Mutex<Vec<TcpStream>>,
     is_down: AtomicBool,
     is_silent: AtomicBool,
+    is_draining: AtomicBool,
     is_ended: AtomicBool,
     record: Record,
 }
@@ -79,6 +83,7 @@
 pub struct Settings<'a> {
     pub id: &'a str,
     pub service: &'a str,
+    pub version: &'a str,
     pub slots: u32,
     pub work: Duration,
     pub cold_time: Duration,
@@ -91,6 +96,7 @@
         let upstream = Self(Arc::new(State {
             id: settings.id.into(),
             service: settings.service.into(),
+            version: settings.version.into(),
             address: node.application,
             control: node.control,
             zone: node.zone.clone(),
@@ -109,6 +115,7 @@
             connections: Mutex::default(),
             is_down: AtomicBool::new(false),
             is_silent: AtomicBool::new(false),
+            is_draining: AtomicBool::new(false),
             is_ended: AtomicBool::new(false),
             record: record.clone(),
         }));
@@ -153,9 +160,11 @@
         let cold = state.cold_time.saturating_sub(state.started.lock().unwrap().elapsed());
         let (cold, born) = (cold.as_secs_f64(), state.born.load(Ordering::SeqCst));
         let sequence = state.sequence.fetch_add(1, Ordering::SeqCst);
-        let State { service, address, zone, slots, .. } = &**state;
+        let is_draining = state.is_draining.load(Ordering::SeqCst);
+        let word = if is_draining { "draining" } else { "ready" };
+        let State { service, version, address, zone, slots, .. } = &**state;
         format!(
-            r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"v1","slots":{slots},"state":"ready","coldRemainingS":{cold:.3},"sequence":{sequence},"born":{born}}}"#
+            r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"{version}","slots":{slots},"state":"{word}","coldRemainingS":{cold:.3},"sequence":{sequence},"born":{born}}}"#
         )
     }
 
@@ -169,6 +178,12 @@
         is_acknowledged
     }
 
+    /// Says that it drains.
+    pub fn drain(&self) {
+        self.0.is_draining.store(true, Ordering::SeqCst);
+        self.report("heartbeat", &self.next_beat());
+    }
+
     /// Says that it leaves.
     pub fn leave(&self) -> bool {
         self.stop_beats();
@@ -281,6 +296,14 @@
             }
             return write_export(writer, head, start, breaks_off);
         }
+        if let Behavior::Failing(in_ten) = behavior {
+            if state.answered.fetch_add(1, Ordering::SeqCst) * 7 % 10 < in_ten {
+                state.line(format!("fails {id}"));
+                start = start.replacen("200 OK", "500 Internal Server Error", 1);
+                start += "Content-Length: 6\r\n\r\nfailed";
+                return writer.write_all(start.as_bytes());
+            }
+        }
         let body = format!("whole answer to {id}");
         start += &format!("Content-Length: {}\r\n\r\n{body}", body.len());
         writer.write_all(start.as_bytes())?;
