--- a/review/stand_in/case.rs
+++ b/review/stand_in/case.rs
@@ -76,7 +76,12 @@
         store.put("keyed.op", "config", policy());
         let new = |index| Node::new(&site, index, SERVICE, store.address, record);
         let nodes: Vec<Node> = (0..count).map(new).collect();
-        let mesh = Self { store, nodes, site, record: record.clone() };
+        let mesh = Self {
+            store,
+            nodes,
+            site,
+            record: record.clone(),
+        };
         for node in &mesh.nodes {
             node.start();
         }
@@ -143,7 +148,11 @@
             r#""r-{kind}-{attempts}":{{"host":"{host}","pathPrefix":"{prefix}","kind":"{kind}","timeoutS":{timeout},"targetLatencyS":0.4,"priority":2,"service":"{SERVICE}","attempts":{attempts}}}"#
         )
     };
-    let routes = [route("/read/", "safe", 2), route("/order/", "unsafe", 2), route("/deadly/", "safe", 3)];
+    let routes = [
+        route("/read/", "safe", 2),
+        route("/order/", "unsafe", 2),
+        route("/deadly/", "safe", 3),
+    ];
     format!(
         r#"{{"version":"00000007","routes":{{{}}},"services":{{"{SERVICE}":{{"healthCheckPath":"/health","connectionLimit":130,"protocol":"h1","tls":false,"coldStartS":3.0,"coldPerS":{COLD_PER_S}}}}},"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutS":3,"idleTimeoutS":15}}}}"#,
         routes.join(",")
@@ -170,7 +179,13 @@
 }
 
 impl Load {
-    fn start(record: &Record, node: &Node, method: &'static str, path: &'static str, rate: u32) -> Self {
+    fn start(
+        record: &Record,
+        node: &Node,
+        method: &'static str,
+        path: &'static str,
+        rate: u32,
+    ) -> Self {
         let is_over = Arc::new(AtomicBool::new(false));
         let outcomes: Arc<Mutex<Vec<_>>> = Arc::default();
         let (over, all) = (is_over.clone(), outcomes.clone());
@@ -202,7 +217,11 @@
                 let _ = client.join();
             }
         });
-        Self { is_over, sender: Some(sender), outcomes }
+        Self {
+            is_over,
+            sender: Some(sender),
+            outcomes,
+        }
     }
 
     /// Stops and returns when each request was sent, its identifier and how it ended.
@@ -220,7 +239,10 @@
 /// Largest number of arrivals in a sliding span.
 fn most_in(times: &[Instant], span: Duration) -> usize {
     let count = |from: &Instant| {
-        times.iter().filter(|at| **at >= *from && **at < *from + span).count()
+        times
+            .iter()
+            .filter(|at| **at >= *from && **at < *from + span)
+            .count()
     };
     times.iter().map(count).max().unwrap_or(0)
 }
@@ -263,9 +285,18 @@
         upstream.end();
     }
     let bound = ROUTE_TIMEOUT + Duration::from_millis(500);
-    let lasted = outcomes.iter().filter(|outcome| outcome.took > ROUTE_TIMEOUT).count();
-    let late = outcomes.iter().filter(|outcome| outcome.took > bound).count();
-    let unended = outcomes.iter().filter(|outcome| outcome.ended == Ended::GaveUp).count();
+    let lasted = outcomes
+        .iter()
+        .filter(|outcome| outcome.took > ROUTE_TIMEOUT)
+        .count();
+    let late = outcomes
+        .iter()
+        .filter(|outcome| outcome.took > bound)
+        .count();
+    let unended = outcomes
+        .iter()
+        .filter(|outcome| outcome.ended == Ended::GaveUp)
+        .count();
     Ok(Verdict {
         is_broken: late >= 8 && late * 4 > lasted,
         text: format!(
@@ -288,7 +319,10 @@
         mesh.wait_until_served(node)?;
     }
     thread::sleep(CONTACT_WINDOW);
-    let settings = Settings { cold_time: Duration::from_secs(3), ..warm("i-cold", 40) };
+    let settings = Settings {
+        cold_time: Duration::from_secs(3),
+        ..warm("i-cold", 40)
+    };
     let upstream = Upstream::start(owner, &settings, record);
     // Twice the rate that it takes while it is cold.
     upstream.set_behavior(Behavior::Fragile(2 * COLD_PER_S as usize));
@@ -315,20 +349,43 @@
         return Err("the cold upstream got nothing".into());
     }
     let is_lost = |crash: &Instant, id: &str| {
-        let (from, to) = (*crash - Duration::from_millis(60), *crash + Duration::from_millis(20));
-        arrivals.iter().any(|a| a.id == id && a.at >= from && a.at <= to && a.path != "/read/3")
+        let (from, to) = (
+            *crash - Duration::from_millis(60),
+            *crash + Duration::from_millis(20),
+        );
+        arrivals
+            .iter()
+            .any(|a| a.id == id && a.at >= from && a.at <= to && a.path != "/read/3")
     };
-    let orders = outcomes.iter().filter(|(.., outcome)| outcome.status != 200);
-    let lost = orders.filter(|(_, id, _)| crashes.iter().any(|crash| is_lost(crash, id))).count();
+    let orders = outcomes
+        .iter()
+        .filter(|(.., outcome)| outcome.status != 200);
+    let lost = orders
+        .filter(|(_, id, _)| crashes.iter().any(|crash| is_lost(crash, id)))
+        .count();
     // Only requests that were also sent inside the second count.
-    let sent_at = |id: &str| outcomes.iter().find(|(_, sent, _)| sent == id).map(|(at, ..)| *at);
-    let spans: Vec<(Instant, Instant)> =
-        arrivals.iter().filter_map(|arrival| Some((sent_at(&arrival.id)?, arrival.at))).collect();
+    let sent_at = |id: &str| {
+        outcomes
+            .iter()
+            .find(|(_, sent, _)| sent == id)
+            .map(|(at, ..)| *at)
+    };
+    let spans: Vec<(Instant, Instant)> = arrivals
+        .iter()
+        .filter_map(|arrival| Some((sent_at(&arrival.id)?, arrival.at)))
+        .collect();
     let within = |from: Instant| {
         let to = from + Duration::from_secs(1);
-        spans.iter().filter(|(sent, arrived)| *sent >= from && *arrived < to).count()
+        spans
+            .iter()
+            .filter(|(sent, arrived)| *sent >= from && *arrived < to)
+            .count()
     };
-    let most = spans.iter().map(|(sent, _)| within(*sent)).max().unwrap_or(0);
+    let most = spans
+        .iter()
+        .map(|(sent, _)| within(*sent))
+        .max()
+        .unwrap_or(0);
     Ok(Verdict {
         is_broken: most > bound,
         text: format!(
@@ -363,7 +420,9 @@
             leaving.report("heartbeat", &late);
         })
     };
-    record.line(format!("upstream i-leaving: sends a report that is delayed by 3 s: {late}"));
+    record.line(format!(
+        "upstream i-leaving: sends a report that is delayed by 3 s: {late}"
+    ));
     thread::sleep(Duration::from_millis(100));
     if !leaving.leave() {
         return Err("the leave was not acknowledged".into());
@@ -396,14 +455,24 @@
     let arrivals = leaving.arrivals();
     // Sent and run when all nodes had been in touch.
     let is_counted = |id: &str| {
-        outcomes.iter().any(|(sent, sent_id, _)| *sent >= from && sent_id == id)
+        outcomes
+            .iter()
+            .any(|(sent, sent_id, _)| *sent >= from && sent_id == id)
     };
-    let counted: Vec<_> = arrivals.iter().filter(|arrival| is_counted(&arrival.id)).collect();
-    let served = outcomes.iter().filter(|(.., outcome)| outcome.status == 200).count();
+    let counted: Vec<_> = arrivals
+        .iter()
+        .filter(|arrival| is_counted(&arrival.id))
+        .collect();
+    let served = outcomes
+        .iter()
+        .filter(|(.., outcome)| outcome.status == 200)
+        .count();
     for upstream in &upstreams {
         upstream.end();
     }
-    let last = counted.last().map_or(0.0, |last| (last.at - acknowledged).as_secs_f64());
+    let last = counted
+        .last()
+        .map_or(0.0, |last| (last.at - acknowledged).as_secs_f64());
     Ok(Verdict {
         is_broken: !counted.is_empty(),
         text: format!(
@@ -435,7 +504,11 @@
     }
     let count = || -> usize {
         let deadly = |upstream: &Upstream| {
-            upstream.arrivals().iter().filter(|a| a.path.starts_with("/deadly/")).count()
+            upstream
+                .arrivals()
+                .iter()
+                .filter(|a| a.path.starts_with("/deadly/"))
+                .count()
         };
         upstreams.iter().map(deadly).sum()
     };
@@ -482,7 +555,9 @@
     let again = count() - before;
     let orders: Vec<_> = loads.into_iter().flat_map(Load::stop).collect();
     let is_lost = |(_, id, outcome): &&(Instant, String, Outcome)| {
-        let has_run = upstreams.iter().any(|u| u.arrivals().iter().any(|a| a.id == *id));
+        let has_run = upstreams
+            .iter()
+            .any(|u| u.arrivals().iter().any(|a| a.id == *id));
         has_run && outcome.status != 200
     };
     let lost = orders.iter().filter(is_lost).count();
@@ -565,7 +640,9 @@
             thread::sleep(Duration::from_millis(if is_troubled { 3_000 } else { 0 }));
             let path = "/-/rpc?call=instances.leave&of=i-same";
             let status = upstream::post(control, path, &leave);
-            record.line(format!("the leave of the first lifetime arrives: {status:?}"));
+            record.line(format!(
+                "the leave of the first lifetime arrives: {status:?}"
+            ));
         })
     };
     thread::sleep(Duration::from_millis(800));
@@ -578,10 +655,16 @@
     thread::sleep(Duration::from_secs(20));
     let outcomes = load.stop();
     after.end();
-    let served = outcomes.iter().filter(|(.., outcome)| outcome.status == 200).count();
+    let served = outcomes
+        .iter()
+        .filter(|(.., outcome)| outcome.status == 200)
+        .count();
     Ok(Verdict {
         is_broken: served * 4 < outcomes.len(),
-        text: format!("{served} of {} requests to the new lifetime were served", outcomes.len()),
+        text: format!(
+            "{served} of {} requests to the new lifetime were served",
+            outcomes.len()
+        ),
     })
 }
 
@@ -625,7 +708,11 @@
     loads.into_iter().for_each(|load| drop(load.stop()));
     let runs = |id: &String| -> usize {
         let count = |upstream: &Upstream| {
-            upstream.arrivals().iter().filter(|arrival| arrival.id == *id).count()
+            upstream
+                .arrivals()
+                .iter()
+                .filter(|arrival| arrival.id == *id)
+                .count()
         };
         upstreams.iter().map(count).sum()
     };
@@ -652,7 +739,10 @@
     let mesh = Mesh::start(8, record)?;
     let ids = ["i-0", "i-1", "i-2", "i-3", "i-4", "i-5", "i-6", "i-7"];
     let start = |index: usize, version: &'static str| {
-        let settings = Settings { version, ..warm(ids[index], 40) };
+        let settings = Settings {
+            version,
+            ..warm(ids[index], 40)
+        };
         Upstream::start(&mesh.nodes[index], &settings, record)
     };
     let old: Vec<Upstream> = (0..3).map(|index| start(index, "v1")).collect();
@@ -680,7 +770,11 @@
     };
     order("v2");
     let ordered = Instant::now();
-    let status = || mesh.store.newest_value("keyed.status", &key).unwrap_or_default();
+    let status = || {
+        mesh.store
+            .newest_value("keyed.status", &key)
+            .unwrap_or_default()
+    };
     while !status().contains("rolled_back") {
         if ordered.elapsed() > window {
             return Err(format!("the bad version was not rolled back: {}", status()));
@@ -702,17 +796,28 @@
     let in_window = |at: Instant| at >= ordered && at < ordered + window;
     let count = |upstreams: &[Upstream]| -> usize {
         let count = |upstream: &Upstream| {
-            upstream.arrivals().iter().filter(|arrival| in_window(arrival.at)).count()
+            upstream
+                .arrivals()
+                .iter()
+                .filter(|arrival| in_window(arrival.at))
+                .count()
         };
         upstreams.iter().map(count).sum()
     };
     let exposed = count(&bad);
     let all = count(&old) + exposed + count(&next);
     let after = |upstream: &Upstream| {
-        upstream.arrivals().iter().filter(|arrival| arrival.at > rolled_back).count()
+        upstream
+            .arrivals()
+            .iter()
+            .filter(|arrival| arrival.at > rolled_back)
+            .count()
     };
     let late: usize = bad.iter().map(after).sum();
-    let failed = outcomes.iter().filter(|(.., outcome)| outcome.status == 500).count();
+    let failed = outcomes
+        .iter()
+        .filter(|(.., outcome)| outcome.status == 500)
+        .count();
     for upstream in old.iter().chain(&bad).chain(&next) {
         upstream.end();
     }
--- a/review/stand_in/client.rs
+++ b/review/stand_in/client.rs
@@ -78,7 +78,13 @@
     let Ok(mut stream) = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT) else {
         return Ended::NoConnection;
     };
-    let Request { method, path, id, budget, .. } = request;
+    let Request {
+        method,
+        path,
+        id,
+        budget,
+        ..
+    } = request;
     let body = if *method == "POST" { id.as_str() } else { "" };
     let text = format!(
         "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nBuckthornworks-Request-Id: {id}\r\n\
@@ -114,7 +120,10 @@
     };
     let head = String::from_utf8_lossy(&received[..end]).to_ascii_lowercase();
     let body = &received[end + 4..];
-    match head.lines().find_map(|line| line.strip_prefix("content-length:")) {
+    match head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length:"))
+    {
         Some(length) => body.len() >= length.trim().parse().unwrap_or(usize::MAX),
         None if head.contains("transfer-encoding: chunked") => body.ends_with(b"\r\n0\r\n\r\n"),
         None => false,
@@ -122,5 +131,7 @@
 }
 
 fn find(bytes: &[u8], wanted: &[u8]) -> Option<usize> {
-    bytes.windows(wanted.len()).position(|window| window == wanted)
+    bytes
+        .windows(wanted.len())
+        .position(|window| window == wanted)
 }
--- a/review/stand_in/http.rs
+++ b/review/stand_in/http.rs
@@ -59,7 +59,10 @@
             fields.push((name.trim().to_ascii_lowercase(), value.trim().to_owned()));
         }
     }
-    Ok(Some(Head { start: start.trim_end().to_owned(), fields }))
+    Ok(Some(Head {
+        start: start.trim_end().to_owned(),
+        fields,
+    }))
 }
 
 /// Reads the body of a request.
@@ -67,7 +70,10 @@
     if head.get("transfer-encoding").is_some() {
         return read_chunks(reader);
     }
-    let length = head.get("content-length").and_then(|value| value.parse().ok()).unwrap_or(0);
+    let length = head
+        .get("content-length")
+        .and_then(|value| value.parse().ok())
+        .unwrap_or(0);
     let mut body = vec![0; length];
     reader.read_exact(&mut body)?;
     Ok(body)
--- a/review/stand_in/node.rs
+++ b/review/stand_in/node.rs
@@ -18,7 +18,9 @@
 
 /// Ends all processes.
 pub fn end_all() {
-    let mut children = CHILDREN.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let mut children = CHILDREN
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner());
     for child in children.iter_mut().filter_map(Option::take) {
         end(child);
     }
@@ -42,7 +44,11 @@
         let directory = std::env::temp_dir().join(format!("buckthorn-review-{process}"));
         fs::create_dir_all(&directory).unwrap();
         let net = [process / 250 % 250, process % 250].map(|part| part as u8 + 1);
-        Self { directory, net, root: root.into() }
+        Self {
+            directory,
+            net,
+            root: root.into(),
+        }
     }
 
     fn ip(&self, index: usize) -> Ipv4Addr {
@@ -144,7 +150,8 @@
             .stdout(Stdio::from(output))
             .spawn()
             .expect("the program of the deploy file starts");
-        self.record.line(format!("{}: process {} starts", self.name, child.id()));
+        self.record
+            .line(format!("{}: process {} starts", self.name, child.id()));
         CHILDREN.lock().unwrap()[self.index] = Some(child);
     }
 
@@ -152,7 +159,11 @@
     pub fn kill(&self) {
         let child = CHILDREN.lock().unwrap()[self.index].take();
         if let Some(child) = child {
-            self.record.line(format!("{}: process {} is killed (SIGKILL)", self.name, child.id()));
+            self.record.line(format!(
+                "{}: process {} is killed (SIGKILL)",
+                self.name,
+                child.id()
+            ));
             end(child);
         }
     }
--- a/review/stand_in/record.rs
+++ b/review/stand_in/record.rs
@@ -16,7 +16,10 @@
 impl Record {
     pub fn create(path: &Path) -> Self {
         let file = File::create(path).expect("the record can be written");
-        Self { started: Instant::now(), file: Arc::new(Mutex::new(file)) }
+        Self {
+            started: Instant::now(),
+            file: Arc::new(Mutex::new(file)),
+        }
     }
 
     /// Time since the start.
--- a/review/stand_in/store.rs
+++ b/review/stand_in/store.rs
@@ -30,7 +30,10 @@
 impl Store {
     pub fn start() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let store = Self { address: listener.local_addr().unwrap(), state: Arc::default() };
+        let store = Self {
+            address: listener.local_addr().unwrap(),
+            state: Arc::default(),
+        };
         let serving = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -61,13 +64,18 @@
         let mut writer = stream.try_clone().unwrap();
         let mut reader = BufReader::new(stream);
         while let Ok(Some(head)) = http::read_head(&mut reader) {
-            let Ok(body) = http::read_body(&mut reader, &head) else { return };
+            let Ok(body) = http::read_body(&mut reader, &head) else {
+                return;
+            };
             let (status, answer) = self.handle(&head, &body);
             let start = format!(
                 "HTTP/1.1 {status} Status\r\nStore-Era: 1\r\nContent-Length: {}\r\n\r\n",
                 answer.len()
             );
-            if writer.write_all(&[start.as_bytes(), &answer].concat()).is_err() {
+            if writer
+                .write_all(&[start.as_bytes(), &answer].concat())
+                .is_err()
+            {
                 return;
             }
         }
@@ -103,7 +111,10 @@
             })
             .collect();
         let end = topic.len();
-        format!(r#"{{"items":[{}],"hasMore":false,"endOffset":{end}}}"#, items.join(","))
+        format!(
+            r#"{{"items":[{}],"hasMore":false,"endOffset":{end}}}"#,
+            items.join(",")
+        )
     }
 
     /// Records from an offset on; waits for the first one.
@@ -140,7 +151,10 @@
         let records = topics.entry(topic.into()).or_default();
         let at = head.query("at").and_then(|at| at.parse::<usize>().ok());
         if at.is_some_and(|at| at != records.len()) {
-            return (412, format!(r#"{{"endOffset":{}}}"#, records.len()).into_bytes());
+            return (
+                412,
+                format!(r#"{{"endOffset":{}}}"#, records.len()).into_bytes(),
+            );
         }
         let offset = records.len();
         while body.len() > 4 {
@@ -152,7 +166,10 @@
         }
         let end = records.len();
         self.state.changed.notify_all();
-        (200, format!(r#"{{"offset":{offset},"endOffset":{end}}}"#).into_bytes())
+        (
+            200,
+            format!(r#"{{"offset":{offset},"endOffset":{end}}}"#).into_bytes(),
+        )
     }
 }
 
--- a/review/stand_in/upstream.rs
+++ b/review/stand_in/upstream.rs
@@ -119,7 +119,9 @@
             is_ended: AtomicBool::new(false),
             record: record.clone(),
         }));
-        upstream.0.line(format!("starts at {}, born {born}", node.application));
+        upstream
+            .0
+            .line(format!("starts at {}, born {born}", node.application));
         let (accepting, beating) = (upstream.clone(), upstream.clone());
         thread::spawn(move || accepting.accept());
         thread::spawn(move || beating.beat());
@@ -157,12 +159,21 @@
     /// Body of the next liveness report.
     pub fn next_beat(&self) -> String {
         let state = &self.0;
-        let cold = state.cold_time.saturating_sub(state.started.lock().unwrap().elapsed());
+        let cold = state
+            .cold_time
+            .saturating_sub(state.started.lock().unwrap().elapsed());
         let (cold, born) = (cold.as_secs_f64(), state.born.load(Ordering::SeqCst));
         let sequence = state.sequence.fetch_add(1, Ordering::SeqCst);
         let is_draining = state.is_draining.load(Ordering::SeqCst);
         let word = if is_draining { "draining" } else { "ready" };
-        let State { service, version, address, zone, slots, .. } = &**state;
+        let State {
+            service,
+            version,
+            address,
+            zone,
+            slots,
+            ..
+        } = &**state;
         format!(
             r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"{version}","slots":{slots},"state":"{word}","coldRemainingS":{cold:.3},"sequence":{sequence},"born":{born}}}"#
         )
@@ -173,7 +184,11 @@
         let state = &self.0;
         let path = format!("/-/rpc?call=instances.{call}&of={}", state.id);
         let is_acknowledged = post(state.control, &path, body) == Some(200);
-        let outcome = if is_acknowledged { "acknowledged" } else { "no ack" };
+        let outcome = if is_acknowledged {
+            "acknowledged"
+        } else {
+            "no ack"
+        };
         state.line(format!("{call} {body}: {outcome}"));
         is_acknowledged
     }
@@ -218,7 +233,11 @@
                     Ok((stream, _)) => {
                         let _ = stream.set_nonblocking(false);
                         let _ = stream.set_nodelay(true);
-                        state.connections.lock().unwrap().push(stream.try_clone().unwrap());
+                        state
+                            .connections
+                            .lock()
+                            .unwrap()
+                            .push(stream.try_clone().unwrap());
                         let upstream = self.clone();
                         thread::spawn(move || upstream.serve(stream));
                     }
@@ -248,7 +267,10 @@
 
     fn answer(&self, writer: &mut TcpStream, head: &Head) -> std::io::Result<()> {
         let state = &self.0;
-        let id = head.get("buckthornworks-request-id").unwrap_or("").to_owned();
+        let id = head
+            .get("buckthornworks-request-id")
+            .unwrap_or("")
+            .to_owned();
         let expected = head.get("buckthornworks-expected-instance");
         if expected.is_some_and(|expected| expected != state.id) {
             let answer = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
@@ -256,7 +278,11 @@
         }
         let path = head.target().to_owned();
         state.line(format!("runs {id} ({} {path})", head.method()));
-        let arrival = Arrival { at: Instant::now(), id: id.clone(), path: path.clone() };
+        let arrival = Arrival {
+            at: Instant::now(),
+            id: id.clone(),
+            path: path.clone(),
+        };
         state.arrivals.lock().unwrap().push(arrival);
         let behavior = *state.behavior.lock().unwrap();
         if matches!(behavior, Behavior::Fragile(most) if state.in_last_second() > most) {
@@ -280,7 +306,10 @@
         if behavior == Behavior::Endless {
             start += "Transfer-Encoding: chunked\r\n\r\n";
             writer.write_all(start.as_bytes())?;
-            let chunk = format!("4000\r\n{}\r\n", "these bytes are no answer ".repeat(700).split_at(0x4000).0);
+            let chunk = format!(
+                "4000\r\n{}\r\n",
+                "these bytes are no answer ".repeat(700).split_at(0x4000).0
+            );
             loop {
                 writer.write_all(chunk.as_bytes())?;
             }
@@ -292,7 +321,9 @@
                 && head.get("range").is_none();
             if breaks_off {
                 state.broken.store(broken, Ordering::SeqCst);
-                state.line(format!("breaks off its answer to {id}, {broken} of {answered} answers so far"));
+                state.line(format!(
+                    "breaks off its answer to {id}, {broken} of {answered} answers so far"
+                ));
             }
             return write_export(writer, head, start, breaks_off);
         }
@@ -345,13 +376,18 @@
     breaks_off: bool,
 ) -> std::io::Result<()> {
     let body = vec![b'e'; EXPORT_BYTES];
-    let range = head.get("range").and_then(|range| range.strip_prefix("bytes="));
+    let range = head
+        .get("range")
+        .and_then(|range| range.strip_prefix("bytes="));
     let from = range.and_then(|range| range.trim_end_matches('-').parse::<usize>().ok());
     let rest = &body[from.unwrap_or(0).min(EXPORT_BYTES)..];
     let mut start = start + &format!("ETag: \"export-1\"\r\nContent-Length: {}\r\n", rest.len());
     if let Some(from) = from {
         start = start.replacen("200 OK", "206 Partial Content", 1);
-        start += &format!("Content-Range: bytes {from}-{}/{EXPORT_BYTES}\r\n", EXPORT_BYTES - 1);
+        start += &format!(
+            "Content-Range: bytes {from}-{}/{EXPORT_BYTES}\r\n",
+            EXPORT_BYTES - 1
+        );
     }
     writer.write_all((start + "\r\n").as_bytes())?;
     if breaks_off && from.is_none() {
@@ -363,14 +399,17 @@
 
 impl State {
     fn line(&self, text: impl AsRef<str>) {
-        self.record.line(format!("upstream {}: {}", self.id, text.as_ref()));
+        self.record
+            .line(format!("upstream {}: {}", self.id, text.as_ref()));
     }
 
     /// Requests that arrived within the last second.
     fn in_last_second(&self) -> usize {
         let arrivals = self.arrivals.lock().unwrap();
         let recent = arrivals.iter().rev();
-        recent.take_while(|arrival| arrival.at.elapsed() < Duration::from_secs(1)).count()
+        recent
+            .take_while(|arrival| arrival.at.elapsed() < Duration::from_secs(1))
+            .count()
     }
 
     fn close(&self) {
@@ -381,7 +420,10 @@
 }
 
 fn unix_millis() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_millis() as u64
 }
 
 /// Posts a JSON body and returns the status of the response, if it comes in time.
