--- a/review/stand_in/case.rs
+++ b/review/stand_in/case.rs
@@ -336,7 +336,7 @@
     thread::sleep(Duration::from_millis(300));
     if is_troubled {
         owner.kill();
-        thread::sleep(Duration::from_millis(400));
+        thread::sleep(Duration::from_millis(250));
         owner.start();
     }
     thread::sleep(Duration::from_millis(1_600));
