--- a/buckthorn/src/node/adapter.rs
+++ b/buckthorn/src/node/adapter.rs
@@ -17,6 +17,7 @@
 use crate::proxy::contract::Contract;
 use crate::proxy::limit::Limits;
 use crate::rollout::exposure::Bound;
+use crate::routing::budget::RetryBound;
 
 /// Channel to the operators' records: orders are read from it, and decisions on moves are published
 /// to it.
@@ -55,10 +56,9 @@
     pub cold_tolerance: Tolerance,
     /// Allowed calls to a version that is not proven, in the window of its move.
     pub exposure_bound: Bound,
-    /// Retries that each call adds to its service's retry budget.
-    pub retry_ratio: f64,
-    /// Retries of a service that are allowed beyond the ratio, shared by all nodes.
-    pub retry_slack: f64,
+    /// Retries of a service that all nodes may make together; absent for the budgets that each node
+    /// has by default.
+    pub retry_bound: Option<RetryBound>,
 }
 
 /// Source of a node's configuration.
--- a/buckthorn/src/node/mod.rs
+++ b/buckthorn/src/node/mod.rs
@@ -208,9 +208,10 @@
             operator_channel: source
                 .adapter()
                 .map(|adapter| adapter.operator_channel.clone()),
-            loads: source.adapter().map_or_else(Loads::default, |adapter| {
-                Loads::with_budgets(adapter.retry_slack, adapter.retry_ratio)
-            }),
+            loads: source
+                .adapter()
+                .and_then(|adapter| adapter.retry_bound)
+                .map_or_else(Loads::default, Loads::with_budgets),
             cold_tolerance: source
                 .adapter()
                 .map_or_else(Tolerance::default, |adapter| adapter.cold_tolerance),
--- a/buckthorn/src/rollout/exposure.rs
+++ b/buckthorn/src/rollout/exposure.rs
@@ -89,6 +89,12 @@
 }
 
 impl Bound {
+    /// Allows a version any number of calls.
+    pub const UNBOUNDED: Self = Self {
+        share: 1.0,
+        slack: f64::INFINITY,
+    };
+
     /// Whether the calls that the new version has had, and would have at `share` before its failures
     /// are known, use up the bound. `share` and `part`, the elapsed part of the window, are in
     /// thousandths.
--- a/buckthorn/src/routing/budget.rs
+++ b/buckthorn/src/routing/budget.rs
@@ -41,6 +41,15 @@
 /// A hop reserves at most the time left divided by this.
 pub const MAX_RESERVE_DIVISOR: u32 = 10;
 
+/// Retries of a service that all nodes may make together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryBound {
+    /// Retries that each call adds to its service's retry budget.
+    pub ratio: f64,
+    /// Retries that are allowed beyond the ratio within a window, shared by all nodes.
+    pub slack: f64,
+}
+
 /// Retry budget of a service.
 #[derive(Debug)]
 pub struct Budget {
--- a/buckthorn/src/routing/load.rs
+++ b/buckthorn/src/routing/load.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
-use super::budget::{Budget, RETRY_COST};
+use super::budget::{Budget, RETRY_COST, RetryBound};
 use crate::clock::Time;
 use crate::name::Name;
 
@@ -155,13 +155,12 @@
 }
 
 impl Registry {
-    /// Creates a registry whose retry budgets share a slack, counted in retries, with the other
-    /// nodes and earn `ratio` retries for each call.
-    pub fn with_budgets(slack: f64, ratio: f64) -> Self {
+    /// Creates a registry whose retry budgets share the slack of a bound with the other nodes.
+    pub fn with_budgets(bound: RetryBound) -> Self {
         let size = BudgetSize {
-            slack: thousandths(slack),
-            share: thousandths(slack),
-            earned: thousandths(ratio),
+            slack: thousandths(bound.slack),
+            share: thousandths(bound.slack),
+            earned: thousandths(bound.ratio),
         };
         Self {
             budget_size: Some(size),
