--- a/buckthorn/src/admission/gate.rs
+++ b/buckthorn/src/admission/gate.rs
@@ -15,6 +15,7 @@
 
 use super::limit::{self, Change, Limit, Signal, Window};
 use super::queue::{Placement, Queue, Ticket};
+use super::rank::Rank;
 
 /// Queue capacity for each slot.
 pub const QUEUE_PER_SLOT: usize = 2;
@@ -31,8 +32,8 @@
 /// A call that asks for admission.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Offer {
-    /// Priority in the queue.
-    pub urgency: Urgency,
+    /// Place in the order of waiting calls.
+    pub rank: Rank,
     /// Time by which the caller needs the response; absent when the call has no deadline.
     pub deadline: Option<Time>,
     /// Longest wait of this call; only has an effect below [`MAX_WAIT`].
@@ -219,12 +220,12 @@
             self.admit();
             return Decision::Run;
         }
-        let ahead = self.queue.ahead(offer.urgency, until) as u32;
+        let ahead = self.queue.ahead(offer.rank, until) as u32;
         let wait = self.limit.mean() * (ahead + 1) / self.limit();
         if now + wait > until {
             return Decision::Refuse(expiry);
         }
-        match self.queue.push(offer.urgency, until, expiry) {
+        match self.queue.push(offer.rank, until, expiry) {
             Placement::Queued(ticket) => Decision::Wait(ticket, until, expiry),
             Placement::Displaced(ticket, lower) => {
                 assert!(
--- a/buckthorn/src/admission/queue.rs
+++ b/buckthorn/src/admission/queue.rs
@@ -1,12 +1,13 @@
-//! Queue of calls that wait for a slot, ordered by priority, then deadline, then arrival.
+//! Queue of calls that wait for a slot, ordered by rank, then deadline, then arrival.
 //!
-//! Priority traffic (urgency below [`DEFAULT_URGENCY`]) goes first but cannot starve other traffic:
+//! Priority traffic (calls in progress and those with an urgency below [`DEFAULT_URGENCY`]) goes first but cannot starve other traffic:
 //! it leaves at least [`Queue::reserve`] places of the queue free, and every [`FAIR_STRIDE`]th call
 //! taken is the oldest one of the other traffic.
 
 use crate::clock::Time;
 
-use super::gate::{DEFAULT_URGENCY, Refusal, Urgency};
+use super::gate::{DEFAULT_URGENCY, Refusal};
+use super::rank::Rank;
 
 /// One in this many calls taken is the oldest call that is not priority traffic.
 pub const FAIR_STRIDE: u32 = 8;
@@ -21,8 +22,8 @@
 /// A waiting call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Waiter {
-    /// Priority in the queue.
-    pub urgency: Urgency,
+    /// Place in the order of waiting calls.
+    pub rank: Rank,
     /// Time at which the call stops waiting.
     pub until: Time,
     /// Reason for the refusal when `until` passes.
@@ -57,13 +58,13 @@
 
 impl Waiter {
     /// Returns the key by which calls are ordered.
-    fn key(&self) -> (Urgency, Time, Ticket) {
-        (self.urgency, self.until, self.ticket)
+    fn key(&self) -> (Rank, Time, Ticket) {
+        (self.rank, self.until, self.ticket)
     }
 
     /// Returns whether the call is priority traffic.
     fn is_priority(&self) -> bool {
-        self.urgency < DEFAULT_URGENCY
+        self.rank.is_in_progress() || self.rank.urgency() < DEFAULT_URGENCY
     }
 }
 
@@ -94,15 +95,15 @@
     }
 
     /// Returns the number of calls ahead of a new call with this priority and wait limit.
-    pub fn ahead(&self, urgency: Urgency, until: Time) -> usize {
-        let key = (urgency, until, Ticket(self.next));
+    pub fn ahead(&self, rank: Rank, until: Time) -> usize {
+        let key = (rank, until, Ticket(self.next));
         self.waiters.partition_point(|waiter| waiter.key() < key)
     }
 
     /// Adds a call that waits until a time, and displaces one of lower priority if necessary.
-    pub fn push(&mut self, urgency: Urgency, until: Time, expiry: Refusal) -> Placement {
+    pub fn push(&mut self, rank: Rank, until: Time, expiry: Refusal) -> Placement {
         let waiter = Waiter {
-            urgency,
+            rank,
             until,
             expiry,
             ticket: Ticket(self.next),
@@ -137,7 +138,7 @@
     /// Removes the last of the first `end` calls if its priority is lower than that of `new`.
     fn displace(&mut self, new: &Waiter, end: usize) -> Option<Ticket> {
         let last = end.checked_sub(1)?;
-        (self.waiters[last].urgency > new.urgency).then(|| self.waiters.remove(last).ticket)
+        (self.waiters[last].rank > new.rank).then(|| self.waiters.remove(last).ticket)
     }
 
     /// Removes a call whose wait limit has passed, and returns it with its reason for refusal.
--- a/buckthorn/src/proxy/contract.rs
+++ b/buckthorn/src/proxy/contract.rs
@@ -11,8 +11,8 @@
 use http::header::{CONTENT_ENCODING, HOST, HeaderMap, HeaderName};
 use http::{HeaderValue, StatusCode};
 
-use super::header::{self, CALLER_HOST, URGENCY};
-use crate::admission::gate::Urgency;
+use super::header::{self, CALLER_HOST, IN_PROGRESS, URGENCY};
+use crate::admission::rank::Rank;
 use crate::name::Name;
 
 /// Header names that the platform defines.
@@ -77,11 +77,14 @@
 
 impl Contract {
     /// Rewrites a caller's headers for the hop.
-    pub fn rewrite_for_hop(&self, headers: &mut HeaderMap, urgency: Urgency) {
+    pub fn rewrite_for_hop(&self, headers: &mut HeaderMap, rank: Rank) {
         if let Some(host) = headers.get(HOST).cloned() {
             headers.insert(CALLER_HOST, host);
         }
-        headers.insert(URGENCY, HeaderValue::from(u16::from(urgency)));
+        headers.insert(URGENCY, HeaderValue::from(u16::from(rank.urgency())));
+        if rank.is_in_progress() {
+            headers.insert(IN_PROGRESS, HeaderValue::from_static("1"));
+        }
         if let Ok(service) = HeaderValue::from_str(&self.caller_service) {
             headers.insert(self.headers.caller_service.clone(), service);
         }
--- a/buckthorn/src/proxy/dispatch.rs
+++ b/buckthorn/src/proxy/dispatch.rs
@@ -164,7 +164,7 @@
         parts.headers.insert(REPEAT, permille);
     }
     match &plane.contract {
-        Some(contract) => contract.rewrite_for_hop(&mut parts.headers, call.urgency),
+        Some(contract) => contract.rewrite_for_hop(&mut parts.headers, call.rank),
         None => {
             // Calls that the backend server makes on behalf of this one belong to an inner layer.
             let attempts = HeaderValue::from_static("1");
--- a/buckthorn/src/proxy/header.rs
+++ b/buckthorn/src/proxy/header.rs
@@ -7,6 +7,7 @@
 use http::{HeaderValue, Method, Uri};
 
 use crate::admission::gate::{DEFAULT_URGENCY, Offer, Urgency};
+use crate::admission::rank::Rank;
 use crate::clock::Time;
 use crate::config::policy::{Kind, Policy};
 use crate::poison::fingerprint::Suspect;
@@ -40,6 +41,10 @@
 pub const MAX_WAIT: &str = "x-buckthorn-patience-ms";
 /// Probability in thousandths that the call repeats an earlier run, from ingress to owner.
 pub const REPEAT: &str = "x-buckthorn-repeat";
+/// Marks a call that a running request makes, from ingress to owner.
+pub const IN_PROGRESS: &str = "x-buckthorn-in-progress";
+/// State of the backend server, from owner to ingress (see [`crate::admission::report::Report`]).
+pub const REPORT: &str = "x-buckthorn-report";
 /// `Host` header of the caller; on the hop the service's name stands in its place.
 pub const CALLER_HOST: &str = "x-buckthorn-host";
 /// Fingerprint of the request and hash of its identifier, from ingress to owner.
@@ -117,8 +122,8 @@
     /// Load of the local failure domain's servers, in thousandths, from which the call goes to
     /// another failure domain.
     pub spill_load: u32,
-    /// Urgency by which owners order their queues.
-    pub urgency: Urgency,
+    /// Rank by which owners order their queues.
+    pub rank: Rank,
     /// Time by which the head of the response is needed.
     pub deadline: Time,
     /// Whether the caller set the deadline.
@@ -190,7 +195,7 @@
                 Kind::Bulk => BULK_SPILL_LOAD,
                 Kind::Idempotent | Kind::NonIdempotent => FULL_LOAD,
             },
-            urgency: route.urgency,
+            rank: Rank::new(route.urgency),
             deadline: now + wait,
             has_deadline: remaining.is_some(),
             attempts: None,
@@ -228,10 +233,7 @@
             path: parts.uri.path().to_owned(),
             is_idempotent: is_idempotent(&parts.method),
             spill_load: FULL_LOAD,
-            urgency: match parse_number(&parts.headers, URGENCY)? {
-                Some(urgency) => urgency.min(u64::from(LOWEST_URGENCY)) as Urgency,
-                None => urgency(&parts.headers),
-            },
+            rank: rank(&parts.headers)?,
             deadline: now + wait,
             has_deadline: remaining.is_some(),
             attempts: parse_number(&parts.headers, ATTEMPTS)?
@@ -259,7 +261,7 @@
     /// Returns the parameters for the owner's admission.
     pub fn offer(&self) -> Offer {
         Offer {
-            urgency: self.urgency,
+            rank: self.rank,
             deadline: Some(self.deadline),
             max_wait: self.max_wait,
         }
@@ -274,6 +276,19 @@
     )
 }
 
+/// Parses the rank of a call on the hop; a call of a caller has the urgency that it names.
+fn rank(headers: &HeaderMap) -> Result<Rank, &'static str> {
+    let urgency = match parse_number(headers, URGENCY)? {
+        Some(urgency) => urgency.min(u64::from(LOWEST_URGENCY)) as Urgency,
+        None => urgency(headers),
+    };
+    Ok(if headers.contains_key(IN_PROGRESS) {
+        Rank::in_progress(urgency)
+    } else {
+        Rank::new(urgency)
+    })
+}
+
 /// Parses the urgency (RFC 9218, section 4.1); absent or malformed values yield the default.
 pub fn urgency(headers: &HeaderMap) -> Urgency {
     // The last of several members with the same key applies (RFC 8941, section 3.2).
--- a/buckthorn/src/proxy/ingress.rs
+++ b/buckthorn/src/proxy/ingress.rs
@@ -10,7 +10,8 @@
 
 use super::body::{Body, Monitor};
 use super::header::{
-    self, CALLER_HOST, Call, FINGERPRINT, LOAD, MAX_WAIT, REPEAT, ROLE, RouteError, SECRET, URGENCY,
+    self, CALLER_HOST, Call, FINGERPRINT, IN_PROGRESS, LOAD, MAX_WAIT, REPEAT, REPORT, ROLE,
+    RouteError, SECRET, URGENCY,
 };
 use super::payload::{Payload, UploadStatus};
 use super::response::{self, Ran, Reason};
@@ -62,6 +63,7 @@
         SECRET,
         ROLE,
         URGENCY,
+        IN_PROGRESS,
         CALLER_HOST,
         MAX_WAIT,
         REPEAT,
@@ -176,5 +178,6 @@
         plane.counters.increment(Counter::CallsUnknown);
     }
     response.headers_mut().remove(LOAD);
+    response.headers_mut().remove(REPORT);
     plane.for_caller(response)
 }
--- a/buckthorn/tests/admission_gate.rs
+++ b/buckthorn/tests/admission_gate.rs
@@ -8,6 +8,7 @@
 };
 use buckthorn::admission::limit::{Change, START_LIMIT};
 use buckthorn::admission::queue::{FAIR_STRIDE, Ticket};
+use buckthorn::admission::rank::Rank;
 use buckthorn::clock::Time;
 use buckthorn::rollout::evidence::Outcome;
 use rand::Rng;
@@ -23,7 +24,7 @@
 /// Call of a priority without a deadline, which may wait as long as the gate permits.
 fn call(urgency: u8) -> Offer {
     Offer {
-        urgency,
+        rank: Rank::new(urgency),
         deadline: None,
         max_wait: None,
     }
@@ -79,7 +80,7 @@
                     match gate.offer(
                         now,
                         Offer {
-                            urgency,
+                            rank: Rank::new(urgency),
                             deadline,
                             max_wait: None,
                         },
@@ -235,7 +236,7 @@
     let mut now = Time::from_secs(1_000);
     let mut gate = warm(&mut now);
     let offer = |left: Duration, now: Time| Offer {
-        urgency: DEFAULT_URGENCY,
+        rank: Rank::new(DEFAULT_URGENCY),
         deadline: Some(now + left),
         max_wait: None,
     };
@@ -256,7 +257,7 @@
     let now = Time::from_secs(1_000);
     let mut gate = Gate::new(1, now);
     let at = |urgency, millis| Offer {
-        urgency,
+        rank: Rank::new(urgency),
         deadline: Some(now + Duration::from_millis(millis)),
         max_wait: None,
     };
--- a/buckthorn/tests/admission_semaphore.rs
+++ b/buckthorn/tests/admission_semaphore.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use buckthorn::admission::gate::{Gate, Offer, Refusal};
+use buckthorn::admission::rank::Rank;
 use buckthorn::admission::semaphore::Semaphore;
 use buckthorn::clock::Clock;
 use buckthorn::counter::Counters;
@@ -15,7 +16,7 @@
 
 /// Call without a deadline.
 const CALL: Offer = Offer {
-    urgency: 3,
+    rank: Rank::new(3),
     deadline: None,
     max_wait: None,
 };
@@ -53,7 +54,10 @@
                 for _ in 0..200 {
                     let urgency = rng.random_range(0..8);
                     let duration = Duration::from_micros(rng.random_range(1..3_000));
-                    let acquire = semaphore.acquire(Offer { urgency, ..CALL });
+                    let acquire = semaphore.acquire(Offer {
+                        rank: Rank::new(urgency),
+                        ..CALL
+                    });
                     let Ok(acquired) = tokio::time::timeout(duration, acquire).await else {
                         continue;
                     };
--- a/buckthorn/tests/input_header.rs
+++ b/buckthorn/tests/input_header.rs
@@ -87,7 +87,7 @@
             headers.iter().map(|(name, value)| (*name, value.as_slice())).collect();
         let mut parts = head(method, &headers);
         if let Ok(call) = Call::parse(&parts, NOW, TIMEOUT) {
-            prop_assert!(call.urgency <= 7);
+            prop_assert!(call.rank.urgency() <= 7);
             prop_assert!(call.deadline >= NOW);
             prop_assert!(call.has_deadline || call.deadline == NOW + TIMEOUT);
             prop_assert!(call.idempotency_key.is_none_or(|key| (1..=MAX_KEY_BYTES).contains(&key.len())));
--- a/buckthorn_lab/src/experiment/mesh.rs
+++ b/buckthorn_lab/src/experiment/mesh.rs
@@ -12,6 +12,7 @@
 
 use buckthorn::admission::gate::{DEFAULT_URGENCY, Decision, Gate, Next, Offer};
 use buckthorn::admission::queue::Ticket;
+use buckthorn::admission::rank::Rank;
 use buckthorn::clock::Time;
 use buckthorn::config::intent::{FailureDomain, Intent, Route, Service};
 use buckthorn::journal::fold::State;
@@ -504,7 +505,7 @@
         }
         if policy == Policy::Product {
             let offer = Offer {
-                urgency,
+                rank: Rank::new(urgency),
                 deadline: Some(deadline),
                 max_wait: None,
             };
