Run requests that were sent ahead on one connection at the same time

Cause: the HTTP library serves one request of a connection after the other and reads no further meanwhile, so that requests sent ahead waited for each other although backend servers were idle. Change: a reader takes the bytes of a caller's connection in the library's place, hands them on unchanged and finds the heads among them; requests that may be repeated are dispatched up to eight ahead, and their responses are kept until the library asks for them. Nothing runs beside a request that changes something. Calls ahead end with their connection; a draining node announces the close with the last of them.

--- a/buckthorn/src/counter.rs
+++ b/buckthorn/src/counter.rs
@@ -37,6 +37,7 @@
     Calls "call.total" "Calls taken from callers.",
     CallsOk "call.ok" "Calls answered in full by a backend server.",
     CallsUnknown "call.unknown" "Calls answered as unknown outcome.",
+    CallsAhead "call.ahead" "Calls dispatched before earlier requests of their connection were answered.",
     DownloadsResumed "call.resumed" "Downloads that went on at another backend server.",
     CallerGone "call.caller_gone" "Callers that left before their answer.",
     RefusedNoRoute "refused.no_route" "Calls for a service or path that no route names.",
--- a/buckthorn/src/proxy/ingress.rs
+++ b/buckthorn/src/proxy/ingress.rs
@@ -2,13 +2,13 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use http::request::Parts;
 use http::{Request, Response};
-use hyper::body::Incoming;
 use slog::info;
 use tokio::time::Instant;
 
-use super::body::{Body, Monitor};
+use super::body::{Body, Fault, Monitor};
 use super::header::{
     self, CALLER_HOST, Call, FINGERPRINT, IN_PROGRESS, LOAD, MAX_WAIT, REPEAT, REPORT, ROLE,
     RouteError, SECRET, URGENCY,
@@ -18,6 +18,7 @@
 use super::{Plane, dispatch, keyed, request_log};
 use crate::admission::gate::Refusal;
 use crate::clock::Time;
+use crate::config::policy::Kind;
 use crate::counter::Counter;
 use crate::log_event::LogEvent;
 use crate::metrics::Stage;
@@ -34,11 +35,15 @@
 }
 
 /// Handles a caller's request.
-pub async fn handle(
+pub async fn handle<B>(
     plane: &Arc<Plane>,
     origin: Origin,
-    request: Request<Monitor<Incoming>>,
-) -> Response<Body> {
+    request: Request<Monitor<B>>,
+) -> Response<Body>
+where
+    B: http_body::Body<Data = Bytes> + Send + Unpin + 'static,
+    B::Error: Into<Fault>,
+{
     plane.counters.increment(Counter::Calls);
     if plane.is_draining() {
         let reason = Reason::Refused(Refusal::Draining);
@@ -145,6 +150,19 @@
     })
 }
 
+/// Returns whether a request without a body may run beside others of its connection: it may be
+/// repeated, and its response is small.
+pub fn may_run_ahead(plane: &Plane, request: &Request<()>) -> bool {
+    if plane.contract.is_none() {
+        return header::is_idempotent(request.method());
+    }
+    let table = plane.table.load();
+    let host = header::service(request.uri(), request.headers());
+    let route = host.zip(table.policy.as_ref());
+    let route = route.and_then(|(host, policy)| policy.route(&host, request.uri().path()));
+    route.is_some_and(|route| route.kind == Kind::Idempotent)
+}
+
 /// Reports a fault of the caller's streamed body in place of the failure that it caused downstream.
 fn prefer_upload_fault(
     plane: &Plane,
--- a/buckthorn/src/proxy/limit.rs
+++ b/buckthorn/src/proxy/limit.rs
@@ -21,6 +21,8 @@
     pub hop_streams: u32,
     /// Flow-control window of one call on a connection between nodes, in bytes.
     pub hop_window_bytes: u32,
+    /// Maximum requests of one connection that are dispatched before earlier ones are answered.
+    pub requests_ahead: usize,
     /// Longest wait for the head of a request, and idle timeout of a caller's connection.
     pub header_timeout: Duration,
     /// Longest wait for the next frame of a body, and longest time that a write may be blocked.
@@ -58,6 +60,7 @@
             hop_connections: 1_024,
             hop_streams: 256,
             hop_window_bytes: 64 * 1024,
+            requests_ahead: 8,
             header_timeout: Duration::from_secs(10),
             idle_body_timeout: Duration::from_secs(15),
             call_timeout: Duration::from_secs(30),
--- a/buckthorn/src/proxy/listen.rs
+++ b/buckthorn/src/proxy/listen.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{HeaderValue, Request, Response, StatusCode, header as names};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header as names};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::server::conn::{http1, http2};
@@ -16,10 +16,11 @@
 use tokio::sync::{Semaphore, watch};
 use tokio::task::JoinSet;
 
-use super::body::{Body, Bounds, Monitor};
+use super::body::{self, Body, Bounds, Monitor};
 use super::header::{self, Call, Role, SECRET};
 use super::ingress::Origin;
 use super::payload::{Payload, UploadStatus};
+use super::pipeline::{EarlyCall, Progress, Reader, Scanner, Step, Window};
 use super::response::{self, Ran, Reason};
 use super::socket::{ConnectionState, Socket};
 use super::{Plane, hop, ingress, keyed, owner};
@@ -141,6 +142,41 @@
     let _ = tokio::time::timeout(REFUSAL_TIME, exchange).await;
 }
 
+/// A connection of a caller, as the handler of its requests sees it.
+struct CallerConnection {
+    /// Plane of the node.
+    plane: Arc<Plane>,
+    /// Where the connection comes from.
+    origin: Origin,
+    /// Bytes read and consumed.
+    state: Arc<ConnectionState>,
+    /// Requests taken and answered, and calls that were dispatched early.
+    progress: Progress,
+}
+
+impl CallerConnection {
+    /// Dispatches the requests in a window that may run beside those before them.
+    fn dispatch_ahead(&self, window: &mut Window) {
+        let progress = &self.progress;
+        while let Some((index, request)) = window.next(progress.taken(), progress.answered()) {
+            // A call that began now might be cut off by the end of the connection.
+            if self.plane.is_draining() || !ingress::may_run_ahead(&self.plane, &request) {
+                continue;
+            }
+            self.plane.counters.increment(Counter::CallsAhead);
+            let (plane, origin) = (self.plane.clone(), self.origin);
+            let (mut parts, ()) = request.clone().into_parts();
+            parts.extensions.insert(UploadStatus::default());
+            let task = tokio::spawn(async move {
+                let bounds = request_bounds(&plane, &parts.headers);
+                let body = Monitor::new(body::empty(), bounds, |_| {});
+                ingress::handle(&plane, origin, Request::from_parts(parts, body)).await
+            });
+            progress.add(EarlyCall::new(index, &request, task));
+        }
+    }
+}
+
 /// Serves one connection of a caller.
 async fn serve_caller(
     plane: Arc<Plane>,
@@ -150,10 +186,20 @@
 ) {
     let state = Arc::new(ConnectionState::default());
     let write_timeout = plane.limits.idle_body_timeout;
+    let scanner = Scanner::new(plane.limits.header_bytes, plane.limits.headers);
+    let (reader, stream) = Reader::new(stream, scanner);
+    let mut reader = Some(reader);
+    let mut window = Window::new(plane.limits.requests_ahead);
     let socket = TokioIo::new(Socket::new(stream, state.clone(), write_timeout));
+    let caller = Arc::new(CallerConnection {
+        plane: plane.clone(),
+        origin,
+        state: state.clone(),
+        progress: Progress::default(),
+    });
     let service = {
-        let (plane, state) = (plane.clone(), state.clone());
-        service_fn(move |request| handle_caller(plane.clone(), state.clone(), origin, request))
+        let caller = caller.clone();
+        service_fn(move |request| handle_caller(caller.clone(), request))
     };
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -164,12 +210,30 @@
     let mut linger = pin!(async {
         draining(&mut phase).await;
         tokio::time::sleep(plane.limits.drain_linger).await;
+        // The library would close the connection before the responses that were made ahead.
+        caller.progress.settled().await;
     });
     let result = {
         let mut is_closing = false;
         loop {
             tokio::select! {
+                // What was read is passed on in the same turn.
+                biased;
+                step = read_next(&mut reader) => match step {
+                    Step::Read(heads) => {
+                        for head in heads {
+                            window.push(head, caller.progress.taken());
+                        }
+                        caller.dispatch_ahead(&mut window);
+                    }
+                    // The library does not notice while it holds requests that it has not taken.
+                    Step::Ended if caller.progress.has_early() => return,
+                    Step::Ended => reader = None,
+                },
                 result = &mut connection => break result,
+                () = caller.progress.next_answer(), if !window.is_empty() => {
+                    caller.dispatch_ahead(&mut window);
+                }
                 () = &mut linger, if !is_closing => {
                     is_closing = true;
                     std::pin::Pin::new(&mut connection).graceful_shutdown();
@@ -186,24 +250,62 @@
         plane.counters.increment(Counter::RefusedBadRequest);
     } else if error.is_timeout() && state.has_unconsumed() {
         plane.counters.increment(Counter::RefusedHeaderTimeout);
-        let socket = connection.into_parts().io.into_inner();
-        refuse_connection(socket, Reason::HeaderTimeout).await;
+        let stream = connection.into_parts().io.into_inner().into_inner();
+        if let Some(stream) = reader.and_then(|reader| reader.reunite(stream)) {
+            refuse_connection(stream, Reason::HeaderTimeout).await;
+        }
+    }
+}
+
+/// Reads on if the connection has not ended.
+async fn read_next(reader: &mut Option<Reader>) -> Step {
+    match reader {
+        Some(reader) => reader.next().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Returns the bounds of a caller's request body.
+fn request_bounds(plane: &Plane, headers: &HeaderMap) -> Bounds {
+    Bounds {
+        declared: header::declared_length(headers).ok().flatten(),
+        max_bytes: plane.limits.body_bytes,
+        idle: plane.limits.idle_body_timeout,
     }
 }
 
 /// Handles one request of a caller.
 async fn handle_caller(
-    plane: Arc<Plane>,
-    state: Arc<ConnectionState>,
-    origin: Origin,
+    caller: Arc<CallerConnection>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
+    let (plane, state) = (&caller.plane, caller.state.clone());
     state.mark_consumed();
-    let bounds = Bounds {
-        declared: header::declared_length(request.headers()).ok().flatten(),
-        max_bytes: plane.limits.body_bytes,
-        idle: plane.limits.idle_body_timeout,
+    let early = caller.progress.take(&request);
+    let response = match early {
+        Some(call) => call.response().await,
+        None => None,
+    };
+    let mut response = match response {
+        Some(response) => response,
+        None => handle_request(plane, state, caller.origin, request).await,
     };
+    caller.progress.record_answer();
+    if plane.is_draining() && !caller.progress.has_early() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(names::CONNECTION, close);
+    }
+    Ok(response)
+}
+
+/// Handles a request of a caller that the HTTP library has taken.
+async fn handle_request(
+    plane: &Arc<Plane>,
+    state: Arc<ConnectionState>,
+    origin: Origin,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    let bounds = request_bounds(plane, request.headers());
     let upload = UploadStatus::default();
     let status = upload.clone();
     let mut request = request.map(|body| {
@@ -213,12 +315,7 @@
         })
     });
     request.extensions_mut().insert(upload);
-    let mut response = ingress::handle(&plane, origin, request).await;
-    if plane.is_draining() {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(names::CONNECTION, close);
-    }
-    Ok(response)
+    ingress::handle(plane, origin, request).await
 }
 
 /// Serves one connection of another node.
--- a/buckthorn/src/proxy/mod.rs
+++ b/buckthorn/src/proxy/mod.rs
@@ -29,6 +29,7 @@
 pub mod listen;
 pub mod owner;
 pub mod payload;
+pub mod pipeline;
 pub mod pool;
 pub mod request_log;
 pub mod response;
--- a/buckthorn/src/proxy/payload.rs
+++ b/buckthorn/src/proxy/payload.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use http::request::Parts;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 
 use super::Plane;
 use super::body::{self, Body, Ending, Fault, Monitor, Replayed};
@@ -38,11 +37,11 @@
     /// # Errors
     ///
     /// Returns the reason for refusing the body; no byte of it was sent on.
-    pub async fn read(
-        plane: &Plane,
-        parts: &Parts,
-        body: Monitor<Incoming>,
-    ) -> Result<Self, Reason> {
+    pub async fn read<B>(plane: &Plane, parts: &Parts, body: Monitor<B>) -> Result<Self, Reason>
+    where
+        B: http_body::Body<Data = Bytes> + Send + Unpin + 'static,
+        B::Error: Into<Fault>,
+    {
         let declared = header::declared_length(&parts.headers).map_err(|_| Reason::BadRequest)?;
         if http_body::Body::is_end_stream(&body) {
             return Ok(Self::Kept(Bytes::new()));
@@ -63,7 +62,11 @@
     }
 
     /// Leaves a body to be streamed after its beginning was read.
-    async fn stream(body: Monitor<Incoming>) -> Self {
+    async fn stream<B>(body: Monitor<B>) -> Self
+    where
+        B: http_body::Body<Data = Bytes> + Send + Unpin + 'static,
+        B::Error: Into<Fault>,
+    {
         let body = body.boxed_unsync();
         let (body, beginning) = Replayed::peek(body, BODY_BYTES, PEEK_TIMEOUT).await;
         Self::Streamed {
--- a/buckthorn/src/proxy/socket.rs
+++ b/buckthorn/src/proxy/socket.rs
@@ -64,11 +64,11 @@
     }
 }
 
-/// TCP connection that counts the bytes read and limits blocked writes.
+/// Connection that counts the bytes read and limits blocked writes.
 #[derive(Debug)]
-pub struct Socket {
-    /// Underlying TCP stream.
-    stream: TcpStream,
+pub struct Socket<S = TcpStream> {
+    /// Underlying stream.
+    stream: S,
     /// State shared with the task that serves the connection.
     state: Arc<ConnectionState>,
     /// Longest time that a write may be blocked.
@@ -79,9 +79,9 @@
     is_blocked: bool,
 }
 
-impl Socket {
-    /// Wraps a TCP stream.
-    pub fn new(stream: TcpStream, state: Arc<ConnectionState>, write_timeout: Duration) -> Self {
+impl<S> Socket<S> {
+    /// Wraps a stream.
+    pub fn new(stream: S, state: Arc<ConnectionState>, write_timeout: Duration) -> Self {
         Self {
             stream,
             state,
@@ -91,6 +91,11 @@
         }
     }
 
+    /// Returns the underlying stream.
+    pub fn into_inner(self) -> S {
+        self.stream
+    }
+
     /// Fails a write that was blocked for longer than the write timeout.
     fn check_write(
         &mut self,
@@ -117,7 +122,7 @@
     }
 }
 
-impl AsyncRead for Socket {
+impl<S: AsyncRead + Unpin> AsyncRead for Socket<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -131,7 +136,7 @@
     }
 }
 
-impl AsyncWrite for Socket {
+impl<S: AsyncWrite + Unpin> AsyncWrite for Socket<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
