Begin the sequence of a split at another point on each node

Cause: every ingress begins the sequence that spreads requests over the parts of a route at the same point, also after each change of the policy, so that the first request of all 84 goes to the first part and their second ones to another. Change: the sequence begins at a point derived from the host's name.

--- a/buckthorn/src/config/policy.rs
+++ b/buckthorn/src/config/policy.rs
@@ -112,11 +112,13 @@
         }
     }
 
-    /// Service of the next request; spreads requests evenly by weight over any span.
-    pub fn next_service(&self) -> &Name {
+    /// Service of the next request; spreads requests evenly by weight over any span. Nodes begin the
+    /// sequence at the point `phase`, so that their first requests do not all go to one part.
+    pub fn next_service(&self, phase: u32) -> &Name {
         let total: u64 = self.split.iter().map(|part| u64::from(part.weight)).sum();
         let request_count = self.request_count.fetch_add(1, Ordering::Relaxed);
-        let point = (u64::from(request_count.wrapping_mul(GOLDEN_STEP)) * total) >> 32;
+        let point =
+            (u64::from(request_count.wrapping_mul(GOLDEN_STEP).wrapping_add(phase)) * total) >> 32;
         let mut cumulative = 0;
         let found = self.split.iter().find(|part| {
             cumulative += u64::from(part.weight);
--- a/buckthorn/src/name.rs
+++ b/buckthorn/src/name.rs
@@ -15,3 +15,8 @@
 pub fn rendezvous(key: &str, host: &str) -> u64 {
     xxhash_rust::xxh3::xxh3_64_with_seed(host.as_bytes(), hash(key))
 }
+
+/// Returns where a host begins a sequence that all hosts follow, so that they are not in step.
+pub fn phase(host: &str) -> u32 {
+    hash(host) as u32
+}
--- a/buckthorn/src/proxy/header.rs
+++ b/buckthorn/src/proxy/header.rs
@@ -158,7 +158,8 @@
 }
 
 impl Call {
-    /// Routes a caller's request by the operators' policy.
+    /// Routes a caller's request by the operators' policy; `phase` is where this node begins the
+    /// sequence of a split.
     ///
     /// # Errors
     ///
@@ -169,6 +170,7 @@
         deadline_ms: &HeaderName,
         now: Time,
         call_timeout: Duration,
+        phase: u32,
     ) -> Result<Self, RouteError> {
         let host =
             service(&parts.uri, &parts.headers).ok_or(RouteError::Malformed("no host is named"))?;
@@ -188,7 +190,7 @@
         };
         let wait = remaining.unwrap_or(call_timeout).min(route.timeout);
         Ok(Self {
-            service: route.next_service().to_string(),
+            service: route.next_service(phase).to_string(),
             path: parts.uri.path().to_owned(),
             is_idempotent: route.kind != Kind::NonIdempotent,
             spill_load: match route.kind {
--- a/buckthorn/src/proxy/ingress.rs
+++ b/buckthorn/src/proxy/ingress.rs
@@ -22,6 +22,7 @@
 use crate::counter::Counter;
 use crate::log_event::LogEvent;
 use crate::metrics::Stage;
+use crate::name;
 use crate::poison::blocklist::Level;
 use crate::poison::fingerprint::{Fingerprint, Suspect};
 
@@ -144,7 +145,9 @@
     let table = plane.table.load();
     let policy = table.policy.as_ref().ok_or((Reason::NotReady, ""))?;
     let deadline_ms = &contract.headers.deadline_ms;
-    Call::from_policy(parts, policy, deadline_ms, now, call_timeout).map_err(|error| match error {
+    let phase = name::phase(&plane.host);
+    let call = Call::from_policy(parts, policy, deadline_ms, now, call_timeout, phase);
+    call.map_err(|error| match error {
         RouteError::Malformed(what) => (Reason::BadRequest, what),
         RouteError::NoRoute => (Reason::NoRoute, ""),
     })
--- a/buckthorn/tests/config_orders.rs
+++ b/buckthorn/tests/config_orders.rs
@@ -83,7 +83,7 @@
         route("B.example", "/deep/", vec![part("other", 1)]),
     ];
     let policy = Policy::new(1, routes, Vec::new());
-    let find = |host, path| Some(&**policy.route(host, path)?.next_service());
+    let find = |host, path| Some(&**policy.route(host, path)?.next_service(0));
     assert_eq!(find("a.example", "/deep/er/1"), Some("deeper"));
     assert_eq!(find("a.example", "/deep/e"), Some("deep"));
     assert_eq!(find("a.example", "/deeper"), Some("root"));
@@ -100,7 +100,7 @@
         vec![part("a", 90), part("b", 10), part("none", 0)],
     );
     for _ in 0..50 {
-        let span: Vec<&str> = (0..40).map(|_| &**route.next_service()).collect();
+        let span: Vec<&str> = (0..40).map(|_| &**route.next_service(0)).collect();
         let count = span.iter().filter(|service| **service == "b").count();
         assert!((3..=5).contains(&count), "{count} of 40");
         assert!(!span.contains(&"none"));
