Run calls in progress first, and let them wait until their deadline

A call that a backend server makes for a request which it runs competed with new requests: its rank was that of its route, and it waited for at most half of its latency target. At a server that was full of new requests it was refused, its request failed, and all that had run of the request was in vain.

The node beside the backend server knows the requests that run there. It ranks each call that comes from its own host with the most urgent of them, before new requests, and lets it wait until its deadline. Calls in progress have places of their own in an owner's queue, and are not refused by an estimate of their wait, which is taken from the mean latency of all calls.

--- a/buckthorn/src/admission/gate.rs
+++ b/buckthorn/src/admission/gate.rs
@@ -17,9 +17,13 @@
 use super::queue::{Placement, Queue, Ticket};
 use super::rank::Rank;
 
-/// Queue capacity for each slot.
+/// New calls that the queue holds for each slot.
 pub const QUEUE_PER_SLOT: usize = 2;
 
+/// Calls in progress that the queue holds for each slot. They are short, and as many as the requests
+/// that run elsewhere make, so this only bounds the memory for them.
+pub const IN_PROGRESS_PER_SLOT: usize = 16;
+
 /// Longest time a call waits; after that a retry at another owner is more likely to succeed.
 pub const MAX_WAIT: Duration = Duration::from_secs(1);
 
@@ -36,7 +40,8 @@
     pub rank: Rank,
     /// Time by which the caller needs the response; absent when the call has no deadline.
     pub deadline: Option<Time>,
-    /// Longest wait of this call; only has an effect below [`MAX_WAIT`].
+    /// Longest wait of this call. Without one, a call in progress waits until its deadline, and a new
+    /// one for at most [`MAX_WAIT`], which also bounds a longer wait of it.
     pub max_wait: Option<Duration>,
 }
 
@@ -151,7 +156,10 @@
 
     fn with_limit(limit: Limit) -> Self {
         Self {
-            queue: Queue::new(limit.slots() as usize * QUEUE_PER_SLOT),
+            queue: Queue::new(
+                limit.slots() as usize * QUEUE_PER_SLOT,
+                limit.slots() as usize * IN_PROGRESS_PER_SLOT,
+            ),
             limit,
             running: 0,
             displaced: None,
@@ -220,9 +228,7 @@
             self.admit();
             return Decision::Run;
         }
-        let ahead = self.queue.ahead(offer.rank, until) as u32;
-        let wait = self.limit.mean() * (ahead + 1) / self.limit();
-        if now + wait > until {
+        if now + self.expected_wait(offer.rank, until) > until {
             return Decision::Refuse(expiry);
         }
         match self.queue.push(offer.rank, until, expiry) {
@@ -322,11 +328,23 @@
         self.running += 1;
     }
 
+    /// Returns how long a call waits for those ahead of it.
+    ///
+    /// The mean latency is mostly that of new calls, and too long for calls in progress, which are
+    /// refused only when their wait is over.
+    fn expected_wait(&self, rank: Rank, until: Time) -> Duration {
+        if rank.is_in_progress() {
+            return Duration::ZERO;
+        }
+        let ahead = self.queue.ahead(rank, until) as u32;
+        self.limit.mean() * (ahead + 1) / self.limit()
+    }
+
     /// Returns the time until which a call may wait, and the reason for its refusal afterwards.
     ///
     /// A response is assumed to need at least half of the typical latency.
     fn wait_limit(&self, now: Time, offer: &Offer) -> (Time, Refusal) {
-        let longest = now + offer.max_wait.unwrap_or(MAX_WAIT).min(MAX_WAIT);
+        let longest = now + longest_wait(offer);
         match offer
             .deadline
             .map(|deadline| deadline - self.limit.typical() / 2)
@@ -336,3 +354,13 @@
         }
     }
 }
+
+/// Returns the time after which a call is refused whatever its deadline.
+///
+/// Refusing a call in progress wastes what its request has run, which a call that waits does not.
+fn longest_wait(offer: &Offer) -> Duration {
+    if offer.rank.is_in_progress() && offer.deadline.is_some() {
+        return offer.max_wait.unwrap_or(Duration::MAX);
+    }
+    offer.max_wait.unwrap_or(MAX_WAIT).min(MAX_WAIT)
+}
--- a/buckthorn/src/admission/queue.rs
+++ b/buckthorn/src/admission/queue.rs
@@ -1,8 +1,11 @@
 //! Queue of calls that wait for a slot, ordered by rank, then deadline, then arrival.
 //!
-//! Priority traffic (calls in progress and those with an urgency below [`DEFAULT_URGENCY`]) goes first but cannot starve other traffic:
-//! it leaves at least [`Queue::reserve`] places of the queue free, and every [`FAIR_STRIDE`]th call
-//! taken is the oldest one of the other traffic.
+//! Priority traffic (calls in progress, and new ones with an urgency below [`DEFAULT_URGENCY`]) goes
+//! first but cannot starve other traffic: it leaves at least [`Queue::reserve`] places of the queue
+//! free, and every [`FAIR_STRIDE`]th call taken is the oldest one of the other traffic. Calls in
+//! progress have places of their own, so that new calls never take theirs.
+
+use std::ops::Range;
 
 use crate::clock::Time;
 
@@ -48,8 +51,10 @@
 pub struct Queue {
     /// Waiting calls, sorted by [`Waiter::key`].
     waiters: Vec<Waiter>,
-    /// Largest number of waiting calls.
+    /// Largest number of waiting calls that are new.
     capacity: usize,
+    /// Largest number of waiting calls in progress.
+    in_progress_capacity: usize,
     /// Ticket number of the next call.
     next: u64,
     /// Priority calls taken in a row.
@@ -69,11 +74,13 @@
 }
 
 impl Queue {
-    /// Creates an empty queue for at most `capacity` calls.
-    pub fn new(capacity: usize) -> Self {
+    /// Creates an empty queue for at most `capacity` new calls and `in_progress_capacity` calls in
+    /// progress.
+    pub fn new(capacity: usize, in_progress_capacity: usize) -> Self {
         Self {
             waiters: Vec::with_capacity(capacity),
             capacity,
+            in_progress_capacity,
             next: 1,
             taken: 0,
         }
@@ -89,6 +96,12 @@
         self.waiters.is_empty()
     }
 
+    /// Returns the number of waiting calls in progress.
+    pub fn in_progress(&self) -> usize {
+        self.waiters
+            .partition_point(|waiter| waiter.rank.is_in_progress())
+    }
+
     /// Returns the number of places reserved for other than priority traffic.
     pub fn reserve(&self) -> usize {
         (self.capacity / RESERVE_DIVISOR).max(1)
@@ -108,16 +121,9 @@
             expiry,
             ticket: Ticket(self.next),
         };
-        let priority = self.waiters.partition_point(Waiter::is_priority);
-        let is_over_share = waiter.is_priority() && priority + self.reserve() >= self.capacity;
-        let displaced = match (is_over_share, self.len() < self.capacity) {
-            (false, true) => None,
-            // Priority traffic beyond its share may only displace priority traffic.
-            (true, _) => match self.displace(&waiter, priority) {
-                Some(ticket) => Some(ticket),
-                None => return Placement::Full,
-            },
-            (false, false) => match self.displace(&waiter, self.len()) {
+        let displaced = match self.contested(&waiter) {
+            None => None,
+            Some(places) => match self.displace(&waiter, places) {
                 Some(ticket) => Some(ticket),
                 None => return Placement::Full,
             },
@@ -126,7 +132,7 @@
         let index = self.waiters.partition_point(|w| w.key() < waiter.key());
         self.waiters.insert(index, waiter);
         assert!(
-            self.waiters.len() <= self.capacity,
+            self.waiters.len() <= self.capacity + self.in_progress_capacity,
             "invariant: the queue is bounded"
         );
         match displaced {
@@ -135,9 +141,25 @@
         }
     }
 
-    /// Removes the last of the first `end` calls if its priority is lower than that of `new`.
-    fn displace(&mut self, new: &Waiter, end: usize) -> Option<Ticket> {
-        let last = end.checked_sub(1)?;
+    /// Returns the calls of which one has to leave for a new one; `None` if there is a free place.
+    fn contested(&self, new: &Waiter) -> Option<Range<usize>> {
+        let in_progress = self.in_progress();
+        if new.rank.is_in_progress() {
+            return (in_progress >= self.in_progress_capacity).then_some(0..in_progress);
+        }
+        let priority = self.waiters.partition_point(Waiter::is_priority);
+        let is_over_share =
+            new.is_priority() && priority - in_progress + self.reserve() >= self.capacity;
+        if is_over_share {
+            // Priority traffic beyond its share may only displace priority traffic.
+            return Some(in_progress..priority);
+        }
+        (self.len() - in_progress >= self.capacity).then_some(in_progress..self.len())
+    }
+
+    /// Removes the last of some calls if its priority is lower than that of `new`.
+    fn displace(&mut self, new: &Waiter, calls: Range<usize>) -> Option<Ticket> {
+        let last = calls.last()?;
         (self.waiters[last].rank > new.rank).then(|| self.waiters.remove(last).ticket)
     }
 
--- a/buckthorn/src/counter.rs
+++ b/buckthorn/src/counter.rs
@@ -35,6 +35,7 @@
 counters! {
     // Calls.
     Calls "call.total" "Calls taken from callers.",
+    CallsInProgress "call.in_progress" "Calls that the local backend server made for a request that it ran.",
     CallsOk "call.ok" "Calls answered in full by a backend server.",
     CallsUnknown "call.unknown" "Calls answered as unknown outcome.",
     DownloadsResumed "call.resumed" "Downloads that went on at another backend server.",
--- a/buckthorn/src/proxy/header.rs
+++ b/buckthorn/src/proxy/header.rs
@@ -136,7 +136,8 @@
     pub max_backend_attempts: Option<u32>,
     /// When the call was received.
     pub received_at: Time,
-    /// Longest time that the call may wait in owners' queues, `None` without a latency target.
+    /// Longest time that the call may wait in owners' queues, `None` without a latency target and for
+    /// calls in progress, which may wait until their deadline.
     pub max_wait: Option<Duration>,
     /// Probability in thousandths that the call is made on behalf of a retried one, at its ingress.
     pub repeat_permille: u32,
@@ -258,6 +259,12 @@
         Some(max_wait.saturating_sub(now.since(self.received_at)))
     }
 
+    /// Ranks the call as one that a running request makes.
+    pub fn set_in_progress(&mut self, rank: Rank) {
+        self.rank = rank;
+        self.max_wait = None;
+    }
+
     /// Returns the parameters for the owner's admission.
     pub fn offer(&self) -> Offer {
         Offer {
--- a/buckthorn/src/proxy/ingress.rs
+++ b/buckthorn/src/proxy/ingress.rs
@@ -73,6 +73,7 @@
     }
     if origin == Origin::Local {
         call.repeat_permille = plane.repeat_share.permille();
+        rank_with_parent(plane, &mut call);
     }
     let upload = parts
         .extensions
@@ -98,6 +99,18 @@
     finish(plane, prefer_upload_fault(plane, &upload, response))
 }
 
+/// Ranks a call of the local backend server with the request that it is made for. Only a contract says
+/// that no other callers share the backend server's address.
+fn rank_with_parent(plane: &Plane, call: &mut Call) {
+    if plane.contract.is_none() {
+        return;
+    }
+    if let Some(rank) = plane.parents.rank() {
+        plane.counters.increment(Counter::CallsInProgress);
+        call.set_in_progress(rank);
+    }
+}
+
 /// Identifies a request beyond this call, and adds the identity for the owner.
 fn identify(plane: &Plane, parts: &mut Parts, payload: &Payload) -> Suspect {
     let caller = plane.contract.as_ref().map(|c| &*c.caller_service);
--- a/buckthorn/src/proxy/mod.rs
+++ b/buckthorn/src/proxy/mod.rs
@@ -50,6 +50,7 @@
 use crate::name::Name;
 use crate::node::telemetry;
 use crate::poison::blocklist::{Blocklist, Level};
+use crate::routing::parent::Parents;
 use crate::routing::repeat::RepeatShare;
 use crate::routing::table::Table;
 
@@ -92,6 +93,8 @@
     pub(crate) peers: hop::Peers,
     /// Share of repeats among the runs of the local backend server.
     pub(crate) repeat_share: RepeatShare,
+    /// Requests that run at the local backend server.
+    pub(crate) parents: Arc<Parents>,
     /// Idempotency keys held by this node.
     pub(crate) keys: key::Store,
     /// Whether the node drains and refuses new calls.
@@ -244,6 +247,7 @@
         Plane {
             peers: hop::Peers::new(self.counters.clone(), &self.limits),
             repeat_share: RepeatShare::default(),
+            parents: Arc::default(),
             keys: key::Store::new(self.limits.keys, self.limits.key_window),
             table: self.table,
             owner: self.owner,
--- a/buckthorn/src/proxy/owner.rs
+++ b/buckthorn/src/proxy/owner.rs
@@ -32,6 +32,7 @@
 use crate::poison::blocklist::Level;
 use crate::poison::fingerprint::Suspect;
 use crate::rollout::evidence::{self, Outcome, Recorder};
+use crate::routing::parent::Parent;
 
 /// Connections tried for one call before it is refused. Another is tried only while no byte of the
 /// request was sent.
@@ -182,7 +183,11 @@
     started: Instant,
 ) -> Result<(), Reason> {
     let now = plane.clock.now();
-    let max_wait = call.max_wait.unwrap_or(gate::MAX_WAIT);
+    let max_wait = match call.max_wait {
+        Some(max_wait) => max_wait,
+        None if call.rank.is_in_progress() => Duration::MAX,
+        None => gate::MAX_WAIT,
+    };
     let left = max_wait
         .saturating_sub(started.elapsed())
         .min(call.deadline.since(now));
@@ -243,6 +248,8 @@
     started: Instant,
     /// Reports how the call ended.
     watch: CallWatch,
+    /// Counts the call as a parent of those that the backend server makes.
+    _parent: Parent,
 }
 
 /// Reports the end of a call to the watch of the backend server, if there is one.
@@ -307,6 +314,7 @@
             suspect: call.suspect,
             address: owner.address,
         },
+        _parent: plane.parents.start(call.rank),
     }));
     let repeat_permille = header::mesh_number(request.headers(), REPEAT).unwrap_or_default();
     plane
