Choose backend servers by expected completion

Cause: servers of one service differ in speed by a factor of three, and neighbours slow them down for moments, but the choice knew only a load in thousandths of the slots, which is old when it is used.

Change: the owner averages the time of calls by kind and reads the load that its server tells; it reports both in each response and refusal. The ingress draws two candidates in proportion to what they serve in a second and takes the one that is expected to complete the call first. A call does not wait at the first two servers that it is sent to: they refuse it at once with a new report if they are full, which costs no attempt and no budget, and it waits at the best one of those. Without a contract nothing changes.

--- a/buckthorn/src/admission/mod.rs
+++ b/buckthorn/src/admission/mod.rs
@@ -5,10 +5,11 @@
 //! orders those that wait, [`gate`] combines both, and [`semaphore`] shares the gate between
 //! threads. [`breaker`] protects against a backend server that stopped responding, [`cold_rate`]
 //! limits the rate of calls to a cold one, and [`rate_limit`] keeps to the rate that a backend
-//! server names itself. [`rank`] is the order of calls under overload, and [`report`] what an owner
-//! tells the ingresses.
+//! server names itself. [`rank`] is the order of calls under overload. [`capacity`] estimates what
+//! a backend server takes now, and [`report`] is what an owner tells the ingresses.
 
 pub mod breaker;
+pub mod capacity;
 pub mod cold_rate;
 pub mod gate;
 pub mod limit;
--- a/buckthorn/src/admission/semaphore.rs
+++ b/buckthorn/src/admission/semaphore.rs
@@ -452,6 +452,11 @@
 }
 
 impl Permit {
+    /// Returns the number of calls running, this one included.
+    pub fn running(&self) -> u32 {
+        self.semaphore.as_ref().map_or(0, |s| s.running())
+    }
+
     /// Records the call's outcome and releases the slot.
     pub fn finish(mut self, outcome: Outcome, latency: Duration) {
         if let Some(semaphore) = self.semaphore.take() {
--- a/buckthorn/src/counter.rs
+++ b/buckthorn/src/counter.rs
@@ -91,6 +91,7 @@
     EjectedOutlier "eject.outlier" "Ejections of a backend server as an outlier.",
     EjectDenied "eject.denied" "Ejections denied because too few would remain.",
     PanicRouting "route.panic" "Choices made among ejected backend servers for want of others.",
+    FirstTryFull "route.first_try_full" "First tries that found a backend server without room.",
     SpilledOver "route.spilled" "Calls sent to another failure domain.",
     // Configuration.
     RecordsApplied "config.applied" "Log records accepted by the fold.",
--- a/buckthorn/src/proxy/contract.rs
+++ b/buckthorn/src/proxy/contract.rs
@@ -12,6 +12,7 @@
 use http::{HeaderValue, StatusCode};
 
 use super::header::{self, CALLER_HOST, IN_PROGRESS, URGENCY};
+use crate::admission::capacity::Told;
 use crate::admission::rank::Rank;
 use crate::name::Name;
 
@@ -34,6 +35,8 @@
     pub rate_limit: HeaderName,
     /// Marks the responses of a backend server that leaves, with the value `1`.
     pub leaving: HeaderName,
+    /// Load of the backend server (see [`Told::parse`]).
+    pub server_load: HeaderName,
 }
 
 /// Headers and limits that callers and backend servers expect.
@@ -124,6 +127,18 @@
             .transpose()
     }
 
+    /// Returns the load that a backend server tells in the head of a response, if it does.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the load is malformed.
+    pub fn told_load(&self, headers: &HeaderMap) -> anyhow::Result<Option<Told>> {
+        headers
+            .get(&self.server_load)
+            .map(|value| Told::parse(value.to_str()?).with_context(|| format!("load {value:?}")))
+            .transpose()
+    }
+
     /// Returns whether a backend server says in the head of a response that it leaves.
     pub fn is_leaving(&self, headers: &HeaderMap) -> bool {
         headers.get(&self.leaving).is_some_and(|value| value == "1")
--- a/buckthorn/src/proxy/dispatch.rs
+++ b/buckthorn/src/proxy/dispatch.rs
@@ -14,20 +14,23 @@
 
 use super::attempts::{Attempts, FailedAttempt};
 use super::body::{self, Body, Bounds, Ending, Fault, Monitor, Replayed};
-use super::header::{self, ATTEMPTS, Call, LOAD, MAX_WAIT, REPEAT, Role};
+use super::first_try::{self, FirstTries};
+use super::header::{self, ATTEMPTS, Call, LOAD, MAX_WAIT, REPEAT, REPORT, Role};
 use super::hop::{HopError, HopRequest};
 use super::payload::Payload;
 use super::request_log::RequestLog;
 use super::response::{self, Ran, Reason};
 use super::{Plane, owner, resume};
+use crate::admission::capacity::Kind;
 use crate::admission::gate::Refusal;
+use crate::admission::report::Report;
 use crate::counter::Counter;
 use crate::log_event::LogEvent;
 use crate::name::Name;
 use crate::poison::blocklist::Level;
 use crate::rollout::evidence::Outcome;
 use crate::routing::budget::{self, Budget, Layer, Next, NextHopDeadline};
-use crate::routing::choice::{self, Choice, choose};
+use crate::routing::choice::{self, Choice, choose_for};
 use crate::routing::load::Load;
 use crate::routing::outlier;
 use crate::routing::repeat;
@@ -60,8 +63,11 @@
     let mut request_log = RequestLog::new(plane, call, plane.request_id(&parts.headers));
     prepare(plane, &mut parts, call);
     let mut attempts = Attempts::new(call);
+    let mut first_tries = FirstTries::default();
     loop {
-        let endpoint = match choose_endpoint(plane, call, &attempts.tried) {
+        let chosen = first_tries.choose(plane, call, payload.is_kept(), &attempts.tried);
+        let is_first_try = first_tries.is_try();
+        let endpoint = match chosen {
             Ok(endpoint) => endpoint,
             Err(reason) => {
                 let response = attempts
@@ -75,7 +81,13 @@
         request_log.start_attempt();
         let body = payload.take().unwrap_or_else(body::empty);
         let request = Request::from_parts(parts.clone(), body);
-        let failed = match attempt(plane, call, &endpoint, request).await {
+        let result = if is_first_try {
+            let call = first_try::without_wait(call);
+            attempt(plane, &call, &endpoint, request).await
+        } else {
+            attempt(plane, call, &endpoint, request).await
+        };
+        let failed = match result {
             AttemptResult::Answered(response) => {
                 let left = call.deadline.since(plane.clock.now());
                 request_log.record_attempt(&endpoint.host, &response, "answer", left);
@@ -84,6 +96,13 @@
             }
             AttemptResult::Failed(failed) => failed,
         };
+        if is_first_try && first_tries.record(&endpoint.host, &failed) {
+            let counter = Counter::FirstTryFull;
+            plane.counters.increment(counter);
+            let left = call.deadline.since(plane.clock.now());
+            request_log.record_attempt(&endpoint.host, &failed.response, counter.name(), left);
+            continue;
+        }
         attempts.count(&failed);
         if attempts.is_next_repeat() {
             let permille = HeaderValue::from(repeat::REPEAT);
@@ -196,7 +215,8 @@
         return Err(Reason::NoRoute);
     };
     let now = plane.clock.now();
-    match choose(&table, route, now, tried, call.spill_load, &mut rand::rng()) {
+    let demand = first_try::demand(call);
+    match choose_for(&table, route, now, tried, &demand, &mut rand::rng()) {
         Choice::Endpoint(_, endpoint) => {
             if let Some(counter) = choice::counter(&table, endpoint, now) {
                 plane.counters.increment(counter);
@@ -269,6 +289,13 @@
     if let Some(permille) = reported_load(&response) {
         endpoint.load.set_reported(permille);
     }
+    if let Some(report) = report(&response) {
+        // This call has ended.
+        let in_flight = endpoint.load.in_flight().saturating_sub(1);
+        let kind = Kind::of(&call.path);
+        let now = plane.clock.now();
+        endpoint.load.estimate.record(&report, kind, in_flight, now);
+    }
     if response::is_refusal(&response) {
         observe(plane, call, &endpoint.host, refusal_outcome(&response));
         return refused_by_owner(plane, response);
@@ -493,6 +520,11 @@
     response.headers().get(LOAD)?.to_str().ok()?.parse().ok()
 }
 
+/// Returns the report of an owner in its response.
+fn report(response: &Response<Body>) -> Option<Report> {
+    Report::parse(response.headers().get(REPORT)?.to_str().ok()?)
+}
+
 /// Monitors the body of a response on its way to the caller.
 fn monitor_body(
     plane: &Arc<Plane>,
--- a/buckthorn/src/proxy/keyed.rs
+++ b/buckthorn/src/proxy/keyed.rs
@@ -25,7 +25,7 @@
 use super::Plane;
 use super::body::{self, Body, Fault, Replayed};
 use super::dispatch::{dispatch, target};
-use super::header::{Call, KEY_STATE, LOAD, REPLAYED, Role};
+use super::header::{Call, KEY_STATE, LOAD, REPLAYED, REPORT, Role};
 use super::hop::{HopError, HopRequest};
 use super::key::{self, Outcome, Start};
 use super::payload::Payload;
@@ -258,6 +258,7 @@
     }
     let mut response = dispatch(&plane, &call, parts, payload).await;
     response.headers_mut().remove(LOAD);
+    response.headers_mut().remove(REPORT);
     running_key.is_ended = true;
     if response::is_not_run(&response) {
         plane.keys.forget(plane.clock.now(), &running_key.id);
--- a/buckthorn/src/proxy/mod.rs
+++ b/buckthorn/src/proxy/mod.rs
@@ -16,10 +16,12 @@
 //! - bodies are streamed with back-pressure; buffering is bounded by [`limit::Limits`].
 
 mod attempts;
+mod backend_state;
 pub mod body;
 pub mod contract;
 pub mod crash_watch;
 pub mod dispatch;
+mod first_try;
 pub mod header;
 pub mod hop;
 pub mod ingress;
--- a/buckthorn/src/proxy/owner.rs
+++ b/buckthorn/src/proxy/owner.rs
@@ -3,12 +3,12 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri, Version, header as names};
 use http_body_util::BodyExt;
-use slog::{info, warn};
+use slog::info;
 use tokio::time::Instant;
 
 use super::body::{self, Body, Bounds, Ending, Fault, Monitor};
@@ -18,13 +18,14 @@
 use super::limit::Limits;
 use super::pool::{CheckoutError, Pool, ResponseBody, SendError};
 use super::response::{self, Ran, Reason};
-use super::{Plane, request_log};
+use super::{Plane, backend_state, request_log};
 use crate::admission::breaker::CircuitBreaker;
+use crate::admission::capacity::{Capacity, Ended, Kind};
 use crate::admission::cold_rate::ColdRateLimiter;
 use crate::admission::gate::{self, Refusal};
-use crate::admission::rate_limit::{Admission, Change, RateLimiter};
+use crate::admission::rate_limit::{Admission, RateLimiter};
 use crate::admission::semaphore::{Permit, Semaphore};
-use crate::clock::Time;
+use crate::clock::Clock;
 use crate::counter::{Counter, Counters};
 use crate::log_event::LogEvent;
 use crate::metrics::Stage;
@@ -60,13 +61,15 @@
     /// Connections to the backend server, created at the first call.
     pool: std::sync::OnceLock<Arc<Pool>>,
     /// Instance name of the backend server, if it announced one.
-    instance: Option<Name>,
+    pub(super) instance: Option<Name>,
     /// Limits the rate of calls while the backend server is cold.
     pub cold_limiter: ColdRateLimiter,
     /// Refuses calls while the backend server does not respond.
     pub circuit_breaker: Arc<CircuitBreaker>,
     /// Rate limit that the backend server names.
     pub rate_limiter: RateLimiter,
+    /// Estimate of what the backend server takes.
+    pub capacity: Arc<Capacity>,
     /// Whether the backend server says in its responses that it leaves; the node then drains it.
     pub is_leaving: AtomicBool,
 }
@@ -95,6 +98,7 @@
             cold_limiter: ColdRateLimiter::new(None),
             circuit_breaker: Arc::default(),
             rate_limiter: RateLimiter::default(),
+            capacity: Arc::default(),
             is_leaving: AtomicBool::new(false),
         }
     }
@@ -135,6 +139,7 @@
     let rate_load = owner.rate_limiter.load_permille(plane.clock.now());
     let load = HeaderValue::from(owner.semaphore.load_permille().max(rate_load));
     response.headers_mut().insert(LOAD, load);
+    backend_state::insert_report(plane, &owner, call, &mut response);
     response
 }
 
@@ -154,11 +159,13 @@
     check_blocklist(plane, call)?;
     let route = check(plane, owner, call)?;
     let started = Instant::now();
+    let wait = owner.capacity.start_wait(call.rank);
     let permit = owner
         .semaphore
         .acquire(call.offer())
         .await
         .map_err(Reason::Refused)?;
+    drop(wait);
     let stages = &plane.counters.stages;
     stages.get(Stage::Queue).observe(started.elapsed());
     // The request may have been found responsible for crashes meanwhile.
@@ -239,6 +246,12 @@
     counters: Arc<Counters>,
     /// Route under which the call is recorded.
     route: Name,
+    /// Kind of the call.
+    kind: Kind,
+    /// Estimate of what the backend server takes.
+    capacity: Arc<Capacity>,
+    /// Clock of the node.
+    clock: Clock,
     /// When the call was sent to the backend server.
     started: Instant,
     /// Reports how the call ended.
@@ -275,6 +288,14 @@
     /// Records the outcome of the call and releases its permit.
     fn finish(self, outcome: Outcome, latency: Duration) {
         self.recorder.record(&self.route, outcome, latency);
+        let ended = Ended {
+            kind: self.kind,
+            outcome,
+            latency,
+            slot_time: self.started.elapsed(),
+            running: self.permit.running(),
+        };
+        self.capacity.record(&ended, self.clock.now());
         self.permit.finish(outcome, latency);
     }
 }
@@ -301,6 +322,9 @@
         circuit_breaker: owner.circuit_breaker.clone(),
         counters: plane.counters.clone(),
         route: admitted.route,
+        kind: Kind::of(&call.path),
+        capacity: owner.capacity.clone(),
+        clock: plane.clock.clone(),
         started: Instant::now(),
         watch: CallWatch {
             watch: plane.watch.clone(),
@@ -329,7 +353,7 @@
         owner.circuit_breaker.record_response();
         // A misdirected request was answered by another instance.
         if response.status() != StatusCode::MISDIRECTED_REQUEST {
-            observe_state(plane, owner, response.headers(), sent_at);
+            backend_state::observe(plane, owner, response.headers(), sent_at);
         }
     }
     match sent {
@@ -370,36 +394,6 @@
     }
 }
 
-/// Records the state that the backend server names in the head of a response to a request that was
-/// sent at `sent_at`.
-fn observe_state(plane: &Plane, owner: &Owner, headers: &HeaderMap, sent_at: Time) {
-    let Some(contract) = &plane.contract else {
-        return;
-    };
-    if contract.headers.is_leaving(headers) {
-        owner.is_leaving.store(true, Ordering::Relaxed);
-    }
-    let instance = owner.instance.as_deref().unwrap_or("");
-    let limit = match contract.headers.rate_limit(headers) {
-        Ok(limit) => limit,
-        Err(error) => {
-            if request_log::may_write(plane, request_log::Class::Owner) {
-                warn!(plane.logger, "{}", LogEvent::BackendStateRefused.name();
-                    "instance" => instance, "error" => format!("{error:#}"));
-            }
-            return;
-        }
-    };
-    let now = plane.clock.now();
-    let changed_to = match owner.rate_limiter.update(limit, sent_at, now) {
-        Change::Unchanged => return,
-        Change::Limited(limit) => limit.to_string(),
-        Change::Lifted => "none".to_owned(),
-    };
-    info!(plane.logger, "{}", LogEvent::BackendLimited.name();
-        "instance" => instance, "limit" => changed_to);
-}
-
 /// Logs a refusal with the state of the semaphore that led to it.
 fn log_refusal(plane: &Plane, owner: &Owner, id: &str, reason: Reason) {
     if request_log::may_write(plane, request_log::Class::Owner) {
--- a/buckthorn/src/routing/choice.rs
+++ b/buckthorn/src/routing/choice.rs
@@ -10,11 +10,15 @@
 //! than half of a version's backend servers are ejected, ejection is ignored (panic mode): the
 //! fault is then more likely common to all of them.
 //!
+//! Where owners report what their backend servers take, [`completion`] picks among the candidates
+//! instead.
+//!
 //! Choosing allocates nothing and takes no lock. The power of two choices is due to
 //! M. Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 1996.
 
 use rand::Rng;
 
+use super::completion::{self, Demand, Means};
 use super::load::Health;
 use super::table::{Endpoint, Route, Share, Table};
 use crate::clock::Time;
@@ -45,6 +49,28 @@
     NoBackendServer,
 }
 
+/// What the choice goes by.
+#[derive(Clone, Copy)]
+enum Criterion<'a> {
+    /// Told load and calls in flight.
+    Load {
+        /// Load from which a backend server counts as full, in thousandths of its limit.
+        spill_load: u32,
+    },
+    /// Expected completion, where reports allow to expect one.
+    Completion(&'a Demand),
+}
+
+impl Criterion<'_> {
+    /// Returns the load from which a backend server counts as full, in thousandths of its limit.
+    const fn spill_load(self) -> u32 {
+        match self {
+            Self::Load { spill_load } => spill_load,
+            Self::Completion(demand) => demand.spill_load,
+        }
+    }
+}
+
 /// Conditions that a candidate must meet.
 #[derive(Clone, Copy)]
 struct Filter<'a> {
@@ -69,12 +95,44 @@
     tried: &[Name],
     spill_load: u32,
     rng: &mut impl Rng,
+) -> Choice<'a> {
+    choose_by(
+        table,
+        route,
+        now,
+        tried,
+        Criterion::Load { spill_load },
+        rng,
+    )
+}
+
+/// Chooses a backend server for a call by the expected completion where owners report what their
+/// backend servers take, and otherwise like [`choose`].
+pub fn choose_for<'a>(
+    table: &Table,
+    route: &'a Route,
+    now: Time,
+    tried: &[Name],
+    demand: &Demand,
+    rng: &mut impl Rng,
+) -> Choice<'a> {
+    choose_by(table, route, now, tried, Criterion::Completion(demand), rng)
+}
+
+/// Chooses a backend server by a criterion, excluding hosts already tried.
+fn choose_by<'a>(
+    table: &Table,
+    route: &'a Route,
+    now: Time,
+    tried: &[Name],
+    criterion: Criterion<'_>,
+    rng: &mut impl Rng,
 ) -> Choice<'a> {
     let draw = rng.random_range(0..FULL_SHARE);
     let Some(share) = pick_share(route, draw) else {
         return Choice::NoBackendServer;
     };
-    if let Some(endpoint) = pick(share, now, tried, spill_load, rng) {
+    if let Some(endpoint) = pick(share, now, tried, criterion, rng) {
         assert!(
             !table.is_out(&endpoint.failure_domain),
             "invariant: a failure domain out of service receives no new calls"
@@ -83,7 +141,7 @@
     }
     // A call may fall back from the new version to the old one, but never the reverse.
     let fallback = route.shares.iter().find(|s| s.move_id.is_none());
-    match fallback.and_then(|old| Some((old, pick(old, now, tried, spill_load, rng)?))) {
+    match fallback.and_then(|old| Some((old, pick(old, now, tried, criterion, rng)?))) {
         Some((old, endpoint)) => Choice::Endpoint(old, endpoint),
         None => Choice::NoBackendServer,
     }
@@ -111,13 +169,17 @@
     share: &'a Share,
     now: Time,
     tried: &[Name],
-    spill_load: u32,
+    criterion: Criterion<'_>,
     rng: &mut impl Rng,
 ) -> Option<&'a Endpoint> {
+    let means = match criterion {
+        Criterion::Load { .. } => None,
+        Criterion::Completion(demand) => Means::of(share, demand.kind, now).map(|m| (m, demand)),
+    };
     let filter = Filter {
         now,
         tried,
-        spill_load,
+        spill_load: criterion.spill_load(),
         is_panic: is_panic(share, now),
         is_last_resort: false,
     };
@@ -131,9 +193,15 @@
         is_last_resort: true,
         ..wider
     };
-    pick_by_distance(share, &filter, rng)
-        .or_else(|| pick_by_distance(share, &wider, rng))
-        .or_else(|| pick_by_distance(share, &widest, rng))
+    [filter, wider, widest]
+        .iter()
+        .find_map(|filter| match &means {
+            Some((means, demand)) => {
+                let admits = |endpoint: &Endpoint, rng: &mut _| filter.admits(endpoint, rng);
+                completion::pick(share, means, demand, now, admits, rng)
+            }
+            None => pick_by_distance(share, filter, rng),
+        })
 }
 
 /// Picks the nearest backend server with spare capacity, or else the least loaded one drawn.
--- a/buckthorn/src/routing/mod.rs
+++ b/buckthorn/src/routing/mod.rs
@@ -1,12 +1,15 @@
 //! Selection of a backend server for each call, and retries.
 //!
 //! [`table`] resolves the intent to known backend servers, [`choice`] picks one of them for a call
-//! by the [`load`] that this node observes, [`outlier`] ejects those that fail more than others,
+//! by the [`load`] that this node observes, or by the [`completion`] that the owners' reports in
+//! [`estimate`] let it expect, [`outlier`] ejects those that fail more than others,
 //! and [`budget`] decides whether a failed attempt is retried. [`repeat`] charges the budgets for the
 //! calls that retried calls make.
 
 pub mod budget;
 pub mod choice;
+pub mod completion;
+pub mod estimate;
 pub mod load;
 pub mod outlier;
 pub mod repeat;
--- a/buckthorn/tests/proxy_kit/mod.rs
+++ b/buckthorn/tests/proxy_kit/mod.rs
@@ -77,6 +77,7 @@
             caller_service: HeaderName::from_static("test-caller"),
             rate_limit: HeaderName::from_static("test-limit"),
             leaving: HeaderName::from_static("test-leaving"),
+            server_load: HeaderName::from_static("test-load"),
         },
         caller_service: "print-shop".into(),
         max_buffered_response_bytes: 64 * 1024,
