Recognise calls in progress by the identifier of their request

A call whose request runs at the local backend server now gets the rank of that request; all others are new requests. The separator belongs to the contract.

A waiting call in progress is no longer refused half a typical latency before its deadline: that latency is mostly that of new calls, which are longer.

--- a/buckthorn/src/admission/gate.rs
+++ b/buckthorn/src/admission/gate.rs
@@ -341,18 +341,25 @@
     }
 
     /// Returns the time until which a call may wait, and the reason for its refusal afterwards.
-    ///
-    /// A response is assumed to need at least half of the typical latency.
     fn wait_limit(&self, now: Time, offer: &Offer) -> (Time, Refusal) {
         let longest = now + longest_wait(offer);
-        match offer
-            .deadline
-            .map(|deadline| deadline - self.limit.typical() / 2)
-        {
+        let reserve = self.response_time(offer.rank);
+        match offer.deadline.map(|deadline| deadline - reserve) {
             Some(last) if last <= longest => (last, Refusal::Deadline),
             Some(_) | None => (longest, Refusal::QueueFull),
         }
     }
+
+    /// Returns the time that a response takes at least.
+    ///
+    /// It is assumed to be half of the typical latency. That is mostly the latency of new calls, so
+    /// a call in progress, which would fail its request, is not refused for it.
+    fn response_time(&self, rank: Rank) -> Duration {
+        if rank.is_in_progress() {
+            return Duration::ZERO;
+        }
+        self.limit.typical() / 2
+    }
 }
 
 /// Returns the time after which a call is refused whatever its deadline.
--- a/buckthorn/src/proxy/contract.rs
+++ b/buckthorn/src/proxy/contract.rs
@@ -47,6 +47,9 @@
     pub max_buffered_response_bytes: usize,
     /// Values of `Retry-After` in refusals.
     pub retry_after: RetryAfter,
+    /// Where identifiers are hierarchical, what separates the identifier of a request from what that
+    /// of a call adds to it.
+    pub id_separator: Option<char>,
 }
 
 /// Values of `Retry-After` in refusals, in seconds.
@@ -76,6 +79,13 @@
 }
 
 impl Contract {
+    /// Returns the identifier of the request that a call with this identifier is made for, if the
+    /// identifier tells it.
+    pub fn parent_id<'a>(&self, id: &'a str) -> Option<&'a str> {
+        let (parent, _) = id.rsplit_once(self.id_separator?)?;
+        Some(parent)
+    }
+
     /// Rewrites a caller's headers for the hop.
     pub fn rewrite_for_hop(&self, headers: &mut HeaderMap, rank: Rank) {
         if let Some(host) = headers.get(HOST).cloned() {
--- a/buckthorn/src/proxy/ingress.rs
+++ b/buckthorn/src/proxy/ingress.rs
@@ -73,7 +73,7 @@
     }
     if origin == Origin::Local {
         call.repeat_permille = plane.repeat_share.permille();
-        rank_with_parent(plane, &mut call);
+        rank_with_parent(plane, &parts, &mut call);
     }
     let upload = parts
         .extensions
@@ -99,13 +99,11 @@
     finish(plane, prefer_upload_fault(plane, &upload, response))
 }
 
-/// Ranks a call of the local backend server with the request that it is made for. Only a contract says
-/// that no other callers share the backend server's address.
-fn rank_with_parent(plane: &Plane, call: &mut Call) {
-    if plane.contract.is_none() {
-        return;
-    }
-    if let Some(rank) = plane.parents.rank() {
+/// Ranks a call of the local backend server with the request that it is made for.
+fn rank_with_parent(plane: &Plane, parts: &Parts, call: &mut Call) {
+    let id = plane.request_id(&parts.headers);
+    let parent = plane.contract.as_ref().and_then(|c| c.parent_id(&id));
+    if let Some(rank) = parent.and_then(|parent| plane.parents.rank(parent)) {
         plane.counters.increment(Counter::CallsInProgress);
         call.set_in_progress(rank);
     }
--- a/buckthorn/src/proxy/owner.rs
+++ b/buckthorn/src/proxy/owner.rs
@@ -314,7 +314,9 @@
             suspect: call.suspect,
             address: owner.address,
         },
-        _parent: plane.parents.start(call.rank),
+        _parent: plane
+            .parents
+            .start(&plane.request_id(request.headers()), call.rank),
     }));
     let repeat_permille = header::mesh_number(request.headers(), REPEAT).unwrap_or_default();
     plane
--- a/buckthorn/src/routing/parent.rs
+++ b/buckthorn/src/routing/parent.rs
@@ -1,51 +1,83 @@
 //! Requests that run at the local backend server, as the parents of the calls that it makes.
 //!
-//! A call that a backend server makes does not name the request that it serves. Its ingress is the
-//! node beside that backend server, though, which knows the requests that run there. Several of
-//! them may be the parent, so the call takes the rank of the most urgent one: a rank that is too
-//! low could fail an urgent request for the sake of a less urgent one.
+//! A call that a backend server makes arrives at the node beside it, as the requests of the host's
+//! own callers do. It is known by its identifier where identifiers are hierarchical: that of a call
+//! extends that of the request that it is made for. A caller could choose such an identifier, too, so
+//! the request has to be one that runs at the backend server now.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::admission::gate::Urgency;
 use crate::admission::rank::Rank;
 
-/// Number of requests that run at the local backend server, by urgency.
-#[derive(Debug, Default)]
-pub struct Parents([AtomicU32; Rank::MAX_URGENCY as usize + 1]);
+/// Requests that are known at once. Calls of further ones rank as new.
+const CAPACITY: usize = 64;
+
+/// Bits of an entry that hold the urgency; the bits above hold the hash of the identifier.
+const URGENCY_BITS: u32 = 3;
+
+/// Requests that run at the local backend server.
+///
+/// Each entry is zero when it is free.
+#[derive(Debug)]
+pub struct Parents([AtomicU64; CAPACITY]);
 
 /// A request that runs at the local backend server, until dropped.
 #[derive(Debug)]
 pub struct Parent {
     /// Requests that run there.
     parents: Arc<Parents>,
-    /// Urgency of this one.
-    urgency: Urgency,
+    /// Entry of this one; `None` if there was none free.
+    index: Option<usize>,
+}
+
+impl Default for Parents {
+    fn default() -> Self {
+        Self([const { AtomicU64::new(0) }; CAPACITY])
+    }
 }
 
 impl Parents {
-    /// Counts a request of a rank until the returned value is dropped.
-    pub fn start(self: &Arc<Self>, rank: Rank) -> Parent {
-        let urgency = rank.urgency();
-        self.0[usize::from(urgency)].fetch_add(1, Ordering::Relaxed);
+    /// Registers a request until the returned value is dropped.
+    pub fn start(self: &Arc<Self>, id: &str, rank: Rank) -> Parent {
+        let entry = key(id) | u64::from(rank.urgency());
+        let take = |place: &AtomicU64| {
+            place
+                .compare_exchange(0, entry, Ordering::AcqRel, Ordering::Relaxed)
+                .is_ok()
+        };
         Parent {
             parents: self.clone(),
-            urgency,
+            index: self.0.iter().position(take),
         }
     }
 
-    /// Returns the rank of a call that the backend server makes; `None` while it runs no request, so
-    /// that none can depend on the call.
-    pub fn rank(&self) -> Option<Rank> {
-        let is_running = |count: &AtomicU32| count.load(Ordering::Relaxed) > 0;
-        let urgency = self.0.iter().position(is_running)?;
+    /// Returns the rank of a call that is made for the request with an identifier; `None` if that
+    /// request does not run here.
+    pub fn rank(&self, id: &str) -> Option<Rank> {
+        let key = key(id);
+        let entries = self.0.iter().map(|entry| entry.load(Ordering::Acquire));
+        let found = entries
+            .into_iter()
+            .find(|entry| entry >> URGENCY_BITS == key >> URGENCY_BITS)?;
+        let urgency = found & ((1 << URGENCY_BITS) - 1);
         Some(Rank::in_progress(urgency as Urgency))
     }
 }
 
+/// Returns the entry of an identifier without its urgency, never zero.
+fn key(id: &str) -> u64 {
+    let hash = xxh3_64(id.as_bytes()) >> URGENCY_BITS;
+    hash.max(1) << URGENCY_BITS
+}
+
 impl Drop for Parent {
     fn drop(&mut self) {
-        self.parents.0[usize::from(self.urgency)].fetch_sub(1, Ordering::Relaxed);
+        if let Some(index) = self.index {
+            self.parents.0[index].store(0, Ordering::Release);
+        }
     }
 }
--- a/buckthorn/tests/admission_in_progress.rs
+++ b/buckthorn/tests/admission_in_progress.rs
@@ -82,14 +82,21 @@
 }
 
 #[test]
-fn a_call_takes_the_rank_of_the_most_urgent_request_that_runs() {
+fn a_call_takes_the_rank_of_its_request_while_that_runs() {
     let parents = Arc::new(Parents::default());
-    assert_eq!(parents.rank(), None);
-    let background = parents.start(Rank::new(5));
-    let urgent = parents.start(Rank::in_progress(1));
-    assert_eq!(parents.rank(), Some(Rank::in_progress(1)));
+    let background = parents.start("a", Rank::new(5));
+    let urgent = parents.start("b", Rank::in_progress(1));
+    assert_eq!(parents.rank("a"), Some(Rank::in_progress(5)));
+    assert_eq!(parents.rank("b"), Some(Rank::in_progress(1)));
+    assert_eq!(parents.rank("c"), None);
     drop(urgent);
-    assert_eq!(parents.rank(), Some(Rank::in_progress(5)));
+    assert_eq!(parents.rank("b"), None);
     drop(background);
-    assert_eq!(parents.rank(), None);
+    // Requests beyond those that are known are not confused with others.
+    let many: Vec<_> = (0..100)
+        .map(|id| parents.start(&format!("{id}"), Rank::new(0)))
+        .collect();
+    assert_eq!(parents.rank("99"), None);
+    drop(many);
+    assert_eq!(parents.rank("0"), None);
 }
--- a/buckthorn/tests/proxy_kit/mod.rs
+++ b/buckthorn/tests/proxy_kit/mod.rs
@@ -85,6 +85,7 @@
             other_backend: HeaderValue::from_static("0.1"),
             poison: HeaderValue::from_static("60"),
         },
+        id_separator: Some('.'),
     }
 }
 
