Resume interrupted responses only where the route allows a repetition

An interrupted response with a strong entity tag was requested again from another backend server because its method was GET; the kind of the route and its attempts were not consulted, so that an unsafe request ran twice. The class is an inference of "may be repeated" from the form of a request in place of the policy. The request for the remainder also got a new deadline, attempts beyond those of the route, and no body.

Only idempotent calls without a body are resumed now. Under a policy the requests for the remainder count as attempts of the route and end at the deadline of the call. Looked at besides: budget::decide, which takes the kind from the call; calls of other nodes, whose kind an owner never reads; the pool and the hop, which send again only what was not sent; keyed calls, which exist without a policy only.

The new test fails at the commit before: the unsafe request runs twice.

--- a/buckthorn/src/proxy/attempts.rs
+++ b/buckthorn/src/proxy/attempts.rs
@@ -82,6 +82,13 @@
         }
     }
 
+    /// Returns the number of backend servers from which the remainder of a response may be requested
+    /// if it is interrupted.
+    pub(super) fn left_after_response(&self) -> u32 {
+        let max = self.max_backend_attempts.unwrap_or(self.remaining);
+        max.min(self.remaining).saturating_sub(1)
+    }
+
     /// Keeps the response of a failed attempt and excludes its host.
     pub(super) fn record(&mut self, host: Name, failed: FailedAttempt) {
         self.tried.push(host);
--- a/buckthorn/src/proxy/dispatch.rs
+++ b/buckthorn/src/proxy/dispatch.rs
@@ -80,7 +80,8 @@
                 let left = call.deadline.since(plane.clock.now());
                 request_log.record_attempt(&endpoint.host, &response, "answer", left);
                 request_log.finish(&response);
-                return resume::make_resumable(plane, call, &parts, endpoint.host, response);
+                let left = attempts.left_after_response();
+                return resume::make_resumable(plane, call, &parts, endpoint.host, left, response);
             }
             AttemptResult::Failed(failed) => failed,
         };
--- a/buckthorn/src/proxy/resume.rs
+++ b/buckthorn/src/proxy/resume.rs
@@ -1,7 +1,9 @@
 //! Resumes interrupted downloads at another backend server.
 //!
-//! The response to a GET with a strong entity tag and a declared length is resumed by `Range` and
-//! `If-Range` (RFC 9110, sections 13.1.5 and 14.2). The remainder is accepted only if its entity
+//! The response to an idempotent GET with a strong entity tag and a declared length is resumed by
+//! `Range` and `If-Range` (RFC 9110, sections 13.1.5 and 14.2). Under a policy the kind of the route
+//! says whether a call is idempotent; the request for the remainder counts as one of the route's
+//! attempts and ends at the deadline of the call. The remainder is accepted only if its entity
 //! tag, offset and total length match the first response; otherwise the caller sees the
 //! interruption.
 
@@ -21,7 +23,7 @@
 use super::header::{self, Call};
 use crate::counter::Counter;
 use crate::name::Name;
-use crate::routing::budget::{self, MAX_ATTEMPTS, Next};
+use crate::routing::budget::{self, Next};
 
 /// State needed to request the remainder of a download.
 struct Download {
@@ -58,15 +60,17 @@
     pending: Option<(Pending, Fault)>,
 }
 
-/// Makes the body of a response resumable if the request and response allow it.
+/// Makes the body of a response resumable if the request and response allow it, by at most
+/// `attempts_left` further requests.
 pub(super) fn make_resumable(
     plane: &Arc<Plane>,
     call: &Call,
     parts: &Parts,
     host: Name,
+    attempts_left: u32,
     response: Response<Body>,
 ) -> Response<Body> {
-    let Some((tag, length)) = resumable(parts, &response) else {
+    let Some((tag, length)) = resumable(call, parts, &response) else {
         return response;
     };
     let download = Download {
@@ -76,7 +80,7 @@
         tag,
         length,
         tried: vec![host],
-        attempts_left: MAX_ATTEMPTS - 1,
+        attempts_left,
     };
     response.map(|inner| {
         ResumableBody {
@@ -91,9 +95,13 @@
 }
 
 /// Returns the entity tag and length of a response that can be resumed.
-fn resumable(parts: &Parts, response: &Response<Body>) -> Option<(HeaderValue, u64)> {
-    let is_plain_get = parts.method == Method::GET && !parts.headers.contains_key(names::RANGE);
-    if !is_plain_get || response.status() != StatusCode::OK {
+fn resumable(call: &Call, parts: &Parts, response: &Response<Body>) -> Option<(HeaderValue, u64)> {
+    // The request for the remainder has no body, so one with a body would be another request.
+    let is_plain_get = parts.method == Method::GET
+        && !parts.headers.contains_key(names::RANGE)
+        && !parts.headers.contains_key(names::TRANSFER_ENCODING)
+        && header::declared_length(&parts.headers).is_ok_and(|length| length.unwrap_or(0) == 0);
+    if !call.is_idempotent || !is_plain_get || response.status() != StatusCode::OK {
         return None;
     }
     let length = header::declared_length(response.headers()).ok()??;
@@ -111,6 +119,7 @@
     /// Requests the remainder from an offset at other backend servers.
     async fn resume(mut self, offset: u64) -> Option<(Body, Self)> {
         let budget = service_budget(&self.plane, &self.call)?;
+        let is_bounded = self.call.max_backend_attempts.is_some();
         self.parts.headers.insert(
             names::RANGE,
             HeaderValue::from_str(&format!("bytes={offset}-")).ok()?,
@@ -120,10 +129,10 @@
             let next = budget::decide(
                 &budget,
                 &budget::Attempt {
-                    is_idempotent: true,
+                    is_idempotent: self.call.is_idempotent,
                     ran: budget::Execution::Unknown,
                     failure: budget::Failure::Reset,
-                    time_left: None,
+                    time_left: is_bounded.then(|| self.call.deadline.since(self.plane.clock.now())),
                     attempts_left: self.attempts_left,
                     layer: layer(&self.call),
                     is_body_replayable: true,
@@ -136,8 +145,10 @@
             }
             self.attempts_left -= 1;
             let endpoint = choose_endpoint(&self.plane, &self.call, &self.tried).ok()?;
-            // The original deadline applied to the head of the first response.
-            self.call.deadline = self.plane.clock.now() + self.plane.limits.call_timeout;
+            if !is_bounded {
+                // The original deadline applied to the head of the first response.
+                self.call.deadline = self.plane.clock.now() + self.plane.limits.call_timeout;
+            }
             let request = Request::from_parts(self.parts.clone(), body::empty());
             let result = attempt(&self.plane, &self.call, &endpoint, request).await;
             self.tried.push(endpoint.host);
--- a/buckthorn/tests/proxy_resume.rs
+++ b/buckthorn/tests/proxy_resume.rs
@@ -5,8 +5,12 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use buckthorn::config::policy::{Kind, Policy, Route, SplitPart};
 use buckthorn::counter::Counter;
-use proxy_kit::{Caller, Node, Response, limits, node, scripted};
+use buckthorn::routing::table::Table;
+use proxy_kit::{
+    Caller, Node, Response, SERVICE, contract, limits, node, node_under, scripted, table,
+};
 
 /// Length of the download in bytes.
 const LENGTH: usize = 300_000;
@@ -130,3 +134,71 @@
     let (response, _) = download("W/\"weak\"", Rest::Good).await;
     assert!(!response.is_complete, "a weak tag was accepted");
 }
+
+/// Starts a backend server under the contract that breaks off each response and counts the requests.
+async fn breaking_under_contract() -> (std::net::SocketAddr, Arc<AtomicU64>) {
+    let requests = Arc::new(AtomicU64::new(0));
+    let counted = requests.clone();
+    let address = scripted(move |mut exchange| {
+        let counted = counted.clone();
+        async move {
+            if exchange.request().await.is_some() {
+                counted.fetch_add(1, Ordering::SeqCst);
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\ntest-id: r-1\r\ntest-signature: s\r\netag: \"tag\"\r\n\
+                     content-length: {LENGTH}\r\n\r\n"
+                );
+                exchange.send(head).await;
+                exchange.send(&vec![b'a'; BREAK]).await;
+            }
+        }
+    })
+    .await;
+    (address, requests)
+}
+
+/// Sends a request under a policy to three owners whose responses break off, and returns how many
+/// requests reached their backend server.
+async fn runs(kind: Kind, attempts: u32, request: &str) -> u64 {
+    let (backend, requests) = breaking_under_contract().await;
+    let ingress = node_under(Some(contract()), "ingress", None, limits()).await;
+    let mut owners = Vec::new();
+    for host in ["owner-1", "owner-2", "owner-3"] {
+        owners.push(node_under(Some(contract()), host, Some(backend), limits()).await);
+    }
+    let endpoints: Vec<_> = owners.iter().map(Node::endpoint).collect();
+    for node in owners.iter().chain([&ingress]) {
+        let part = SplitPart {
+            service: SERVICE.into(),
+            weight: 1,
+        };
+        let split = vec![part];
+        let mut route = Route::new("r".into(), "shop.example", "/r/".into(), kind, split);
+        route.attempts = attempts;
+        route.timeout = std::time::Duration::from_secs(5);
+        node.plane.table.store(Arc::new(Table {
+            policy: Some(Arc::new(Policy::new(1, vec![route], Vec::new()))),
+            ..table(&endpoints)
+        }));
+    }
+    let mut caller = Caller::connect(ingress.callers).await;
+    caller.send(request).await;
+    assert!(!caller.response("GET").await.is_complete);
+    requests.load(Ordering::SeqCst)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_kind_and_the_attempts_of_a_route_limit_how_often_a_response_is_resumed() {
+    let plain = "GET /r/1 HTTP/1.1\r\nhost: shop.example\r\ntest-id: r-1\r\n\r\n";
+    let with_body = "GET /r/1 HTTP/1.1\r\nhost: shop.example\r\ntest-id: r-1\r\n\
+                     content-length: 2\r\n\r\nab";
+    for (kind, attempts, request, expected) in [
+        (Kind::NonIdempotent, 3, plain, 1),
+        (Kind::Idempotent, 1, plain, 1),
+        (Kind::Bulk, 2, plain, 2),
+        (Kind::Idempotent, 3, with_body, 1),
+    ] {
+        let runs = runs(kind, attempts, request).await;
+        assert_eq!(runs, expected, "{kind:?}, {attempts} attempts, {request:?}");
+    }
+}
