End the body of a response at the deadline of its call

A response above the size that is buffered was streamed under no bound but the longest pause between two frames, so that a body without end held its request and a slot of its backend server for as long as the caller stayed. The class is a bound on each step of an exchange (a pause, a size) in place of one on the whole.

Under a policy the deadline now holds for the whole response. The bodies at the ingress and at the owner fail at it, and a task reads what is streamed on behalf of the caller, so that the call is cancelled at the backend server also while the caller reads nothing. Looked at besides: heads without end and interim responses, which end in time; responses with a status that is tried again, which are streamed by the same path; uploads, whose fault ends the call; a buffered answer, which holds no backend server. Without a policy the deadline stays that of the head, as docs/PROTOCOLS.md says.

The new test fails at the commit before with no end within 30 s.

--- a/buckthorn/src/proxy/body.rs
+++ b/buckthorn/src/proxy/body.rs
@@ -11,7 +11,7 @@
 use http_body::{Frame, SizeHint};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Empty, Full};
-use tokio::time::{Instant, Sleep, sleep};
+use tokio::time::{Instant, Sleep, sleep_until};
 
 use super::header;
 
@@ -31,6 +31,8 @@
     TooLarge,
     /// The connection broke.
     Lost,
+    /// It had not ended at the deadline of its call.
+    Deadline,
 }
 
 impl fmt::Display for Fault {
@@ -41,6 +43,7 @@
             Self::Idle => "body stalled",
             Self::TooLarge => "body is larger than allowed",
             Self::Lost => "connection broke before the end of the body",
+            Self::Deadline => "body had not ended at the deadline of its call",
         })
     }
 }
@@ -120,6 +123,8 @@
     allowed: u64,
     /// Longest wait for the next frame.
     idle: Duration,
+    /// Time at which the body fails unless it has ended.
+    deadline: Option<Instant>,
     /// Idle timer, created at the first wait.
     timer: Option<Pin<Box<Sleep>>>,
     /// Whether the timer was started for the current wait.
@@ -149,6 +154,7 @@
             left: bounds.declared,
             allowed: bounds.max_bytes,
             idle: bounds.idle,
+            deadline: None,
             timer: None,
             is_waiting: false,
             on_end: Some(Box::new(on_end)),
@@ -160,6 +166,17 @@
         monitor
     }
 
+    /// Sets the time at which the body fails unless it has ended.
+    pub fn until(mut self, deadline: Option<Instant>) -> Self {
+        self.deadline = deadline;
+        self
+    }
+
+    /// Returns whether the deadline has passed.
+    fn is_late(&self) -> bool {
+        self.deadline.is_some_and(|at| Instant::now() >= at)
+    }
+
     /// Returns whether the body has ended and has its declared length.
     fn is_complete(&self) -> bool {
         self.inner.is_end_stream() && self.left.unwrap_or(0) == 0
@@ -174,13 +191,15 @@
         Ok(())
     }
 
-    /// Polls the idle timer, and starts it at the beginning of a wait.
+    /// Polls the timer for the idle timeout or the deadline, and starts it at the beginning of a wait.
     fn poll_idle(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         if !self.is_waiting {
             self.is_waiting = true;
+            let idle_end = Instant::now() + self.idle;
+            let end = self.deadline.map_or(idle_end, |at| at.min(idle_end));
             match &mut self.timer {
-                Some(timer) => timer.as_mut().reset(Instant::now() + self.idle),
-                None => self.timer = Some(Box::pin(sleep(self.idle))),
+                Some(timer) => timer.as_mut().reset(end),
+                None => self.timer = Some(Box::pin(sleep_until(end))),
             }
         }
         match &mut self.timer {
@@ -224,7 +243,12 @@
         }
         let Poll::Ready(next) = Pin::new(&mut this.inner).poll_frame(cx) else {
             ready!(this.poll_idle(cx));
-            return this.fail(Fault::Idle);
+            let is_late = this.is_late();
+            return this.fail(if is_late {
+                Fault::Deadline
+            } else {
+                Fault::Idle
+            });
         };
         this.is_waiting = false;
         let frame = match next {
@@ -242,6 +266,8 @@
         }
         if this.is_complete() {
             this.end(Ending::Complete);
+        } else if this.is_late() {
+            return this.fail(Fault::Deadline);
         }
         Poll::Ready(Some(Ok(frame)))
     }
--- a/buckthorn/src/proxy/dispatch.rs
+++ b/buckthorn/src/proxy/dispatch.rs
@@ -19,7 +19,7 @@
 use super::payload::Payload;
 use super::request_log::RequestLog;
 use super::response::{self, Ran, Reason};
-use super::{Plane, owner, resume};
+use super::{Plane, deadline, owner, resume};
 use crate::admission::gate::Refusal;
 use crate::counter::Counter;
 use crate::log_event::LogEvent;
@@ -280,7 +280,8 @@
         host: endpoint.host.clone(),
         status: response.status(),
     };
-    let mut response = monitor_body(plane, &method, in_flight, observer, response);
+    let deadline = Instant::now() + call.deadline.since(plane.clock.now());
+    let mut response = monitor_body(plane, &method, in_flight, observer, deadline, response);
     if let Some(contract) = &plane.contract {
         response = match buffer_response(
             plane,
@@ -306,7 +307,8 @@
     AttemptResult::Answered(response)
 }
 
-/// Buffers a response up to `max_bytes`, so that the call can be retried if the body breaks off.
+/// Buffers a response up to `max_bytes`, so that the call can be retried if the body breaks off. The
+/// rest of a longer one is streamed until the deadline of the call.
 async fn buffer_response(
     plane: &Plane,
     call: &Call,
@@ -317,9 +319,13 @@
     let (parts, body) = response.into_parts();
     let read = tokio::time::timeout_at(deadline, Replayed::buffer(body, max_bytes));
     match read.await {
-        Ok(Ok((body, _))) => Ok(Response::from_parts(parts, body)),
+        Ok(Ok((body, Some(_)))) => Ok(Response::from_parts(parts, body)),
+        Ok(Ok((body, None))) => Ok(Response::from_parts(
+            parts,
+            deadline::end_at(body, deadline),
+        )),
+        Ok(Err(Fault::Deadline)) | Err(_) => Err(HopError::Unknown(Reason::Timeout)),
         Ok(Err(_)) => Err(HopError::Unknown(Reason::Broken)),
-        Err(_) => Err(HopError::Unknown(Reason::Timeout)),
     }
 }
 
@@ -500,6 +506,7 @@
     method: &http::Method,
     in_flight: InFlight,
     observer: Observer,
+    deadline: Instant,
     response: Response<Body>,
 ) -> Response<Body> {
     let bounds = Bounds {
@@ -517,5 +524,7 @@
         observer.end(ending);
         drop(in_flight);
     };
-    response::boxed(response.map(|body| Monitor::new(body, bounds, on_end)))
+    // Without a contract the deadline is that of the head.
+    let deadline = plane.contract.is_some().then_some(deadline);
+    response::boxed(response.map(|body| Monitor::new(body, bounds, on_end).until(deadline)))
 }
--- a/buckthorn/src/proxy/mod.rs
+++ b/buckthorn/src/proxy/mod.rs
@@ -19,6 +19,7 @@
 pub mod body;
 pub mod contract;
 pub mod crash_watch;
+mod deadline;
 pub mod dispatch;
 pub mod header;
 pub mod hop;
--- a/buckthorn/src/proxy/owner.rs
+++ b/buckthorn/src/proxy/owner.rs
@@ -334,7 +334,7 @@
     }
     match sent {
         Ok(response) => match validate(plane, request_id.as_ref(), &response) {
-            Validation::Valid => relay_response(plane, run, &method, response),
+            Validation::Valid => relay_response(plane, run, &method, deadline, response),
             validation => reject_response(plane, owner, run, validation, response).await,
         },
         Err(CallError::NotRun(reason)) => {
@@ -587,6 +587,7 @@
     plane: &Plane,
     run: RunningCall,
     method: &http::Method,
+    deadline: Instant,
     mut response: Response<ResponseBody>,
 ) -> Response<Body> {
     let latency = run.started.elapsed();
@@ -615,7 +616,9 @@
         }
         run.finish(outcome, latency);
     };
-    response::boxed(response.map(|body| Monitor::new(body, bounds, on_end)))
+    // Without a contract the deadline is that of the head.
+    let deadline = plane.contract.is_some().then_some(deadline);
+    response::boxed(response.map(|body| Monitor::new(body, bounds, on_end).until(deadline)))
 }
 
 /// Returns whether the response body is delimited only by the end of the connection.
@@ -630,7 +633,7 @@
 pub(super) fn outcome(status: StatusCode, ending: Ending) -> Outcome {
     match ending {
         Ending::Dropped => Outcome::Cancelled,
-        Ending::Fault(Fault::Idle) => Outcome::Timeout,
+        Ending::Fault(Fault::Idle | Fault::Deadline) => Outcome::Timeout,
         Ending::Fault(_) => Outcome::Broken,
         Ending::Complete if status == StatusCode::SERVICE_UNAVAILABLE => Outcome::Shed,
         Ending::Complete if status.is_server_error() => Outcome::Error,
--- a/buckthorn/src/proxy/payload.rs
+++ b/buckthorn/src/proxy/payload.rs
@@ -118,7 +118,7 @@
 const fn reason(fault: Fault) -> Reason {
     match fault {
         Fault::TooLarge => Reason::BodySize,
-        Fault::Idle => Reason::BodyTimeout,
+        Fault::Idle | Fault::Deadline => Reason::BodyTimeout,
         Fault::Short | Fault::Overlong | Fault::Lost => Reason::BodyShort,
     }
 }
--- a/buckthorn/tests/proxy_endless.rs
+++ b/buckthorn/tests/proxy_endless.rs
@@ -163,3 +163,61 @@
         wait_until_closed(&closed, case).await;
     }
 }
+
+/// Head of an answer with a body without end, and more of the body than a node buffers.
+fn unbuffered_start() -> &'static str {
+    let head = "HTTP/1.1 200 OK\r\ntest-id: r-1\r\ntest-signature: s\r\n\
+                transfer-encoding: chunked\r\n\r\n";
+    format!("{head}20000\r\n{}\r\n", "a".repeat(0x20000)).leak()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_without_end_ends_at_the_timeout_of_its_route() {
+    let chunk: &str = format!("4000\r\n{}\r\n", "a".repeat(0x4000)).leak();
+    let bodies = [
+        ("a fast body", chunk, Duration::ZERO),
+        (
+            "a body that trickles",
+            "1\r\na\r\n",
+            Duration::from_millis(50),
+        ),
+        ("a body that stops", "", Duration::from_millis(50)),
+    ];
+    for ((case, rest, pause), reads) in bodies.iter().flat_map(|b| [(*b, true), (*b, false)]) {
+        let closed = Arc::new(AtomicU64::new(0));
+        let ended = closed.clone();
+        let start = unbuffered_start();
+        let address = scripted(move |mut exchange: Exchange| {
+            let ended = ended.clone();
+            async move {
+                if exchange.request().await.is_some() && exchange.send(start).await {
+                    while !rest.is_empty() && exchange.send(rest).await {
+                        tokio::time::sleep(pause).await;
+                    }
+                    if rest.is_empty() {
+                        exchange.request().await;
+                    }
+                }
+                ended.fetch_add(1, Ordering::SeqCst);
+            }
+        })
+        .await;
+        let (ingress, _owner) = mesh(address).await;
+        let started = Instant::now();
+        let mut caller = request(&ingress).await;
+        if reads {
+            let response = caller.response("GET").await;
+            assert!(!response.is_complete, "{case}");
+            let took = started.elapsed();
+            assert!(took >= ROUTE_TIMEOUT.mul_f64(0.8), "{case}: {took:?}");
+            let limit = ROUTE_TIMEOUT + Duration::from_millis(500);
+            assert!(took < limit, "{case}: {took:?}");
+        }
+        wait_until_closed(&closed, case).await;
+        let took = started.elapsed();
+        assert!(
+            took < ROUTE_TIMEOUT + Duration::from_secs(1),
+            "{case}, read by its caller: {reads}: {took:?}"
+        );
+    }
+}
