Keep the list of poison requests in the platform's store

The list and the crashes were kept in the memory of the nodes only, each for the others, so that a restart of all nodes let a contained request crash four more backend servers. The class is state that no one keeps when every holder of it restarts together.

The two collectors store the list as one record of the topic of node addresses when theirs differs from what they last read or stored, and again when the era of the store changes. Entries are bounded in number and in time as they are between nodes.

--- a/buckthorn/src/kernel/mod.rs
+++ b/buckthorn/src/kernel/mod.rs
@@ -22,7 +22,7 @@
 use crate::membership::member::{BackendServer, Departure, Member};
 use crate::membership::view::View;
 use crate::name::Name;
-use crate::poison::blocklist::Blocklist;
+use crate::poison::blocklist::{Blocklist, Record};
 use crate::poison::crash::Crash;
 use crate::rollout::evidence;
 use crate::rollout::quarantine::Quarantine;
@@ -89,6 +89,10 @@
     DecisionsRead(Vec<Decision>),
     /// A decision was published, or could not be.
     Published(PublishOutcome),
+    /// The list of poison requests that the platform's store keeps was read.
+    BlocklistRead(Vec<Record>),
+    /// The list of poison requests was stored, or could not be.
+    BlocklistStored(bool),
     /// New list of control addresses of nodes to join through.
     Seeds(Vec<SocketAddr>),
     /// The process was asked to stop.
@@ -157,6 +161,9 @@
     RecallDeparture(Departure),
     /// Pass the list of poison requests to the data path.
     UpdateBlocklist,
+    /// Keep the list of poison requests in the platform's store; completed by
+    /// [`Event::BlocklistStored`].
+    StoreBlocklist(Vec<Record>),
     /// Log a decision or a change of the node's state.
     Log(LogEntry),
 }
--- a/buckthorn/src/node/adapter.rs
+++ b/buckthorn/src/node/adapter.rs
@@ -14,6 +14,7 @@
 use crate::log::Log;
 use crate::membership::member::Member;
 use crate::name::Name;
+use crate::poison::blocklist::Record;
 use crate::proxy::contract::Contract;
 use crate::proxy::limit::Limits;
 use crate::rollout::exposure::Bound;
@@ -36,6 +37,10 @@
     /// Requests one read of the published decisions; requests made during a read are combined into
     /// one.
     fn read_decisions(&self);
+
+    /// Starts storing the list of poison requests without blocking. The outcome is delivered as
+    /// [`Event::BlocklistStored`].
+    fn store_blocklist(&self, records: &[Record]);
 }
 
 /// Contract, limits and channel that a platform adapter provides to a node.
--- a/buckthorn/src/node/driver.rs
+++ b/buckthorn/src/node/driver.rs
@@ -313,6 +313,11 @@
                     let blocklist = self.kernel.shared().blocklist.clone();
                     self.data_path.blocklist.store(Arc::new(blocklist));
                 }
+                Action::StoreBlocklist(records) => {
+                    if let Some(operator_channel) = &self.resources.operator_channel {
+                        operator_channel.store_blocklist(&records);
+                    }
+                }
                 Action::Log(entry) => info!(self.resources.logger, "{}", entry.event.name();
                     "subject" => entry.subject, "detail" => entry.detail),
             }
--- a/buckthorn/src/poison/blocklist.rs
+++ b/buckthorn/src/poison/blocklist.rs
@@ -46,6 +46,28 @@
     pub remaining_ms: u64,
 }
 
+/// Entry as the platform's store keeps it, for nodes that all start at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// Restriction on it.
+    pub level: Level,
+    /// End of the entry in milliseconds since the Unix epoch.
+    pub until_ms: u64,
+}
+
+impl Record {
+    /// Returns what is left of the entry.
+    pub fn notice(&self, now: Time) -> Notice {
+        Notice {
+            fingerprint: self.fingerprint,
+            level: self.level,
+            remaining_ms: self.until_ms.saturating_sub(now.as_millis()),
+        }
+    }
+}
+
 /// Entry of the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Entry {
@@ -87,6 +109,17 @@
         notices.collect()
     }
 
+    /// Entries that are in force, for the platform's store.
+    pub fn records(&self, now: Time) -> Vec<Record> {
+        let entries = self.entries.iter().filter(|entry| now < entry.until);
+        let records = entries.map(|entry| Record {
+            fingerprint: entry.fingerprint,
+            level: entry.level,
+            until_ms: entry.until.as_millis(),
+        });
+        records.collect()
+    }
+
     /// Hash of the requests and their levels; 0 if there are none.
     pub fn digest(&self) -> u64 {
         if self.entries.is_empty() {
--- a/buckthorn/src/poison/containment.rs
+++ b/buckthorn/src/poison/containment.rs
@@ -5,6 +5,9 @@
 //! itself as well. A collector notifies all nodes at once which request is responsible. Nodes whose
 //! probes show that they lack a part of the list, because they have just started or were cut off,
 //! get it whole.
+//!
+//! The collectors also keep the list in the platform's store, where each node reads it before it is
+//! ready, so that it outlives a restart of all nodes.
 
 use std::time::Duration;
 
@@ -17,7 +20,7 @@
 use crate::rollout::evaluator;
 use crate::rpc::message::{Digest, Message};
 
-use super::blocklist::{Level, MAX_ENTRIES, Notice, RETENTION};
+use super::blocklist::{Blocklist, Level, MAX_ENTRIES, Notice, RETENTION, Record};
 use super::collector::Collector;
 use super::crash::{Crash, MAX_SUSPECTS};
 use super::fingerprint::Fingerprint;
@@ -28,11 +31,15 @@
 /// Interval at which a node sends its whole list to nodes that lack a part of it.
 const SYNC_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Interval between attempts to store the list.
+const STORE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Registers the plug-in.
 pub fn register(registry: &mut Registry) {
     registry.add(Containment {
         collector: Collector::default(),
         synced_at: Time::default(),
+        stored: Stored::default(),
     });
 }
 
@@ -43,6 +50,21 @@
     collector: Collector,
     /// When this node last sent its whole list.
     synced_at: Time,
+    /// What this node knows of the list in the platform's store.
+    stored: Stored,
+}
+
+/// What a node knows of the list in the platform's store.
+#[derive(Debug, Default)]
+struct Stored {
+    /// Hash of the list that this node last read or stored.
+    digest: Option<u64>,
+    /// Hash of the list that is being stored.
+    pending: u64,
+    /// When it was last to be stored.
+    tried_at: Time,
+    /// Era of the store; the list may be lost when it comes back from an older copy.
+    era: u16,
 }
 
 impl Plugin for Containment {
@@ -52,7 +74,14 @@
 
     fn handle(&mut self, cx: &mut Context<'_>, event: &Event) {
         match event {
-            Event::Tick if cx.shared.blocklist.prune(cx.now) => cx.act(Action::UpdateBlocklist),
+            Event::Tick => {
+                if cx.shared.blocklist.prune(cx.now) {
+                    cx.act(Action::UpdateBlocklist);
+                }
+                self.store(cx);
+            }
+            Event::BlocklistRead(records) => self.load(cx, records),
+            Event::BlocklistStored(true) => self.stored.digest = Some(self.stored.pending),
             Event::BackendCrashed(crash) => self.report(cx, crash),
             Event::Received { from, messages } | Event::Replied { from, messages } => {
                 for message in messages {
@@ -113,6 +142,41 @@
         }
     }
 
+    /// Keeps the list in the platform's store, if this node is a collector and the stored list may be
+    /// another one.
+    fn store(&mut self, cx: &mut Context<'_>) {
+        let era = cx.shared.orders.next().era;
+        if era != self.stored.era {
+            self.stored.era = era;
+            self.stored.digest = None;
+        }
+        let digest = cx.shared.blocklist.digest();
+        if cx.shared.blocklist.is_empty()
+            || self.stored.digest == Some(digest)
+            || cx.now.since(self.stored.tried_at) < STORE_INTERVAL
+        {
+            return;
+        }
+        let collectors = evaluator::select(&cx.shared.view, COLLECTOR_KEY);
+        if collectors
+            .iter()
+            .any(|member| member.host == cx.shared.identity.host)
+        {
+            self.stored.tried_at = cx.now;
+            self.stored.pending = digest;
+            cx.act(Action::StoreBlocklist(cx.shared.blocklist.records(cx.now)));
+        }
+    }
+
+    /// Takes over the list from the platform's store.
+    fn load(&mut self, cx: &mut Context<'_>, records: &[Record]) {
+        let notices: Vec<Notice> = records.iter().map(|record| record.notice(cx.now)).collect();
+        let mut stored = Blocklist::default();
+        stored.merge(&notices, cx.now);
+        self.stored.digest = Some(stored.digest());
+        merge(cx, &notices, "kept in the store");
+    }
+
     /// Sends the whole list to a node whose digest shows another one.
     fn sync(&mut self, cx: &mut Context<'_>, from: &Name, digest: &Digest) {
         let blocklist = &cx.shared.blocklist;
--- a/buckthorn_lab/src/harness/mod.rs
+++ b/buckthorn_lab/src/harness/mod.rs
@@ -422,6 +422,7 @@
             | Action::CollectEvidence
             | Action::RecallDeparture(_)
             | Action::UpdateBlocklist
+            | Action::StoreBlocklist(_)
             | Action::ReadDecisions
             | Action::Publish(_)
             | Action::Log(_) => {}
