Keep what is known of a version beyond the order it was judged under

A service has one move, and a newer order replaces it together with its verdict. The routing table then took the version that was rolled back for one that serves and gave it a share by its slots. The class is a verdict kept with the order in place of the version. The same held for a withdrawn order, one that the log lost, and a version whose order was replaced before it was judged, which got a full share without a proof.

Verdicts are kept by service and version now, bounded, and cleared by a completed later move. Published decisions name the versions that failed, so that nodes that start later know them. A version that was not judged still serves when no other has backend servers, and one that failed does so only while no order is in force.

Looked at besides: moves by the log, whose intent names the version that serves; ejection and the circuit breaker, which are kept with the server.

--- a/buckthorn/src/config/mod.rs
+++ b/buckthorn/src/config/mod.rs
@@ -10,3 +10,4 @@
 pub mod position;
 pub mod relay;
 pub mod sheet;
+pub mod verdict;
--- a/buckthorn/src/config/order.rs
+++ b/buckthorn/src/config/order.rs
@@ -23,11 +23,15 @@
 
 use super::policy::Policy;
 use super::position::Position;
+use super::verdict::{Verdict, Verdicts};
 
 /// Time after a restore of the log within which operators write again what it lost. Orders that have
 /// to be in force within 5 s still are when they replace one that is kept for so long.
 pub const RESTORE_GRACE: Duration = Duration::from_secs(2);
 
+/// Maximum versions that one decision names as having failed.
+pub const MAX_FAULTY: usize = 8;
+
 /// Order published by operators.
 #[derive(Clone, Debug)]
 pub enum Order {
@@ -102,6 +106,9 @@
     pub order: Position,
     /// Phase that was decided.
     pub phase: Phase,
+    /// Versions of the service that failed under earlier orders, sorted.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub faulty: Vec<Name>,
 }
 
 /// Move that was ordered.
@@ -167,6 +174,8 @@
     domains: Vec<Domain>,
     /// Published decisions, sorted by service.
     decisions: Vec<Decision>,
+    /// Versions that did not complete their last move.
+    verdicts: Verdicts,
     /// Position after the last order read.
     next: Position,
     /// Time at which this node learned that the log was restored, until the grace period is over.
@@ -212,6 +221,17 @@
         Some(&self.moves[index])
     }
 
+    /// What is known of a version that did not complete its last move.
+    pub fn verdict(&self, service: &str, version: &str) -> Option<Verdict> {
+        self.verdicts.get(service, version)
+    }
+
+    /// Versions of a service that failed under earlier orders, sorted.
+    pub fn faulty(&self, service: &str) -> Vec<Name> {
+        let faulty = self.verdicts.faulty(service);
+        faulty.take(MAX_FAULTY).cloned().collect()
+    }
+
     /// Failure domains out of service, sorted.
     pub fn domains_out(&self) -> Vec<Name> {
         let out = self.domains.iter().filter(|domain| domain.is_out);
@@ -280,7 +300,7 @@
         }
         let era = self.next.era;
         let held = self.moves.len() + self.domains.len();
-        self.moves.retain(|entry| entry.order.era == era);
+        self.retain_moves(|entry| entry.order.era == era);
         self.domains.retain(|domain| domain.position.era == era);
         self.revision += (held - self.moves.len() - self.domains.len()) as u64;
         self.revision != before
@@ -369,6 +389,7 @@
                 Ok(index) => self.decisions[index] = decision.clone(),
                 Err(index) => self.decisions.insert(index, decision.clone()),
             }
+            self.record_verdicts(decision);
             self.apply_decision(&decision.service.clone());
         }
         self.revision != before
@@ -436,7 +457,10 @@
                 held.previous = Some(held.order);
                 held.order = position;
             }
-            (Ok(index), Relation::Newer | Relation::Unclear) => self.moves[index] = entry,
+            (Ok(index), Relation::Newer | Relation::Unclear) => {
+                let replaced = std::mem::replace(&mut self.moves[index], entry);
+                self.retire(&replaced);
+            }
             (Err(index), _) => self.moves.insert(index, entry),
         }
         self.revision += 1;
@@ -448,7 +472,8 @@
         if let Ok(index) = self.index(service)
             && relation != Relation::Old
         {
-            self.moves.remove(index);
+            let withdrawn = self.moves.remove(index);
+            self.retire(&withdrawn);
             self.revision += 1;
         }
     }
@@ -491,7 +516,7 @@
             }
         }
         let before = self.moves.len();
-        self.moves.retain(|m| {
+        self.retain_moves(|m| {
             let is_named = batch.entries.iter().any(|entry| {
                 matches!(&entry.order, Order::Move { service, .. } if *service == m.service)
             });
@@ -500,6 +525,41 @@
         self.revision += (before - self.moves.len()) as u64;
     }
 
+    /// Keeps the moves that a predicate accepts.
+    fn retain_moves(&mut self, is_kept: impl Fn(&Move) -> bool) {
+        let (kept, dropped) = std::mem::take(&mut self.moves)
+            .into_iter()
+            .partition(is_kept);
+        self.moves = kept;
+        let dropped: Vec<Move> = dropped;
+        dropped.iter().for_each(|entry| self.retire(entry));
+    }
+
+    /// Remembers what is known of the version of a move that is not in force any more.
+    fn retire(&mut self, entry: &Move) {
+        let (service, version) = (&entry.service, &entry.version);
+        self.verdicts
+            .record(service, version, entry.order, entry.phase);
+    }
+
+    /// Remembers what a published decision tells of the versions of its service.
+    fn record_verdicts(&mut self, decision: &Decision) {
+        let (service, order) = (&decision.service, decision.order);
+        let mut is_changed = false;
+        let others = decision.faulty.iter().take(MAX_FAULTY);
+        for version in others.filter(|version| **version != decision.version) {
+            let phase = Phase::RolledBack;
+            is_changed |= self.verdicts.record(service, version, order, phase);
+        }
+        if decision.phase != Phase::Running {
+            let version = &decision.version;
+            is_changed |= self
+                .verdicts
+                .record(service, version, order, decision.phase);
+        }
+        self.revision += u64::from(is_changed);
+    }
+
     /// Sets a service's move to the phase that was published for it.
     fn apply_decision(&mut self, service: &Name) {
         let Ok(index) = self.decisions.binary_search_by(|d| d.service.cmp(service)) else {
--- a/buckthorn/src/rollout/cutover.rs
+++ b/buckthorn/src/rollout/cutover.rs
@@ -534,5 +534,6 @@
         version: entry.version.clone(),
         order: entry.order,
         phase,
+        faulty: cx.shared.orders.faulty(&entry.service),
     }));
 }
--- a/buckthorn/src/routing/table.rs
+++ b/buckthorn/src/routing/table.rs
@@ -12,6 +12,7 @@
 use crate::config::intent::{FULL_SHARE, Move, Phase};
 use crate::config::order::{self, Orders};
 use crate::config::policy::Policy;
+use crate::config::verdict::Verdict;
 use crate::journal::fold::State;
 use crate::membership::view::View;
 use crate::name::Name;
@@ -372,6 +373,28 @@
     shares
 }
 
+/// Returns the versions that may serve beside a move's target. One whose order was replaced before it
+/// was proven may only if there is no other, and one that failed only if no order is in force either,
+/// with which operators accept what there is.
+fn serving(
+    versions: Vec<(Name, Vec<Endpoint>)>,
+    service: &Name,
+    orders: &Orders,
+) -> Vec<(Name, Vec<Endpoint>)> {
+    let has_order = orders.find_move(service).is_some();
+    let rank = |version: &Name| match orders.verdict(service, version) {
+        None => 0,
+        Some(Verdict::Unproven) => 1,
+        Some(Verdict::Faulty) => 2,
+    };
+    let best = versions.iter().map(|(version, _)| rank(version)).min();
+    let is_allowed = |rank| Some(rank) == best && (rank < 2 || !has_order);
+    versions
+        .into_iter()
+        .filter(|(version, _)| is_allowed(rank(version)))
+        .collect()
+}
+
 /// Looks up the endpoints of a version.
 struct Resolver<'a> {
     view: &'a View,
@@ -382,7 +405,7 @@
 
 impl Resolver<'_> {
     /// Resolves the shares of a service's versions: the target version gets the share that its order
-    /// assigns, and the others divide the rest in proportion to their slots.
+    /// assigns, and the others that may serve divide the rest in proportion to their slots.
     fn version_shares(&mut self, service: &Name, orders: &Orders, place: &Place<'_>) -> Vec<Share> {
         let entry = orders.find_move(service);
         let mut versions: Vec<Name> = self
@@ -402,6 +425,7 @@
             })
             .filter(|(_, endpoints)| !endpoints.is_empty())
             .partition(|(version, _)| entry.is_some_and(|entry| entry.version == *version));
+        let old = serving(old, service, orders);
         let new_share = entry.map_or(0, |entry| match entry.phase {
             order::Phase::Running if old.is_empty() => FULL_SHARE,
             order::Phase::Running => entry.share,
--- a/buckthorn/tests/config_orders.rs
+++ b/buckthorn/tests/config_orders.rs
@@ -71,6 +71,7 @@
         version: "v2".into(),
         order: order.into(),
         phase,
+        faulty: Vec::new(),
     }
 }
 
--- a/buckthorn/tests/config_relay.rs
+++ b/buckthorn/tests/config_relay.rs
@@ -375,6 +375,7 @@
         version: "v2".into(),
         order: 1.into(),
         phase: Phase::Completed,
+        faulty: Vec::new(),
     };
     mesh.run(BOUND);
     // Readers read decisions, and so do the evaluators of the move, which have to know the end of
