--- a/buckthorn/src/proxy/mod.rs
+++ b/buckthorn/src/proxy/mod.rs
@@ -20,6 +20,7 @@
 pub mod body;
 pub mod contract;
 pub mod crash_watch;
+mod deadline;
 pub mod dispatch;
 pub mod header;
 pub mod hop;
