Refuse at the ingress what owners have no room for, and spread returns

A new request that no owner had room for was refused by several of them before its caller heard of it, and all callers were told to come back after 0.5 s.

Owners now tell in a report the first rank that they have no room for, from the waits of a whole interval. Ingresses refuse such ranks by a chance that follows the owners heard lately and never reaches one. A repeat has the place of its first try, so that only waiting improves its chance. Retry-After follows the backlog, the rank and the time that the caller has left, and is spread.

--- a/buckthorn/src/admission/gate.rs
+++ b/buckthorn/src/admission/gate.rs
@@ -13,8 +13,9 @@
 use crate::counter::Counter;
 use crate::rollout::evidence::Outcome;
 
+use super::cut::Cut;
 use super::limit::{self, Change, Limit, Signal, Window};
-use super::queue::{Placement, Queue, Ticket};
+use super::queue::{Placement, Queue, Ticket, Waiter};
 use super::rank::Rank;
 
 /// New calls that the queue holds for each slot.
@@ -66,6 +67,8 @@
     Cold,
     /// The call exceeds the rate limit that the backend server names.
     RateLimited,
+    /// The owners that were heard lately would refuse the call.
+    Overload,
 }
 
 impl Refusal {
@@ -81,6 +84,7 @@
             Self::Quarantined => "quarantined",
             Self::Cold => "cold",
             Self::RateLimited => "rate-limited",
+            Self::Overload => "overload",
         }
     }
 
@@ -96,6 +100,7 @@
             Self::Quarantined => Counter::RefusedQuarantined,
             Self::Cold => Counter::RefusedCold,
             Self::RateLimited => Counter::RefusedRateLimited,
+            Self::Overload => Counter::RefusedOverload,
         }
     }
 }
@@ -131,7 +136,9 @@
     running: u32,
     queue: Queue,
     /// Call displaced by the last offer and not yet refused by [`Gate::next`].
-    displaced: Option<Ticket>,
+    displaced: Option<Waiter>,
+    /// Waits of new calls, from which ingresses learn what is refused.
+    cut: Cut,
     /// Outcomes since the limit was last updated.
     window: Window,
     /// Whether every new and waiting call is refused.
@@ -163,6 +170,7 @@
             limit,
             running: 0,
             displaced: None,
+            cut: Cut::default(),
             window: Window::default(),
             is_closed: false,
         }
@@ -183,6 +191,11 @@
         self.limit.get()
     }
 
+    /// Returns the mean time of a call, zero when unknown.
+    pub fn mean(&self) -> Duration {
+        self.limit.mean()
+    }
+
     /// Returns whether the gate is closed to new calls.
     pub fn is_closed(&self) -> bool {
         self.is_closed
@@ -193,6 +206,11 @@
         (self.running + self.queued()) * 1_000 / self.limit()
     }
 
+    /// Returns the index of the first rank that is refused, [`Rank::COUNT`] when none is.
+    pub fn cut(&self, now: Time) -> usize {
+        self.cut.index(now)
+    }
+
     /// Sets the number of running calls, for a user that admits and releases some itself.
     ///
     /// The number may only change while no call waits, since a waiting call takes precedence for a
@@ -229,9 +247,10 @@
             return Decision::Run;
         }
         if now + self.expected_wait(offer.rank, until) > until {
+            self.cut.record_refusal(offer.rank, now);
             return Decision::Refuse(expiry);
         }
-        match self.queue.push(offer.rank, until, expiry) {
+        match self.queue.push(offer.rank, now, until, expiry) {
             Placement::Queued(ticket) => Decision::Wait(ticket, until, expiry),
             Placement::Displaced(ticket, lower) => {
                 assert!(
@@ -240,14 +259,18 @@
                 );
                 Decision::Wait(ticket, until, expiry)
             }
-            Placement::Full => Decision::Refuse(Refusal::QueueFull),
+            Placement::Full => {
+                self.cut.record_refusal(offer.rank, now);
+                Decision::Refuse(Refusal::QueueFull)
+            }
         }
     }
 
     /// Settles at most one waiting call and returns what to do with it.
     pub fn next(&mut self, now: Time) -> Next {
-        if let Some(ticket) = self.displaced.take() {
-            return Next::Refuse(ticket, Refusal::Shed);
+        if let Some(lower) = self.displaced.take() {
+            self.cut.record_refusal(lower.rank, now);
+            return Next::Refuse(lower.ticket, Refusal::Shed);
         }
         if self.is_closed {
             return match self.queue.drain() {
@@ -255,17 +278,22 @@
                 None => Next::Idle,
             };
         }
-        if let Some((ticket, refusal)) = self.queue.expire(now) {
-            return Next::Refuse(ticket, refusal);
+        if let Some(waiter) = self.queue.expire(now) {
+            self.cut.record_refusal(waiter.rank, now);
+            return Next::Refuse(waiter.ticket, waiter.expiry);
         }
         if self.running >= self.limit() {
             return Next::Idle;
         }
-        let Some(ticket) = self.queue.pop() else {
+        let Some(waiter) = self.queue.pop() else {
+            self.cut.reset();
             return Next::Idle;
         };
+        let longest = waiter.until.since(waiter.since);
+        let wait = now.since(waiter.since);
+        self.cut.record_wait(waiter.rank, wait, longest, now);
         self.admit();
-        Next::Run(ticket)
+        Next::Run(waiter.ticket)
     }
 
     /// Removes a call from the queue; returns whether it was still waiting.
--- a/buckthorn/src/admission/mod.rs
+++ b/buckthorn/src/admission/mod.rs
@@ -5,11 +5,14 @@
 //! orders those that wait, [`gate`] combines both, and [`semaphore`] shares the gate between
 //! threads. [`breaker`] protects against a backend server that stopped responding, [`cold_rate`]
 //! limits the rate of calls to a cold one, and [`rate_limit`] keeps to the rate that a backend
-//! server names itself. [`rank`] is the order of calls under overload, and [`report`] what an owner
-//! tells the ingresses.
+//! server names itself. [`rank`] is the order of calls under overload, [`cut`] the
+//! first rank in it that an owner has no room for, [`report`] what an owner
+//! tells the ingresses, and [`backoff`] when refused callers come back.
 
+pub mod backoff;
 pub mod breaker;
 pub mod cold_rate;
+pub mod cut;
 pub mod gate;
 pub mod limit;
 pub mod queue;
--- a/buckthorn/src/admission/queue.rs
+++ b/buckthorn/src/admission/queue.rs
@@ -27,6 +27,8 @@
 pub struct Waiter {
     /// Place in the order of waiting calls.
     pub rank: Rank,
+    /// Time at which the call began to wait.
+    pub since: Time,
     /// Time at which the call stops waiting.
     pub until: Time,
     /// Reason for the refusal when `until` passes.
@@ -41,7 +43,7 @@
     /// The call waits.
     Queued(Ticket),
     /// The first call waits; the second one, of lower priority, was removed for it.
-    Displaced(Ticket, Ticket),
+    Displaced(Ticket, Waiter),
     /// The queue has no place for the call and holds none that it may displace.
     Full,
 }
@@ -114,9 +116,10 @@
     }
 
     /// Adds a call that waits until a time, and displaces one of lower priority if necessary.
-    pub fn push(&mut self, rank: Rank, until: Time, expiry: Refusal) -> Placement {
+    pub fn push(&mut self, rank: Rank, now: Time, until: Time, expiry: Refusal) -> Placement {
         let waiter = Waiter {
             rank,
+            since: now,
             until,
             expiry,
             ticket: Ticket(self.next),
@@ -124,7 +127,7 @@
         let displaced = match self.contested(&waiter) {
             None => None,
             Some(places) => match self.displace(&waiter, places) {
-                Some(ticket) => Some(ticket),
+                Some(lower) => Some(lower),
                 None => return Placement::Full,
             },
         };
@@ -136,7 +139,7 @@
             "invariant: the queue is bounded"
         );
         match displaced {
-            Some(ticket) => Placement::Displaced(waiter.ticket, ticket),
+            Some(lower) => Placement::Displaced(waiter.ticket, lower),
             None => Placement::Queued(waiter.ticket),
         }
     }
@@ -158,20 +161,19 @@
     }
 
     /// Removes the last of some calls if its priority is lower than that of `new`.
-    fn displace(&mut self, new: &Waiter, calls: Range<usize>) -> Option<Ticket> {
+    fn displace(&mut self, new: &Waiter, calls: Range<usize>) -> Option<Waiter> {
         let last = calls.last()?;
-        (self.waiters[last].rank > new.rank).then(|| self.waiters.remove(last).ticket)
+        (self.waiters[last].rank > new.rank).then(|| self.waiters.remove(last))
     }
 
-    /// Removes a call whose wait limit has passed, and returns it with its reason for refusal.
-    pub fn expire(&mut self, now: Time) -> Option<(Ticket, Refusal)> {
+    /// Removes and returns a call whose wait limit has passed.
+    pub fn expire(&mut self, now: Time) -> Option<Waiter> {
         let index = self.waiters.iter().position(|w| w.until <= now)?;
-        let waiter = self.waiters.remove(index);
-        Some((waiter.ticket, waiter.expiry))
+        Some(self.waiters.remove(index))
     }
 
     /// Removes and returns the next call to run.
-    pub fn pop(&mut self) -> Option<Ticket> {
+    pub fn pop(&mut self) -> Option<Waiter> {
         if self.waiters.is_empty() {
             return None;
         }
@@ -182,7 +184,7 @@
         } else {
             0
         };
-        Some(waiter.ticket)
+        Some(waiter)
     }
 
     /// Returns the index of the oldest call that is not priority traffic, if its turn has come.
--- a/buckthorn/src/admission/semaphore.rs
+++ b/buckthorn/src/admission/semaphore.rs
@@ -15,6 +15,7 @@
 use super::gate::{Decision, Gate, Next, Offer, Refusal};
 use super::limit::{self, Change, IDLE_HALVING, Signal, Window};
 use super::queue::Ticket;
+use super::rank::Rank;
 use crate::clock::{Clock, Time};
 use crate::counter::{Counter, Counters};
 use crate::rollout::evidence::Outcome;
@@ -46,6 +47,8 @@
     tally: Tally,
     /// Time of the last acquire outside the lock, in microseconds since the Unix epoch.
     last_used: AtomicU64,
+    /// Mean time of a call in microseconds, zero when unknown.
+    mean: AtomicU64,
     /// Decides on acquires and releases while [`LOCKED`] is set.
     inner: Mutex<Inner>,
     clock: Clock,
@@ -185,6 +188,7 @@
             word: AtomicU64::new(word.pack()),
             tally: Tally::default(),
             last_used: AtomicU64::new(now.0),
+            mean: AtomicU64::new(0),
             inner: Mutex::new(Inner {
                 gate,
                 waiting: Vec::new(),
@@ -281,6 +285,19 @@
         Word::unpack(self.word.load(Ordering::Acquire)).limit
     }
 
+    /// Returns the mean time of a call, zero when unknown.
+    pub fn mean(&self) -> Duration {
+        Duration::from_micros(self.mean.load(Ordering::Relaxed))
+    }
+
+    /// Returns the index of the first rank that is refused, [`Rank::COUNT`] when none is.
+    pub fn cut(&self, now: Time) -> usize {
+        match self.queued() {
+            0 => Rank::COUNT,
+            _ => self.lock().gate.cut(now),
+        }
+    }
+
     /// Returns the load in thousandths of the current limit, waiting calls included. The owner
     /// reports it to ingresses.
     pub fn load_permille(&self) -> u32 {
@@ -330,7 +347,11 @@
         let window = self.tally.take();
         if !window.is_empty() {
             let now = self.clock.now();
-            let change = self.decide(now, |inner| inner.gate.update_limit(now, &window));
+            let (change, mean) = self.decide(now, |inner| {
+                let change = inner.gate.update_limit(now, &window);
+                (change, inner.gate.mean())
+            });
+            self.mean.store(mean.as_micros() as u64, Ordering::Relaxed);
             self.count_change(change);
         }
     }
--- a/buckthorn/src/counter.rs
+++ b/buckthorn/src/counter.rs
@@ -63,6 +63,7 @@
     RefusedByBackend "refused.backend" "Calls that the backend server itself refused as not run.",
     RefusedCold "refused.cold" "Calls over the rate that a cold backend server bears.",
     RefusedRateLimited "refused.rate_limited" "Calls over the rate limit that the backend server names.",
+    RefusedOverload "refused.overload" "Calls refused at the ingress because the owners heard lately would refuse them.",
     RefusedPoison "refused.poison" "Calls of requests that have crashed backend servers.",
     RefusedUnreachable "refused.unreachable" "Calls refused because no connection could be opened.",
     KeysNotReplicated "key.held_once" "Idempotency keys that could not be noted at a second node.",
--- a/buckthorn/src/log_event.rs
+++ b/buckthorn/src/log_event.rs
@@ -42,6 +42,7 @@
     // Calls at the owner.
     OwnerRefused "owner.refused" "request, service, reason, running, queued, limit, version" "The owner refused a call as not run.",
     OwnerFailed "owner.failed" "request, service, instance, reason, ran, took_ms" "The backend server gave no response that could be forwarded.",
+    CutChanged "owner.cut" "service, cut, before, queued, limit" "The owner refuses another first rank of new calls: its place in the order, 16 when it refuses none.",
     BackendLimited "backend.limited" "instance, limit" "The local backend server named another number of requests per second that it takes in its responses, or none any more.",
     BackendStateRefused "backend.state_refused" "instance, error" "A response of the local backend server named its state in a way that cannot be read; the state stays as it was.",
     LinesDropped "log.dropped" "class, lines" "Lines about calls that were dropped by the rate limit since the last such line.",
--- a/buckthorn/src/proxy/dispatch.rs
+++ b/buckthorn/src/proxy/dispatch.rs
@@ -14,13 +14,14 @@
 
 use super::attempts::{Attempts, FailedAttempt};
 use super::body::{self, Body, Bounds, Ending, Fault, Monitor, Replayed};
-use super::header::{self, ATTEMPTS, Call, LOAD, MAX_WAIT, REPEAT, Role};
+use super::header::{self, ATTEMPTS, Call, LOAD, MAX_WAIT, REPEAT, REPORT, Role};
 use super::hop::{HopError, HopRequest};
 use super::payload::Payload;
 use super::request_log::RequestLog;
 use super::response::{self, Ran, Reason};
-use super::{Plane, owner, resume};
+use super::{Plane, overload, owner, resume};
 use crate::admission::gate::Refusal;
+use crate::admission::report::Report;
 use crate::counter::Counter;
 use crate::log_event::LogEvent;
 use crate::name::Name;
@@ -58,6 +59,11 @@
     budget.earn();
     budget.charge_repeat(call.repeat_permille);
     let mut request_log = RequestLog::new(plane, call, plane.request_id(&parts.headers));
+    if let Err(reason) = overload::check(plane, call) {
+        let response = overload::refuse(plane, call, reason);
+        request_log.finish(&response);
+        return response;
+    }
     prepare(plane, &mut parts, call);
     let mut attempts = Attempts::new(call);
     loop {
@@ -67,7 +73,7 @@
                 let response = attempts
                     .final_response()
                     .unwrap_or_else(|| response::refuse(&plane.counters, reason, Ran::NotRun));
-                let response = plane.for_caller(response);
+                let response = plane.for_caller(overload::advise(plane, call, response));
                 request_log.finish(&response);
                 return response;
             }
@@ -120,7 +126,7 @@
             let response = attempts
                 .final_response()
                 .unwrap_or_else(|| response::refuse(&plane.counters, Reason::Reset, Ran::Unknown));
-            let response = plane.for_caller(response);
+            let response = plane.for_caller(overload::advise(plane, call, response));
             request_log.finish(&response);
             return response;
         }
@@ -269,6 +275,9 @@
     if let Some(permille) = reported_load(&response) {
         endpoint.load.set_reported(permille);
     }
+    if let Some(report) = report(&response) {
+        endpoint.load.pressure.record(&report, plane.clock.now());
+    }
     if response::is_refusal(&response) {
         observe(plane, call, &endpoint.host, refusal_outcome(&response));
         return refused_by_owner(plane, response);
@@ -493,6 +502,11 @@
     response.headers().get(LOAD)?.to_str().ok()?.parse().ok()
 }
 
+/// Returns the report of an owner in its response.
+fn report(response: &Response<Body>) -> Option<Report> {
+    Report::parse(response.headers().get(REPORT)?.to_str().ok()?)
+}
+
 /// Monitors the body of a response on its way to the caller.
 fn monitor_body(
     plane: &Arc<Plane>,
--- a/buckthorn/src/proxy/header.rs
+++ b/buckthorn/src/proxy/header.rs
@@ -139,12 +139,32 @@
     /// Longest time that the call may wait in owners' queues, `None` without a latency target and for
     /// calls in progress, which may wait until their deadline.
     pub max_wait: Option<Duration>,
+    /// Times of the policy's route, `None` without a policy.
+    pub timing: Option<Timing>,
     /// Probability in thousandths that the call is made on behalf of a retried one, at its ingress.
     pub repeat_permille: u32,
     /// Identity of the request as a possible poison request; absent if the ingress set none.
     pub suspect: Option<Suspect>,
 }
 
+/// Times of a policy's route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timing {
+    /// Time within which a response has its full value.
+    pub latency_target: Duration,
+    /// Longest time until a response.
+    pub timeout: Duration,
+}
+
+impl Timing {
+    /// Returns the time in which a response still has its full value, when `left` remains until the
+    /// caller's deadline. The caller is taken to have started with the whole timeout.
+    pub fn target_left(&self, left: Duration) -> Duration {
+        let elapsed = self.timeout.saturating_sub(left);
+        self.latency_target.saturating_sub(elapsed)
+    }
+}
+
 /// Fraction of a route's latency target that a call may wait in owners' queues. The rest is about
 /// the time that a backend server takes; the later a refusal arrives, the less it helps the caller.
 const MAX_WAIT_FRACTION: f64 = 0.5;
@@ -204,6 +224,10 @@
             max_backend_attempts: Some(route.attempts.max(1)),
             received_at: now,
             max_wait: Some(route.latency_target.min(wait).mul_f64(MAX_WAIT_FRACTION)),
+            timing: Some(Timing {
+                latency_target: route.latency_target,
+                timeout: route.timeout,
+            }),
             repeat_permille: 0,
             suspect: None,
         })
@@ -243,6 +267,7 @@
             max_backend_attempts: None,
             received_at: now,
             max_wait: parse_number(&parts.headers, MAX_WAIT)?.map(Duration::from_millis),
+            timing: None,
             repeat_permille: 0,
             suspect: parts.headers.get(FINGERPRINT).and_then(Suspect::parse),
         })
--- a/buckthorn/src/proxy/mod.rs
+++ b/buckthorn/src/proxy/mod.rs
@@ -27,6 +27,7 @@
 pub mod keyed;
 pub mod limit;
 pub mod listen;
+pub mod overload;
 pub mod owner;
 pub mod payload;
 pub mod pool;
--- a/buckthorn/src/proxy/owner.rs
+++ b/buckthorn/src/proxy/owner.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri, Version, header as names};
@@ -14,14 +14,15 @@
 use super::body::{self, Body, Bounds, Ending, Fault, Monitor};
 use super::contract::Validation;
 use super::crash_watch::Watch;
-use super::header::{self, Call, DEADLINE, FINGERPRINT, LOAD, REPEAT};
+use super::header::{self, Call, DEADLINE, FINGERPRINT, LOAD, REPEAT, REPORT};
 use super::limit::Limits;
 use super::pool::{CheckoutError, Pool, ResponseBody, SendError};
 use super::response::{self, Ran, Reason};
-use super::{Plane, request_log};
+use super::{Plane, overload, request_log};
 use crate::admission::breaker::CircuitBreaker;
 use crate::admission::cold_rate::ColdRateLimiter;
 use crate::admission::gate::{self, Refusal};
+use crate::admission::rank::Rank;
 use crate::admission::rate_limit::{Admission, Change, RateLimiter};
 use crate::admission::semaphore::{Permit, Semaphore};
 use crate::clock::Time;
@@ -68,6 +69,8 @@
     pub circuit_breaker: Arc<CircuitBreaker>,
     /// Rate limit that the backend server names.
     pub rate_limiter: RateLimiter,
+    /// First rank of new calls that was refused when ingresses were last told.
+    pub(super) told_cut: AtomicU32,
     /// Whether the backend server says in its responses that it leaves; the node then drains it.
     pub is_leaving: AtomicBool,
 }
@@ -96,6 +99,7 @@
             cold_limiter: ColdRateLimiter::new(None),
             circuit_breaker: Arc::default(),
             rate_limiter: RateLimiter::default(),
+            told_cut: AtomicU32::new(Rank::COUNT as u32),
             is_leaving: AtomicBool::new(false),
         }
     }
@@ -136,6 +140,9 @@
     let rate_load = owner.rate_limiter.load_permille(plane.clock.now());
     let load = HeaderValue::from(owner.semaphore.load_permille().max(rate_load));
     response.headers_mut().insert(LOAD, load);
+    if let Ok(report) = HeaderValue::try_from(overload::report(plane, &owner).to_string()) {
+        response.headers_mut().insert(REPORT, report);
+    }
     response
 }
 
--- a/buckthorn/src/proxy/response.rs
+++ b/buckthorn/src/proxy/response.rs
@@ -1,6 +1,8 @@
 //! Responses that a node generates itself: a status, a machine-readable reason, and whether the
 //! call was run.
 
+use std::time::Duration;
+
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::BodyExt;
 use serde::Serialize;
@@ -8,6 +10,7 @@
 use super::body::{self, Body};
 use super::contract::RetryAfter;
 use super::header::{RAN, REASON};
+use super::overload::Advice;
 use crate::admission::gate::Refusal;
 use crate::counter::{Counter, Counters};
 
@@ -244,6 +247,11 @@
     response.map(BodyExt::boxed_unsync)
 }
 
+/// Returns the header value of a time in seconds, with milliseconds.
+fn seconds(time: Duration) -> Option<HeaderValue> {
+    HeaderValue::try_from(format!("{:.3}", time.as_secs_f64())).ok()
+}
+
 /// Rewrites a refusal for callers under a contract: if the call was not run, the status alone says
 /// so, and `Retry-After` says when to retry.
 pub fn rewrite_for_contract(response: &mut Response<Body>, retry_after: &RetryAfter) {
@@ -261,14 +269,19 @@
         let can_retry_elsewhere = [Reason::BackendRefused, Reason::Unreachable]
             .into_iter()
             .any(|reason| has_reason(response, reason));
+        let advice = response.extensions().get::<Advice>().copied();
         let delay = if has_reason(response, Reason::Poison) {
-            &retry_after.poison
+            Some(retry_after.poison.clone())
         } else if can_retry_elsewhere {
-            &retry_after.other_backend
+            Some(retry_after.other_backend.clone())
+        } else if let Some(Advice(delay)) = advice {
+            delay.and_then(seconds)
         } else {
-            &retry_after.load
+            Some(retry_after.load.clone())
         };
-        let headers = response.headers_mut();
-        headers.insert(header::RETRY_AFTER, delay.clone());
+        if let Some(delay) = delay {
+            let headers = response.headers_mut();
+            headers.insert(header::RETRY_AFTER, delay);
+        }
     }
 }
--- a/buckthorn/src/routing/load.rs
+++ b/buckthorn/src/routing/load.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::budget::{Budget, RETRY_COST, RetryBound};
+use super::pressure::Pressure;
 use crate::clock::Time;
 use crate::name::Name;
 
@@ -23,6 +24,8 @@
     in_flight: AtomicU32,
     /// Load reported in the last response, in thousandths of the backend server's limit.
     reported: AtomicU32,
+    /// What the owner told last about its room.
+    pub pressure: Pressure,
     /// Time until which the backend server is ejected, in microseconds since the Unix epoch.
     pub ejected_until: AtomicU64,
     /// Time until which the host counts as unreachable, in microseconds since the Unix epoch.
--- a/buckthorn/src/routing/mod.rs
+++ b/buckthorn/src/routing/mod.rs
@@ -3,12 +3,14 @@
 //! [`table`] resolves the intent to known backend servers, [`choice`] picks one of them for a call
 //! by the [`load`] that this node observes, [`outlier`] ejects those that fail more than others,
 //! and [`budget`] decides whether a failed attempt is retried. [`repeat`] charges the budgets for the
-//! calls that retried calls make, and [`parent`] ranks the calls that running requests make.
+//! calls that retried calls make, [`parent`] ranks the calls that running requests make, and [`pressure`] refuses new
+//! requests that owners have no room for.
 
 pub mod budget;
 pub mod choice;
 pub mod load;
 pub mod outlier;
 pub mod parent;
+pub mod pressure;
 pub mod repeat;
 pub mod table;
