--- a/buckthorn/src/proxy/backend_state.rs
+++ b/buckthorn/src/proxy/backend_state.rs
@@ -8,9 +8,8 @@
 use super::body::Body;
 use super::header::{Call, REPORT};
 use super::owner::Owner;
-use super::{Plane, request_log, response};
+use super::{Plane, overload, request_log, response};
 use crate::admission::capacity::{Kind, State};
-use crate::admission::rank::Rank;
 use crate::admission::rate_limit::Change;
 use crate::clock::Time;
 use crate::log_event::LogEvent;
@@ -80,7 +79,7 @@
         running: owner.semaphore.running().saturating_sub(own),
         waiting: owner.semaphore.queued(),
         limit: owner.semaphore.limit(),
-        cut: Rank::COUNT as u32,
+        cut: overload::cut(plane, owner),
     };
     let report = owner
         .capacity
--- a/buckthorn/src/proxy/dispatch.rs
+++ b/buckthorn/src/proxy/dispatch.rs
@@ -19,7 +19,7 @@
 use super::payload::Payload;
 use super::request_log::RequestLog;
 use super::response::{self, Ran, Reason};
-use super::{Plane, deadline, owner, resume};
+use super::{Plane, deadline, overload, owner, resume};
 use crate::admission::capacity::Kind;
 use crate::admission::gate::Refusal;
 use crate::admission::report::Report;
@@ -62,6 +62,11 @@
     budget.earn();
     budget.charge_repeat(call.repeat_permille);
     let mut request_log = RequestLog::new(plane, call, plane.request_id(&parts.headers));
+    if let Err(reason) = overload::check(plane, call) {
+        let response = overload::refuse(plane, call, reason);
+        request_log.finish(&response);
+        return response;
+    }
     prepare(plane, &mut parts, call);
     let mut attempts = Attempts::new(call);
     let mut first_tries = if call.max_wait.is_some() && payload.is_kept() {
@@ -78,7 +83,7 @@
                 let response = attempts
                     .final_response()
                     .unwrap_or_else(|| response::refuse(&plane.counters, reason, Ran::NotRun));
-                let response = plane.for_caller(response);
+                let response = plane.for_caller(overload::advise(plane, call, response));
                 request_log.finish(&response);
                 return response;
             }
@@ -150,7 +155,7 @@
             let response = attempts
                 .final_response()
                 .unwrap_or_else(|| response::refuse(&plane.counters, Reason::Reset, Ran::Unknown));
-            let response = plane.for_caller(response);
+            let response = plane.for_caller(overload::advise(plane, call, response));
             request_log.finish(&response);
             return response;
         }
@@ -322,6 +327,7 @@
         let kind = Kind::of(&call.path);
         let now = plane.clock.now();
         endpoint.load.estimate.record(&report, kind, in_flight, now);
+        endpoint.load.pressure.record(&report, now);
     }
     if response::is_refusal(&response) {
         observe(plane, call, &endpoint.host, refusal_outcome(&response));
--- a/buckthorn/src/proxy/owner.rs
+++ b/buckthorn/src/proxy/owner.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, AtomicU32};
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri, Version, header as names};
@@ -23,6 +23,7 @@
 use crate::admission::capacity::{Capacity, Ended, Kind};
 use crate::admission::cold_rate::ColdRateLimiter;
 use crate::admission::gate::{self, Refusal};
+use crate::admission::rank::Rank;
 use crate::admission::rate_limit::{Admission, RateLimiter};
 use crate::admission::semaphore::{Permit, Semaphore};
 use crate::clock::Clock;
@@ -71,6 +72,8 @@
     pub rate_limiter: RateLimiter,
     /// Estimate of what the backend server takes.
     pub capacity: Arc<Capacity>,
+    /// First rank of new calls that was refused when ingresses were last told.
+    pub(super) told_cut: AtomicU32,
     /// Whether the backend server says in its responses that it leaves; the node then drains it.
     pub is_leaving: AtomicBool,
 }
@@ -100,6 +103,7 @@
             circuit_breaker: Arc::default(),
             rate_limiter: RateLimiter::default(),
             capacity: Arc::default(),
+            told_cut: AtomicU32::new(Rank::COUNT as u32),
             is_leaving: AtomicBool::new(false),
         }
     }
--- a/buckthorn/src/routing/load.rs
+++ b/buckthorn/src/routing/load.rs
@@ -6,6 +6,7 @@
 
 use super::budget::{Budget, RETRY_COST, RetryBound};
 use super::estimate::Estimate;
+use super::pressure::Pressure;
 use crate::clock::Time;
 use crate::name::Name;
 
@@ -26,6 +27,8 @@
     reported: AtomicU32,
     /// Last report of the owner.
     pub estimate: Estimate,
+    /// What the owner told last about its room.
+    pub pressure: Pressure,
     /// Time until which the backend server is ejected, in microseconds since the Unix epoch.
     pub ejected_until: AtomicU64,
     /// Time until which the host counts as unreachable, in microseconds since the Unix epoch.
--- a/buckthorn/src/routing/mod.rs
+++ b/buckthorn/src/routing/mod.rs
@@ -4,7 +4,8 @@
 //! by the [`load`] that this node observes, or by the [`completion`] that the owners' reports in
 //! [`estimate`] let it expect, [`first_try`] decides which attempts do not wait, [`outlier`] ejects those that fail more than others,
 //! and [`budget`] decides whether a failed attempt is retried. [`repeat`] charges the budgets for the
-//! calls that retried calls make, and [`parent`] ranks the calls that running requests make.
+//! calls that retried calls make, [`parent`] ranks the calls that running requests make, and [`pressure`] refuses new
+//! requests that owners have no room for.
 
 pub mod budget;
 pub mod choice;
@@ -14,5 +15,6 @@
 pub mod load;
 pub mod outlier;
 pub mod parent;
+pub mod pressure;
 pub mod repeat;
 pub mod table;
