Decide in one place what an owner assumes before it has heard

An owner that had just started took what it didn't remember for nothing: a cold backend server got a second's calls twice, one that names a limit as many as it has slots, and one that had left was brought back by a late heartbeat after a restart of all nodes. A leave of an earlier lifetime was taken for one of the present. The class is missing knowledge that counts as zero, and a message that is not held against its lifetime.

node::past decides what may be assumed: the second before the start is full for a cold server, a low limit holds until the first response, and heartbeats are acknowledged but held back until departures are known from the platform's store or a peer, 3 s at most. A server that started after the process has no such past. An owner that replaces another one goes on from its state. Leaves hold for the start that they name and earlier ones. The node stores the last departure of its host, one write each, and reads it with the addresses.

--- a/buckthorn/src/admin/mod.rs
+++ b/buckthorn/src/admin/mod.rs
@@ -53,13 +53,14 @@
     fn leave(&self);
 
     /// Starts draining the local backend server if `instance` is its current instance; otherwise late
-    /// heartbeats of `instance` are ignored from now on.
+    /// heartbeats of `instance` are ignored from now on. If the leave names when the instance `started`,
+    /// in milliseconds, it holds for that start and earlier ones only.
     ///
     /// # Errors
     ///
     /// Returns [`Refusal::Busy`] when the kernel thread does not accept or process the request in
     /// time.
-    fn leave_instance(&self, instance: &str) -> Result<(), Refusal>;
+    fn leave_instance(&self, instance: &str, started: Option<u64>) -> Result<(), Refusal>;
 
     /// Returns the status of the node, or `None` when the kernel thread does not reply in time.
     fn status(&self) -> Option<Value>;
--- a/buckthorn/src/admin/registration.rs
+++ b/buckthorn/src/admin/registration.rs
@@ -42,14 +42,25 @@
     state: State,
     /// Last announcement of the backend server that left most recently, and when it left.
     departed: Option<(Announcement, Time)>,
-    /// Latest instance that left without being registered, and when it left.
-    unregistered_leave: Option<(Name, Time)>,
+    /// Latest instance that left without being registered.
+    unregistered_leave: Option<UnregisteredLeave>,
     /// Departure of the backend server that most recently said that it leaves.
     announced_departure: Option<Departure>,
     /// Departure that an earlier process of the node acknowledged.
     recalled: Option<Departure>,
 }
 
+/// Leave of an instance that was not registered.
+#[derive(Clone, Debug)]
+struct UnregisteredLeave {
+    /// Identifier of the instance.
+    instance: Name,
+    /// Latest start in milliseconds that the leave holds for.
+    started: u64,
+    /// When it was received.
+    at: Time,
+}
+
 /// State of the backend server.
 #[derive(Clone, Debug, Default)]
 enum State {
@@ -199,13 +210,11 @@
         heartbeat: &Heartbeat,
         now: Time,
     ) -> bool {
-        self.unregistered_leave
-            .as_ref()
-            .is_some_and(|(instance, at)| {
-                announcement.instance.as_ref() == Some(instance)
-                    && heartbeat.started < at.as_millis()
-                    && now.since(*at) < UNREGISTERED_LEAVE_HOLD_DOWN
-            })
+        self.unregistered_leave.as_ref().is_some_and(|leave| {
+            announcement.instance.as_ref() == Some(&leave.instance)
+                && heartbeat.started <= leave.started
+                && now.since(leave.at) < UNREGISTERED_LEAVE_HOLD_DOWN
+        })
     }
 
     /// Whether an announcement is of the incarnation whose departure was recalled, or an earlier one.
@@ -232,13 +241,43 @@
         Transition::Unchanged
     }
 
-    /// Handles the leave of an instance, which need not be the registered one.
-    pub fn leave_instance(&mut self, instance: &str, now: Time) -> Transition {
-        let current = self.current().and_then(|last| last.instance.as_deref());
-        if current == Some(instance) {
-            return self.depart(now);
+    /// Handles the leave of an instance, which need not be the registered one. A leave that names a
+    /// start, in milliseconds, holds for that start and earlier ones; any other one for all starts
+    /// before it was received.
+    pub fn leave_instance(
+        &mut self,
+        instance: &str,
+        started: Option<u64>,
+        now: Time,
+    ) -> Transition {
+        let current = self
+            .current()
+            .filter(|last| last.instance.as_deref() == Some(instance));
+        if let Some(current) = current {
+            let held = current.heartbeat.map(|heartbeat| heartbeat.started);
+            return match (started, held) {
+                // The leave was on its way while the backend server started again.
+                (Some(started), Some(held)) if started < held => Transition::Unchanged,
+                _ => self.depart(now),
+            };
+        }
+        let is_absent = matches!(self.state, State::Absent);
+        let known = [&self.announced_departure, &self.recalled];
+        let is_newest = |started: u64| {
+            let mut known = known.into_iter().flatten();
+            known.all(|held| *held.instance != *instance || held.started < started)
+        };
+        if let Some(started) = started.filter(|started| is_absent && is_newest(*started)) {
+            self.announced_departure = Some(Departure {
+                instance: instance.into(),
+                started,
+            });
         }
-        self.unregistered_leave = Some((instance.into(), now));
+        self.unregistered_leave = Some(UnregisteredLeave {
+            instance: instance.into(),
+            started: started.unwrap_or(now.as_millis().saturating_sub(1)),
+            at: now,
+        });
         Transition::Unchanged
     }
 
--- a/buckthorn/src/admission/cold_rate.rs
+++ b/buckthorn/src/admission/cold_rate.rs
@@ -64,6 +64,8 @@
     cold_until: Time,
     /// Time until which the backend server is assumed to be cold.
     assumed_cold_until: Time,
+    /// Time until which a window counts as full, as it is unknown which calls started in it.
+    full_until: Time,
     /// Times of the calls that started within the last window.
     starts: VecDeque<Time>,
 }
@@ -77,6 +79,7 @@
                 max_calls,
                 cold_until: Time::default(),
                 assumed_cold_until: Time::default(),
+                full_until: Time::default(),
                 starts: VecDeque::new(),
             }),
         }
@@ -100,6 +103,21 @@
         self.lock().assumed_cold_until = now + MAX_ASSUMED_COLD;
     }
 
+    /// Takes the second before a time for full, as an earlier process may have admitted calls in it.
+    pub fn assume_full(&self, at: Time) {
+        self.lock().full_until = at + WINDOW;
+    }
+
+    /// Takes over what another limiter of the same backend server knows.
+    pub fn inherit(&self, other: &Self) {
+        let known = other.lock();
+        let mut inner = self.lock();
+        inner.cold_until = known.cold_until;
+        inner.assumed_cold_until = known.assumed_cold_until;
+        inner.full_until = known.full_until;
+        inner.starts.clone_from(&known.starts);
+    }
+
     /// Returns whether the backend server is cold or assumed to be, so that the limit applies.
     pub fn is_cold(&self, now: Time) -> bool {
         self.lock().is_cold(now)
@@ -115,7 +133,9 @@
         {
             inner.starts.pop_front();
         }
-        let is_full = inner.max_calls.is_some_and(|max| inner.starts.len() >= max);
+        let is_full = inner
+            .max_calls
+            .is_some_and(|max| inner.starts.len() >= max || now < inner.full_until);
         if is_full && inner.is_cold(now) {
             return false;
         }
--- a/buckthorn/src/admission/rate_limit.rs
+++ b/buckthorn/src/admission/rate_limit.rs
@@ -5,7 +5,8 @@
 //! is later than it may wait.
 //!
 //! A limit holds until a response to a request that was sent after the limit was last named does not
-//! name one; earlier responses may only be late.
+//! name one; earlier responses may only be late. While no response was seen since the process started,
+//! a low limit is assumed.
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -19,6 +20,9 @@
 /// Lowest rate in calls per second; without calls there would be no responses that lift the limit.
 const MIN_RATE: f64 = 0.5;
 
+/// Limit that is assumed until the first response; two calls may then start at once.
+const ASSUMED_LIMIT: f64 = 2.0;
+
 /// Rate limit of a backend server, as last named by it.
 #[derive(Debug, Default)]
 pub struct RateLimiter {
@@ -28,7 +32,7 @@
     inner: Mutex<Inner>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Inner {
     /// Calls per second that the backend server takes; `None` without a limit.
     limit: Option<f64>,
@@ -36,6 +40,8 @@
     named_at: Time,
     /// Time at which the next call would start if all started at even intervals.
     next: Time,
+    /// Whether the limit is assumed, as no response was seen.
+    is_assumed: bool,
 }
 
 /// How a response changed the limit.
@@ -61,6 +67,23 @@
 }
 
 impl RateLimiter {
+    /// Assumes a limit until the first response, as an earlier process may have known one.
+    pub fn assume_limited(&self) {
+        let mut inner = self.lock();
+        inner.limit = Some(ASSUMED_LIMIT);
+        inner.is_assumed = true;
+        self.is_limited.store(true, Ordering::Release);
+    }
+
+    /// Takes over what another limiter of the same backend server knows.
+    pub fn inherit(&self, other: &Self) {
+        let known = other.lock();
+        let mut inner = self.lock();
+        *inner = *known;
+        self.is_limited
+            .store(inner.limit.is_some(), Ordering::Release);
+    }
+
     /// Records the limit that a response names, in calls per second, if any. The response belongs to
     /// a request that was sent at `sent_at`.
     pub fn update(&self, limit: Option<f64>, sent_at: Time, now: Time) -> Change {
@@ -69,7 +92,8 @@
         }
         let mut inner = self.lock();
         let is_late = sent_at < inner.named_at;
-        let before = inner.limit;
+        let was_assumed = std::mem::take(&mut inner.is_assumed);
+        let before = inner.limit.filter(|_| !was_assumed);
         match limit {
             Some(_) => {
                 inner.named_at = now;
--- a/buckthorn/src/kernel/mod.rs
+++ b/buckthorn/src/kernel/mod.rs
@@ -77,6 +77,8 @@
     Announced(Option<BackendServer>),
     /// The local backend server said that it leaves.
     Departed(Departure),
+    /// The departure that the platform's store keeps for this host was read; `None` if there is none.
+    DepartureRead(Option<Departure>),
     /// The local backend server crashed.
     BackendCrashed(Crash),
     /// Evidence that this node counted as owner, at most once per tick.
@@ -159,6 +161,8 @@
     /// Refuse announcements of a backend server that left before this process started, and drain it
     /// if it is registered.
     RecallDeparture(Departure),
+    /// Keep the departure of the local backend server in the platform's store.
+    StoreDeparture(Departure),
     /// Pass the list of poison requests to the data path.
     UpdateBlocklist,
     /// Keep the list of poison requests in the platform's store; completed by
--- a/buckthorn/src/membership/plugin.rs
+++ b/buckthorn/src/membership/plugin.rs
@@ -132,7 +132,13 @@
             Event::Replied { from, messages } => self.handle_reply(cx, from, messages),
             Event::Unreachable { host, .. } => self.prober.on_unreachable(host, cx.now),
             Event::Announced(backend_server) => self.set_backend_server(cx, backend_server.clone()),
-            Event::Departed(departure) => self.set_departure(cx, departure),
+            Event::Departed(departure) => {
+                if cx.shared.member.departure.as_ref() != Some(departure) {
+                    cx.act(Action::StoreDeparture(departure.clone()));
+                }
+                self.set_departure(cx, departure);
+            }
+            Event::DepartureRead(Some(departure)) => self.recall(cx, departure),
             Event::Shutdown => self.leave(cx),
             Event::Seeds(seeds) => cx.shared.identity.seeds.clone_from(seeds),
             Event::LogRead { stream, batch } if *stream == JOIN_STREAM => {
--- a/buckthorn/src/membership/update.rs
+++ b/buckthorn/src/membership/update.rs
@@ -195,14 +195,22 @@
         }
     }
 
+    /// Applies the departure that was kept from an earlier process of this node, unless a later one is
+    /// known.
+    pub(super) fn recall(&mut self, cx: &mut Context<'_>, departure: &Departure) {
+        if cx.shared.member.departure.is_none() {
+            self.set_departure(cx, departure);
+            cx.act(Action::RecallDeparture(departure.clone()));
+        }
+    }
+
     /// Applies the departure that a peer kept from an earlier process of this node.
     fn recall_departure(&mut self, cx: &mut Context<'_>, member: &Member) {
         let Some(departure) = &member.departure else {
             return;
         };
-        if cx.shared.member.departure.is_none() && is_plausible(member, cx.now) {
-            self.set_departure(cx, departure);
-            cx.act(Action::RecallDeparture(departure.clone()));
+        if is_plausible(member, cx.now) {
+            self.recall(cx, departure);
         }
     }
 
--- a/buckthorn/src/node/adapter.rs
+++ b/buckthorn/src/node/adapter.rs
@@ -12,7 +12,7 @@
 use crate::config::order::Decision;
 use crate::kernel::{Event, OrderPolling};
 use crate::log::Log;
-use crate::membership::member::Member;
+use crate::membership::member::{Departure, Member};
 use crate::name::Name;
 use crate::poison::blocklist::Record;
 use crate::proxy::contract::Contract;
@@ -38,6 +38,10 @@
     /// one.
     fn read_decisions(&self);
 
+    /// Starts storing the departure of the local backend server without blocking; it is tried again
+    /// until it is stored or another one replaces it.
+    fn store_departure(&self, departure: Departure);
+
     /// Starts storing the list of poison requests without blocking. The outcome is delivered as
     /// [`Event::BlocklistStored`].
     fn store_blocklist(&self, records: &[Record]);
--- a/buckthorn/src/node/driver.rs
+++ b/buckthorn/src/node/driver.rs
@@ -11,6 +11,7 @@
 use tokio::runtime;
 
 use super::log::LogWorkers;
+use super::past::Past;
 use super::status::{self, Status};
 use super::telemetry::Statsd;
 use super::{OperatorChannel, Peer};
@@ -62,6 +63,8 @@
     LeaveInstance {
         /// Identifier of the instance.
         instance: Name,
+        /// Start of the instance in milliseconds, if the leave names it.
+        started: Option<u64>,
         /// Notified once the leave is processed.
         reply: Sender<()>,
     },
@@ -124,6 +127,8 @@
     exchanges: Arc<AtomicUsize>,
     /// Registration of the local backend server.
     registration: Registration,
+    /// What may be assumed of the time before the current owner.
+    past: Past,
     /// When evidence was last passed to the kernel.
     evidence_sent_at: Time,
     /// When counters were last sent to statsd.
@@ -140,7 +145,9 @@
         resources: Resources,
         inputs: Sender<Input>,
     ) -> Self {
+        let is_kept = resources.operator_channel.is_some();
         Self {
+            past: Past::new(data_path.clock.now(), is_kept),
             kernel,
             data_path,
             resources,
@@ -190,20 +197,34 @@
     /// Handles one input.
     fn handle_input(&mut self, input: Input) {
         match input {
-            Input::Event(event) => self.handle(&event),
+            Input::Event(event) => {
+                self.handle(&event);
+                if matches!(event, Event::DepartureRead(_)) {
+                    self.past.set_known();
+                }
+            }
             Input::Announce {
                 announcement,
                 reply,
             } => {
-                let result = self.announce(announcement);
+                let now = self.data_path.clock.now();
+                let result = match self.past.admit(announcement, now) {
+                    Some(announcement) => self.announce(announcement),
+                    None => Ok(()),
+                };
                 // The caller may have timed out.
                 let _ = reply.try_send(result);
             }
             Input::Leave => self.leave(),
-            Input::LeaveInstance { instance, reply } => {
+            Input::LeaveInstance {
+                instance,
+                started,
+                reply,
+            } => {
                 let now = self.data_path.clock.now();
-                let transition = self.registration.leave_instance(&instance, now);
+                let transition = self.registration.leave_instance(&instance, started, now);
                 self.report_if_drained(transition);
+                self.report_departure();
                 // The caller may have timed out.
                 let _ = reply.try_send(());
             }
@@ -230,6 +251,7 @@
     /// Runs periodic work.
     fn tick(&mut self) {
         let now = self.data_path.clock.now();
+        self.release_heartbeat(now);
         self.check_registration(now);
         if now.since(self.evidence_sent_at) >= EVIDENCE_INTERVAL {
             self.evidence_sent_at = now;
@@ -244,6 +266,17 @@
         self.handle(&Event::Tick);
     }
 
+    /// Handles the heartbeat that was held back until a peer or the platform's store was heard from.
+    fn release_heartbeat(&mut self, now: Time) {
+        if self.kernel.shared().view.live().nth(1).is_some() {
+            self.past.set_known();
+        }
+        if let Some(announcement) = self.past.release(now) {
+            // Heartbeats are never refused.
+            let _ = self.announce(announcement);
+        }
+    }
+
     /// Passes the evidence that the owner recorded to the kernel.
     fn collect_evidence(&mut self) {
         let Some(owner) = self.data_path.owner.load_full() else {
@@ -309,6 +342,11 @@
                     let transition = self.registration.recall(departure, now);
                     self.report_if_drained(transition);
                 }
+                Action::StoreDeparture(departure) => {
+                    if let Some(operator_channel) = &self.resources.operator_channel {
+                        operator_channel.store_departure(departure);
+                    }
+                }
                 Action::UpdateBlocklist => {
                     let blocklist = self.kernel.shared().blocklist.clone();
                     self.data_path.blocklist.store(Arc::new(blocklist));
@@ -467,7 +505,9 @@
             current.instance.clone(),
             self.max_cold_calls(&current.service),
         );
-        self.data_path.owner.store(Some(Arc::new(owner)));
+        let owner = Arc::new(owner);
+        self.past.introduce(&owner, &current);
+        self.data_path.owner.store(Some(owner));
         self.update_cold_limiter(&current, now);
         self.handle(&Event::Announced(Some(server)));
         Ok(())
--- a/buckthorn/src/node/mod.rs
+++ b/buckthorn/src/node/mod.rs
@@ -7,6 +7,7 @@
 mod adapter;
 mod driver;
 mod log;
+pub mod past;
 pub mod settings;
 pub mod status;
 pub mod telemetry;
@@ -448,11 +449,15 @@
         let _ = self.inputs.try_send(Input::Leave);
     }
 
-    fn leave_instance(&self, instance: &str) -> Result<(), admin::Refusal> {
+    fn leave_instance(&self, instance: &str, started: Option<u64>) -> Result<(), admin::Refusal> {
         let (reply, receiver) = channel::bounded(1);
-        let instance = instance.into();
+        let input = Input::LeaveInstance {
+            instance: instance.into(),
+            started,
+            reply,
+        };
         self.inputs
-            .try_send(Input::LeaveInstance { instance, reply })
+            .try_send(input)
             .map_err(|_| admin::Refusal::Busy)?;
         receiver
             .recv_timeout(KERNEL_REPLY_TIMEOUT)
--- a/buckthorn/tests/admin_heartbeat.rs
+++ b/buckthorn/tests/admin_heartbeat.rs
@@ -145,7 +145,7 @@
     let started_ms = START.as_millis() - 60_000;
     let mut registration = Registration::new();
     assert_eq!(
-        registration.leave_instance("i-1", START),
+        registration.leave_instance("i-1", None, START),
         Transition::Unchanged
     );
     for seconds in [0, 2, 20] {
@@ -214,10 +214,38 @@
     announce(&mut registration, &heartbeat("i-1", 100, 2, false), START);
     assert_eq!(registration.departure(), None);
     announce(&mut registration, &heartbeat("i-1", 200, 1, false), START);
-    assert_eq!(registration.leave_instance("i-1", START), Transition::Drain);
+    assert_eq!(
+        registration.leave_instance("i-1", None, START),
+        Transition::Drain
+    );
     let departure = Departure {
         instance: "i-1".into(),
         started: 200,
     };
     assert_eq!(registration.departure(), Some(&departure));
 }
+
+/// A leave that was on its way for seconds drained the lifetime that the server had begun meanwhile.
+#[test]
+fn a_leave_holds_for_the_lifetime_that_it_names_and_earlier_ones() {
+    let mut registration = Registration::new();
+    announce(&mut registration, &heartbeat("i-1", 200, 1, false), START);
+    let late = registration.leave_instance("i-1", Some(100), START);
+    assert_eq!(late, Transition::Unchanged);
+    let next = announce(&mut registration, &heartbeat("i-1", 200, 2, false), START);
+    assert_eq!(next, Transition::Refreshed);
+    let own = registration.leave_instance("i-1", Some(200), START);
+    assert_eq!(own, Transition::Drain);
+    // The same for one that comes before the first heartbeat that this node hears.
+    let mut restarted = Registration::new();
+    restarted.leave_instance("i-1", Some(100), START);
+    for (started, expected) in [
+        (90, Transition::Unchanged),
+        (100, Transition::Unchanged),
+        (101, Transition::Open),
+    ] {
+        let heartbeat = heartbeat("i-1", started, 5, false);
+        let got = announce(&mut restarted.clone(), &heartbeat, START);
+        assert_eq!(got, expected, "started at {started}");
+    }
+}
--- a/buckthorn/tests/admin_server.rs
+++ b/buckthorn/tests/admin_server.rs
@@ -38,7 +38,7 @@
         self.received.lock().unwrap().push("leave".into());
     }
 
-    fn leave_instance(&self, instance: &str) -> Result<(), Refusal> {
+    fn leave_instance(&self, instance: &str, _: Option<u64>) -> Result<(), Refusal> {
         self.received
             .lock()
             .unwrap()
--- a/buckthorn_lab/src/harness/mod.rs
+++ b/buckthorn_lab/src/harness/mod.rs
@@ -421,6 +421,7 @@
             | Action::MonitorOrders(_)
             | Action::CollectEvidence
             | Action::RecallDeparture(_)
+            | Action::StoreDeparture(_)
             | Action::UpdateBlocklist
             | Action::StoreBlocklist(_)
             | Action::ReadDecisions
