--- a/buckthorn/src/node/driver.rs
+++ b/buckthorn/src/node/driver.rs
@@ -10,9 +10,10 @@
 use slog::{Logger, info, warn};
 use tokio::runtime;
 
+pub(super) use super::input::Input;
 use super::log::LogWorkers;
 use super::past::Past;
-use super::status::{self, Status};
+use super::status;
 use super::telemetry::Statsd;
 use super::{OperatorChannel, Peer};
 use crate::admin::registration::{Registration, Transition};
@@ -45,35 +46,6 @@
 /// [`Counter::PeersUnreachable`].
 const MAX_EXCHANGES: usize = 256;
 
-/// Input of the kernel thread.
-#[derive(Debug)]
-pub(super) enum Input {
-    /// An event for the kernel.
-    Event(Event),
-    /// The local backend server announced itself.
-    Announce {
-        /// Announcement, already validated.
-        announcement: Announcement,
-        /// Receives whether the announcement was accepted.
-        reply: Sender<Result<(), Refusal>>,
-    },
-    /// The local backend server is leaving.
-    Leave,
-    /// An instance of the local backend server is leaving.
-    LeaveInstance {
-        /// Identifier of the instance.
-        instance: Name,
-        /// Start of the instance in milliseconds, if the leave names it.
-        started: Option<u64>,
-        /// Notified once the leave is processed.
-        reply: Sender<()>,
-    },
-    /// Status request; the sender receives the status.
-    GetStatus(Sender<Status>),
-    /// Stops the thread.
-    Stop,
-}
-
 /// State that the kernel thread shares with the data path.
 #[derive(Clone, Debug)]
 pub(super) struct DataPath {
--- a/buckthorn/src/node/mod.rs
+++ b/buckthorn/src/node/mod.rs
@@ -6,6 +6,7 @@
 
 mod adapter;
 mod driver;
+mod input;
 mod log;
 pub mod past;
 pub mod settings;
