--- a/buckthorn/src/node/driver.rs
+++ b/buckthorn/src/node/driver.rs
@@ -10,8 +10,10 @@
 use slog::{Logger, info, warn};
 use tokio::runtime;
 
+pub(super) use super::input::Input;
 use super::log::LogWorkers;
-use super::status::{self, Status};
+use super::past::Past;
+use super::status;
 use super::telemetry::Statsd;
 use super::{OperatorChannel, Peer};
 use crate::admin::registration::{Registration, Transition};
@@ -44,33 +46,6 @@
 /// [`Counter::PeersUnreachable`].
 const MAX_EXCHANGES: usize = 256;
 
-/// Input of the kernel thread.
-#[derive(Debug)]
-pub(super) enum Input {
-    /// An event for the kernel.
-    Event(Event),
-    /// The local backend server announced itself.
-    Announce {
-        /// Announcement, already validated.
-        announcement: Announcement,
-        /// Receives whether the announcement was accepted.
-        reply: Sender<Result<(), Refusal>>,
-    },
-    /// The local backend server is leaving.
-    Leave,
-    /// An instance of the local backend server is leaving.
-    LeaveInstance {
-        /// Identifier of the instance.
-        instance: Name,
-        /// Notified once the leave is processed.
-        reply: Sender<()>,
-    },
-    /// Status request; the sender receives the status.
-    GetStatus(Sender<Status>),
-    /// Stops the thread.
-    Stop,
-}
-
 /// State that the kernel thread shares with the data path.
 #[derive(Clone, Debug)]
 pub(super) struct DataPath {
@@ -124,6 +99,8 @@
     exchanges: Arc<AtomicUsize>,
     /// Registration of the local backend server.
     registration: Registration,
+    /// What may be assumed of the time before the current owner.
+    past: Past,
     /// When evidence was last passed to the kernel.
     evidence_sent_at: Time,
     /// When counters were last sent to statsd.
@@ -140,7 +117,9 @@
         resources: Resources,
         inputs: Sender<Input>,
     ) -> Self {
+        let is_kept = resources.operator_channel.is_some();
         Self {
+            past: Past::new(data_path.clock.now(), is_kept),
             kernel,
             data_path,
             resources,
@@ -190,20 +169,34 @@
     /// Handles one input.
     fn handle_input(&mut self, input: Input) {
         match input {
-            Input::Event(event) => self.handle(&event),
+            Input::Event(event) => {
+                self.handle(&event);
+                if matches!(event, Event::DepartureRead(_)) {
+                    self.past.set_known();
+                }
+            }
             Input::Announce {
                 announcement,
                 reply,
             } => {
-                let result = self.announce(announcement);
+                let now = self.data_path.clock.now();
+                let result = match self.past.admit(announcement, now) {
+                    Some(announcement) => self.announce(announcement),
+                    None => Ok(()),
+                };
                 // The caller may have timed out.
                 let _ = reply.try_send(result);
             }
             Input::Leave => self.leave(),
-            Input::LeaveInstance { instance, reply } => {
+            Input::LeaveInstance {
+                instance,
+                started,
+                reply,
+            } => {
                 let now = self.data_path.clock.now();
-                let transition = self.registration.leave_instance(&instance, now);
+                let transition = self.registration.leave_instance(&instance, started, now);
                 self.report_if_drained(transition);
+                self.report_departure();
                 // The caller may have timed out.
                 let _ = reply.try_send(());
             }
@@ -230,6 +223,7 @@
     /// Runs periodic work.
     fn tick(&mut self) {
         let now = self.data_path.clock.now();
+        self.release_heartbeat(now);
         self.check_registration(now);
         if now.since(self.evidence_sent_at) >= EVIDENCE_INTERVAL {
             self.evidence_sent_at = now;
@@ -244,6 +238,17 @@
         self.handle(&Event::Tick);
     }
 
+    /// Handles the heartbeat that was held back until a peer or the platform's store was heard from.
+    fn release_heartbeat(&mut self, now: Time) {
+        if self.kernel.shared().view.live().nth(1).is_some() {
+            self.past.set_known();
+        }
+        if let Some(announcement) = self.past.release(now) {
+            // Heartbeats are never refused.
+            let _ = self.announce(announcement);
+        }
+    }
+
     /// Passes the evidence that the owner recorded to the kernel.
     fn collect_evidence(&mut self) {
         let Some(owner) = self.data_path.owner.load_full() else {
@@ -309,6 +314,11 @@
                     let transition = self.registration.recall(departure, now);
                     self.report_if_drained(transition);
                 }
+                Action::StoreDeparture(departure) => {
+                    if let Some(operator_channel) = &self.resources.operator_channel {
+                        operator_channel.store_departure(departure);
+                    }
+                }
                 Action::UpdateBlocklist => {
                     let blocklist = self.kernel.shared().blocklist.clone();
                     self.data_path.blocklist.store(Arc::new(blocklist));
@@ -467,7 +477,9 @@
             current.instance.clone(),
             self.max_cold_calls(&current.service),
         );
-        self.data_path.owner.store(Some(Arc::new(owner)));
+        let owner = Arc::new(owner);
+        self.past.introduce(&owner, &current);
+        self.data_path.owner.store(Some(owner));
         self.update_cold_limiter(&current, now);
         self.handle(&Event::Announced(Some(server)));
         Ok(())
