Lower the limit of servers that slow down before they are full

Cause: some servers serve fewer calls with all their slots in use than with some of them, and the limit of a node on the platform always equals the announced slots.

Change: the owner compares the times at each number of running calls, at the pace that the server tells. Where all slots serve less than 0.7 of what fewer do, no more than those run, and after 10 s more are tried again.

--- a/buckthorn/src/admission/capacity.rs
+++ b/buckthorn/src/admission/capacity.rs
@@ -55,7 +55,10 @@
 const MIN_LEVEL_CALLS: u32 = 20;
 
 /// The limit is lowered when all slots serve less than this share of what fewer serve.
-const USEFUL_SHARE: f64 = 0.85;
+const USEFUL_SHARE: f64 = 0.7;
+
+/// The limit is at least the slots divided by this.
+const LOWEST_LIMIT_DIVISOR: u32 = 3;
 
 /// Kind of a call: the route under which evidence is recorded, as a hash.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -289,27 +292,32 @@
         }
     }
 
-    /// Returns the number of calls up to which the server serves more the more run, at most `slots`.
+    /// Returns the number of calls that the server takes well, at most `slots`. It is lower where all
+    /// slots together serve clearly less than fewer do. What is known of more calls than that expires,
+    /// so that they are tried again.
     pub fn useful_limit(&self, slots: u32, now: Time) -> u32 {
-        let served = |running: u32| -> Option<f64> {
-            let level = self.levels.get(running.checked_sub(1)? as usize)?;
-            if level.calls.load(Ordering::Relaxed) < MIN_LEVEL_CALLS {
-                return None;
-            }
-            let time = level.relative_time.get(now)?;
-            Some(f64::from(running) * 1_000.0 / time as f64)
-        };
-        let Some(full) = served(slots) else {
+        let Some(full) = self.served(slots, now) else {
             return slots;
         };
-        (1..slots)
-            .filter(|running| served(*running).is_some_and(|fewer| full < fewer * USEFUL_SHARE))
-            .max_by(|a, b| {
-                served(*a)
-                    .partial_cmp(&served(*b))
-                    .unwrap_or(std::cmp::Ordering::Equal)
-            })
-            .unwrap_or(slots)
+        let lowest = slots.div_ceil(LOWEST_LIMIT_DIVISOR);
+        let best = (lowest..slots)
+            .filter_map(|running| Some((running, self.served(running, now)?)))
+            .max_by(|(_, a), (_, b)| a.total_cmp(b));
+        match best {
+            Some((running, served)) if full < served * USEFUL_SHARE => running,
+            Some(_) | None => slots,
+        }
+    }
+
+    /// Returns the calls that the server ends in the usual time of one call while this many run;
+    /// `None` where that is unknown.
+    fn served(&self, running: u32, now: Time) -> Option<f64> {
+        let level = self.levels.get(running.checked_sub(1)? as usize)?;
+        if level.calls.load(Ordering::Relaxed) < MIN_LEVEL_CALLS {
+            return None;
+        }
+        let time = level.relative_time.get(now)?;
+        Some(f64::from(running) * 1_000.0 / time as f64)
     }
 
     /// Returns the report for a call of this kind, while `running` calls run and `waiting` wait.
@@ -356,7 +364,9 @@
             level.calls.store(0, Ordering::Relaxed);
         }
         level.calls.fetch_add(1, Ordering::Relaxed);
-        let relative = micros(call.latency) * 1_000 / usual.max(1);
+        // Calls pile up while a neighbour slows the server down, which says nothing of their number.
+        let relative = micros(call.latency) as f64 * 1_000.0 / usual.max(1) as f64;
+        let relative = (relative / self.pace_factor(now)) as u64;
         level.relative_time.add(relative, now);
     }
 
--- a/buckthorn/src/admission/gate.rs
+++ b/buckthorn/src/admission/gate.rs
@@ -144,7 +144,7 @@
         Self::with_limit(Limit::warm(slots, now))
     }
 
-    /// Creates a gate whose limit always equals the slots.
+    /// Creates a gate whose limit equals the slots until [`Gate::set_limit`] changes it.
     pub fn fixed(slots: u32, now: Time) -> Self {
         Self::with_limit(Limit::fixed(slots, now))
     }
@@ -175,6 +175,16 @@
         self.limit.get()
     }
 
+    /// Returns whether outcomes do not change the limit.
+    pub fn is_fixed(&self) -> bool {
+        self.limit.is_fixed()
+    }
+
+    /// Sets the limit of a gate whose limit is fixed.
+    pub fn set_limit(&mut self, limit: u32) {
+        self.limit.set_fixed(limit);
+    }
+
     /// Returns whether the gate is closed to new calls.
     pub fn is_closed(&self) -> bool {
         self.is_closed
--- a/buckthorn/src/admission/limit.rs
+++ b/buckthorn/src/admission/limit.rs
@@ -115,7 +115,7 @@
     cut: Time,
     /// Time at which the backend server was last in use.
     used: Time,
-    /// Whether the limit always equals the slots.
+    /// Whether outcomes do not change the limit.
     is_fixed: bool,
 }
 
@@ -154,7 +154,8 @@
         }
     }
 
-    /// Creates a limit that always equals the slots, for a backend server whose slots are exact.
+    /// Creates a limit that equals the slots until [`Limit::set_fixed`] changes it, for a backend server
+    /// whose slots are exact.
     pub fn fixed(slots: u32, now: Time) -> Self {
         Self {
             is_fixed: true,
@@ -162,6 +163,13 @@
         }
     }
 
+    /// Sets a fixed limit to a number of calls within the slots; an adaptive one stays as it is.
+    pub fn set_fixed(&mut self, limit: u32) {
+        if self.is_fixed {
+            self.value = f64::from(limit.clamp(1, self.slots));
+        }
+    }
+
     /// Creates the limit of a backend server known to handle all its slots.
     pub fn warm(slots: u32, now: Time) -> Self {
         let cold = Self::new(slots, now);
@@ -181,6 +189,11 @@
         limit
     }
 
+    /// Returns whether outcomes do not change the limit.
+    pub fn is_fixed(&self) -> bool {
+        self.is_fixed
+    }
+
     /// Returns the announced number of slots.
     pub fn slots(&self) -> u32 {
         self.slots
--- a/buckthorn/src/admission/semaphore.rs
+++ b/buckthorn/src/admission/semaphore.rs
@@ -46,6 +46,8 @@
     tally: Tally,
     /// Time of the last acquire outside the lock, in microseconds since the Unix epoch.
     last_used: AtomicU64,
+    /// Whether outcomes do not change the limit.
+    is_fixed: bool,
     /// Decides on acquires and releases while [`LOCKED`] is set.
     inner: Mutex<Inner>,
     clock: Clock,
@@ -185,6 +187,7 @@
             word: AtomicU64::new(word.pack()),
             tally: Tally::default(),
             last_used: AtomicU64::new(now.0),
+            is_fixed: gate.is_fixed(),
             inner: Mutex::new(Inner {
                 gate,
                 waiting: Vec::new(),
@@ -281,6 +284,22 @@
         Word::unpack(self.word.load(Ordering::Acquire)).limit
     }
 
+    /// Sets a limit that outcomes do not change; returns how it changed.
+    pub fn set_limit(&self, limit: u32) -> Change {
+        let before = self.limit();
+        if limit == before || !self.is_fixed {
+            return Change::Unchanged;
+        }
+        self.decide(self.clock.now(), |inner| inner.gate.set_limit(limit));
+        let change = match self.limit() {
+            after if after < before => Change::Cut,
+            after if after > before => Change::Raised,
+            _ => Change::Unchanged,
+        };
+        self.count_change(change);
+        change
+    }
+
     /// Returns the load in thousandths of the current limit, waiting calls included. The owner
     /// reports it to ingresses.
     pub fn load_permille(&self) -> u32 {
--- a/buckthorn/src/log_event.rs
+++ b/buckthorn/src/log_event.rs
@@ -43,6 +43,7 @@
     OwnerRefused "owner.refused" "request, service, reason, running, queued, limit, version" "The owner refused a call as not run.",
     OwnerFailed "owner.failed" "request, service, instance, reason, ran, took_ms" "The backend server gave no response that could be forwarded.",
     BackendLimited "backend.limited" "instance, limit" "The local backend server named another number of requests per second that it takes in its responses, or none any more.",
+    BackendCapacity "backend.capacity" "instance, limit, slots" "The local backend server serves fewer calls with all slots in use than with `limit` of them, so no more run; equal to the slots when that is over.",
     BackendStateRefused "backend.state_refused" "instance, error" "A response of the local backend server named its state in a way that cannot be read; the state stays as it was.",
     LinesDropped "log.dropped" "class, lines" "Lines about calls that were dropped by the rate limit since the last such line.",
     // Configuration, membership and moves.
--- a/buckthorn/src/proxy/backend_state.rs
+++ b/buckthorn/src/proxy/backend_state.rs
@@ -10,6 +10,7 @@
 use super::owner::Owner;
 use super::{Plane, request_log, response};
 use crate::admission::capacity::{Kind, State};
+use crate::admission::limit;
 use crate::admission::rank::Rank;
 use crate::admission::rate_limit::Change;
 use crate::clock::Time;
@@ -33,12 +34,22 @@
         Ok(None) => {}
         Err(error) => log_malformed(plane, owner, &error),
     }
+    adjust_limit(plane, owner);
     match contract.headers.rate_limit(headers) {
         Ok(limit) => update_rate_limit(plane, owner, limit, sent_at),
         Err(error) => log_malformed(plane, owner, &error),
     }
 }
 
+/// Sets the concurrency limit to what the backend server takes well.
+fn adjust_limit(plane: &Plane, owner: &Owner) {
+    let limit = owner.capacity.useful_limit(owner.slots, plane.clock.now());
+    if owner.semaphore.set_limit(limit) != limit::Change::Unchanged {
+        info!(plane.logger, "{}", LogEvent::BackendCapacity.name();
+            "instance" => instance(owner), "limit" => limit, "slots" => owner.slots);
+    }
+}
+
 /// Updates the rate limit from a response to a request that was sent at `sent_at`.
 fn update_rate_limit(plane: &Plane, owner: &Owner, limit: Option<f64>, sent_at: Time) {
     let now = plane.clock.now();
--- a/buckthorn/tests/admission_capacity.rs
+++ b/buckthorn/tests/admission_capacity.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use buckthorn::admission::capacity::{Capacity, Ended, Kind, State, Told};
+use buckthorn::admission::gate::{Decision, Gate, Offer};
 use buckthorn::admission::rank::Rank;
 use buckthorn::admission::report::Report;
 use buckthorn::clock::Time;
@@ -169,6 +170,54 @@
     }
 }
 
+/// Load: all slots in use at a server whose times grow with the square of the calls beyond three.
+#[test]
+fn the_limit_falls_below_the_slots_where_a_server_slows_down_before_it_is_full() {
+    const GOOD: u32 = 3;
+    let [kind, ..] = kinds();
+    let run = |time: &dyn Fn(u32) -> Duration| {
+        let capacity = Capacity::default();
+        let mut now = START;
+        for round in 0..240 {
+            let running = 1 + round % SLOTS;
+            let call = Ended {
+                kind,
+                outcome: Outcome::Ok,
+                latency: time(running),
+                slot_time: time(running),
+                running,
+            };
+            now = now + millis(20);
+            capacity.record(&call, now);
+        }
+        (capacity, now)
+    };
+    let overload = |running: u32| (f64::from(running) / f64::from(GOOD)).max(1.0).powi(2);
+    let (slowing, now) = run(&|running| millis(100).mul_f64(overload(running)));
+    assert_eq!(slowing.useful_limit(SLOTS, now), GOOD);
+    let later = now + Duration::from_secs(10);
+    assert_eq!(
+        slowing.useful_limit(SLOTS, later),
+        SLOTS,
+        "it is tried again"
+    );
+    let (steady, now) = run(&|_| millis(100));
+    assert_eq!(steady.useful_limit(SLOTS, now), SLOTS);
+    assert_eq!(Capacity::default().useful_limit(SLOTS, now), SLOTS);
+    // The gate takes the limit, but none above its slots.
+    for (limit, expected) in [(GOOD, GOOD), (2 * SLOTS, SLOTS), (0, 1)] {
+        let mut gate = Gate::fixed(SLOTS, START);
+        gate.set_limit(limit);
+        let offer = Offer {
+            rank: Rank::new(3),
+            deadline: None,
+            max_wait: None,
+        };
+        let runs = |_: &u32| gate.offer(START, offer) == Decision::Run;
+        assert_eq!((0..2 * SLOTS).filter(runs).count() as u32, expected);
+    }
+}
+
 /// Load: calls of more kinds than are told apart.
 #[test]
 fn further_kinds_count_only_together() {
--- a/buckthorn/tests/proxy_contract.rs
+++ b/buckthorn/tests/proxy_contract.rs
@@ -344,6 +344,45 @@
     assert!(refused > 0, "calls beyond the limit are refused");
 }
 
+/// Load: calls for three quarters of the slots at once. None waits for another to end while the other
+/// server has room, and callers do not see what owners report.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_call_waits_at_a_full_server_while_another_has_room() {
+    const TIME: Duration = Duration::from_millis(500);
+    const CALLS: usize = 24;
+    let slow = |mut exchange: Exchange| async move {
+        while let Some(request) = exchange.request().await {
+            tokio::time::sleep(TIME).await;
+            if !exchange.send(&signed(&request, "200 OK", "")).await {
+                return;
+            }
+        }
+    };
+    let (ingress, owners) = mesh(&[scripted(slow).await, scripted(slow).await], 2).await;
+    // Both owners are heard.
+    for (number, owner) in owners.iter().enumerate() {
+        let id = format!("first-{number}");
+        assert_eq!(call(owner, "GET", "/read/1", &id).await.status, 200);
+        assert_eq!(call(&ingress, "GET", "/read/1", &id).await.status, 200);
+    }
+    let began = Instant::now();
+    let calls = (0..CALLS).map(|number| {
+        let ingress = &ingress;
+        async move {
+            let response = call(ingress, "GET", "/read/1", &format!("r-{number}")).await;
+            (response, began.elapsed())
+        }
+    });
+    for (response, took) in join_all(calls).await {
+        assert_eq!(response.status, 200, "{response:?}");
+        assert!(
+            response.header("x-buckthorn-report").is_none(),
+            "{response:?}"
+        );
+        assert!(took < 2 * TIME, "{took:?}");
+    }
+}
+
 /// A limit that cannot be read must neither be taken for another one nor hide the departure.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_unreadable_limit_changes_nothing_and_a_departure_beside_it_counts() {
