--- a/buckthorn/src/admission/semaphore.rs
+++ b/buckthorn/src/admission/semaphore.rs
@@ -49,6 +49,8 @@
     last_used: AtomicU64,
     /// Mean time of a call in microseconds, zero when unknown.
     mean: AtomicU64,
+    /// Whether outcomes do not change the limit.
+    is_fixed: bool,
     /// Decides on acquires and releases while [`LOCKED`] is set.
     inner: Mutex<Inner>,
     clock: Clock,
@@ -189,6 +191,7 @@
             tally: Tally::default(),
             last_used: AtomicU64::new(now.0),
             mean: AtomicU64::new(0),
+            is_fixed: gate.is_fixed(),
             inner: Mutex::new(Inner {
                 gate,
                 waiting: Vec::new(),
@@ -298,6 +301,22 @@
         }
     }
 
+    /// Sets a limit that outcomes do not change; returns how it changed.
+    pub fn set_limit(&self, limit: u32) -> Change {
+        let before = self.limit();
+        if limit == before || !self.is_fixed {
+            return Change::Unchanged;
+        }
+        self.decide(self.clock.now(), |inner| inner.gate.set_limit(limit));
+        let change = match self.limit() {
+            after if after < before => Change::Cut,
+            after if after > before => Change::Raised,
+            _ => Change::Unchanged,
+        };
+        self.count_change(change);
+        change
+    }
+
     /// Returns the load in thousandths of the current limit, waiting calls included. The owner
     /// reports it to ingresses.
     pub fn load_permille(&self) -> u32 {
