--- a/buckthorn/src/admission/cold_rate.rs
+++ b/buckthorn/src/admission/cold_rate.rs
@@ -66,6 +66,9 @@
     assumed_cold_until: Time,
     /// Time until which a window counts as full, as it is unknown which calls started in it.
     full_until: Time,
+    /// Whether a call was refused for that. Those that wait come together afterwards, so the limit
+    /// then holds for one more window, also when the backend server turns warm in it.
+    was_held: bool,
     /// Times of the calls that started within the last window.
     starts: VecDeque<Time>,
 }
@@ -80,6 +83,7 @@
                 cold_until: Time::default(),
                 assumed_cold_until: Time::default(),
                 full_until: Time::default(),
+                was_held: false,
                 starts: VecDeque::new(),
             }),
         }
@@ -115,6 +119,7 @@
         inner.cold_until = known.cold_until;
         inner.assumed_cold_until = known.assumed_cold_until;
         inner.full_until = known.full_until;
+        inner.was_held = known.was_held;
         inner.starts.clone_from(&known.starts);
     }
 
@@ -136,7 +141,9 @@
         let is_full = inner
             .max_calls
             .is_some_and(|max| inner.starts.len() >= max || now < inner.full_until);
-        if is_full && inner.is_cold(now) {
+        let is_after_hold = inner.was_held && now < inner.full_until + WINDOW;
+        if is_full && (inner.is_cold(now) || is_after_hold) {
+            inner.was_held |= now < inner.full_until;
             return false;
         }
         // Starts are also counted while warm, so that the limit covers the last second as soon as
--- a/buckthorn/tests/node_past.rs
+++ b/buckthorn/tests/node_past.rs
@@ -67,6 +67,11 @@
     assert_eq!(cold_calls(&owner, START + Duration::from_millis(1_000)), 0);
     let later = START + Duration::from_millis(1_200);
     assert_eq!(cold_calls(&owner, later), COLD_CALLS);
+    // Calls that were held back don't come all at once as soon as the server turns warm.
+    let warm = later + Duration::from_millis(500);
+    owner.cold_limiter.set_cold_for(warm, Duration::ZERO);
+    assert_eq!(cold_calls(&owner, warm), 0);
+    assert_eq!(cold_calls(&owner, START + Duration::from_millis(2_300)), 20);
 }
 
 /// The owner of a backend server that names a limit restarted and let in as many calls as it has
