Choose by told load where servers are busy

Cause: near and above saturation old expectations sent too many calls to the fast servers, which refused them, and kept calls in a full failure domain.

Change: from a mean load of 0.9 the choice goes by told load as before, and calls wait at once.

--- a/buckthorn/src/routing/choice.rs
+++ b/buckthorn/src/routing/choice.rs
@@ -174,7 +174,9 @@
 ) -> Option<&'a Endpoint> {
     let means = match criterion {
         Criterion::Load { .. } => None,
-        Criterion::Completion(demand) => Means::of(share, demand.kind, now).map(|m| (m, demand)),
+        Criterion::Completion(demand) => Means::of(share, demand.kind, now)
+            .filter(|means| !means.is_busy())
+            .map(|means| (means, demand)),
     };
     let filter = Filter {
         now,
--- a/buckthorn/src/routing/completion.rs
+++ b/buckthorn/src/routing/completion.rs
@@ -49,9 +49,10 @@
 /// and another server that was not the first choice.
 const DETOUR: f64 = 0.5;
 
-/// Mean load from which calls wait at once. Where most servers are full, the calls that get the next
-/// free slot have to be those that rank first, and owners know them only while they wait.
-const BUSY_LOAD: f64 = 0.8;
+/// Mean load from which the servers are busy. Calls then wait at once, since those that rank first
+/// have to get the next free slot and owners know only those that wait. The choice goes by told load
+/// alone, since by old expectations all would go to the fast servers, which then refuse.
+const BUSY_LOAD: f64 = 0.9;
 
 /// How much earlier a server outside the failure domain must be expected to complete a call, as a
 /// share of the mean time of the call's kind. Bytes between failure domains have a cost.
@@ -170,6 +171,11 @@
         expectation(limit, calls, time, kind_time)
     }
 
+    /// Returns whether most of the servers are full or about to be.
+    pub fn is_busy(&self) -> bool {
+        self.load >= BUSY_LOAD
+    }
+
     /// Returns how much longer a server's calls take than the mean.
     fn slowness(&self, heard: &Heard) -> f64 {
         let mean_time = heard.mean_time.as_secs_f64();
@@ -213,7 +219,7 @@
 /// Returns whether some backend server beside those on the hosts `full` is expected to run a call at
 /// once, and the servers together have room enough for calls to look for it.
 pub fn has_room(share: &Share, full: &[Name], means: &Means, demand: &Demand, now: Time) -> bool {
-    if means.load >= BUSY_LOAD {
+    if means.is_busy() {
         return false;
     }
     let mut others = share.endpoints.iter().filter(|e| !full.contains(&e.host));
