Check callers' keys and bound how long a revoked key works

The policy knew no tenants: callers' keys were handed on to backend servers, and any call on any route ran. A policy with tenants now asks for a key on each route that is not public. The ingress decides for each request, by the digests of the keys, removes the key, names the tenant and takes its priority.

A node that hears nothing can't know that a key was taken away. Where the deployment enforces a bound, keys are accepted only while the policy was confirmed as the newest within nine tenths of it; the age of a confirmation counts from the request, so delays and pauses make it older, never newer.

--- a/buckthorn/src/config/intake.rs
+++ b/buckthorn/src/config/intake.rs
@@ -116,8 +116,9 @@
             RelayAction::Nothing
         };
         self.execute(cx, action);
-        if self.is_monitor != self.relay.is_monitor() {
-            self.is_monitor = self.relay.is_monitor();
+        let is_monitor = self.relay.is_monitor() || cx.shared.is_confirmation_old;
+        if self.is_monitor != is_monitor {
+            self.is_monitor = is_monitor;
             cx.act(Action::MonitorOrders(self.is_monitor));
         }
     }
--- a/buckthorn/src/config/policy.rs
+++ b/buckthorn/src/config/policy.rs
@@ -11,6 +11,7 @@
 
 use crate::admission::gate::Urgency;
 use crate::name::Name;
+use crate::tenant::directory::Directory;
 
 /// Step of the low-discrepancy sequence that spreads requests over a split: 2^32 divided by the
 /// golden ratio (R. Schretter, L. Kobbelt, "Golden Ratio Sequences for Low-Discrepancy
@@ -26,6 +27,9 @@
     pub routes: Vec<Route>,
     /// Services, sorted by name.
     pub services: Vec<Service>,
+    /// Tenants and their keys; absent if callers need no key.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tenants: Option<Directory>,
 }
 
 /// Whether a route's requests may be retried after they may have run, and what its responses are
@@ -60,6 +64,9 @@
     pub latency_target: Duration,
     /// Priority among requests that wait for the same backend server; 0 is served first.
     pub urgency: Urgency,
+    /// Whether its requests need no key of a tenant.
+    #[serde(default)]
+    pub is_public: bool,
     /// Services with their weights; never empty.
     pub split: Vec<SplitPart>,
     /// Requests routed so far, which index the low-discrepancy sequence.
@@ -107,6 +114,7 @@
             timeout: Duration::MAX,
             latency_target: Duration::MAX,
             urgency: 0,
+            is_public: false,
             split,
             request_count: AtomicU32::new(0),
         }
@@ -140,6 +148,7 @@
             .all(|route| has_weighted_part(&route.split))
             && self.routes.is_sorted_by_key(key)
             && self.services.is_sorted_by(|a, b| a.name <= b.name)
+            && self.tenants.as_ref().is_none_or(Directory::is_valid)
     }
 
     /// Policy of the given routes and services, which are sorted.
@@ -153,6 +162,7 @@
             version,
             routes,
             services,
+            tenants: None,
         }
     }
 
--- a/buckthorn/src/config/relay.rs
+++ b/buckthorn/src/config/relay.rs
@@ -295,26 +295,18 @@
     /// Fills up the sources with readers of the local failure domain. Returns `false` if this node
     /// is itself a reader.
     fn select_sources(&mut self, now: Time, identity: &Identity, view: &View) -> bool {
-        let domain_members = view
-            .live()
-            .filter(|member| member.failure_domain == identity.failure_domain);
-        let mut ranked: Vec<(u64, &Name)> = domain_members
-            .map(|member| (name::rendezvous(READER_KEY, &member.host), &member.host))
-            .collect();
-        ranked.sort_unstable_by(|a, b| b.cmp(a));
-        self.is_monitor = ranked
-            .first()
-            .is_none_or(|(_, host)| **host == identity.host);
+        let ranked = ranked(view, &identity.failure_domain);
+        self.is_monitor = ranked.first().is_none_or(|host| **host == identity.host);
         let count = readers(ranked.len());
         // A node with followers stays a reader when nodes of a higher rank join, as long as its
         // rank is within twice the number of readers.
         let has_followers = self.followers(now).next().is_some();
         let kept = if has_followers { 2 * count } else { count };
-        let is_local = |(_, host): &(u64, &Name)| **host == identity.host;
+        let is_local = |host: &&Name| **host == identity.host;
         if ranked.len() <= count || ranked.iter().take(kept).any(is_local) {
             return false;
         }
-        let mut readers: Vec<&Name> = ranked[..count].iter().map(|(_, host)| *host).collect();
+        let mut readers = ranked[..count].to_vec();
         readers.sort_by_key(|host| name::rendezvous(&identity.host, host));
         for host in readers {
             if self.sources.len() < SOURCES && self.index(host).is_none() {
@@ -337,6 +329,18 @@
     }
 }
 
+/// Live hosts of a failure domain in the order in which they become readers.
+pub fn ranked<'a>(view: &'a View, failure_domain: &str) -> Vec<&'a Name> {
+    let members = view
+        .live()
+        .filter(|member| *member.failure_domain == *failure_domain);
+    let mut ranked: Vec<(u64, &Name)> = members
+        .map(|member| (name::rendezvous(READER_KEY, &member.host), &member.host))
+        .collect();
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    ranked.into_iter().map(|(_, host)| host).collect()
+}
+
 /// Number of readers of a failure domain with `nodes` live nodes. The square root balances calls to
 /// the log against followers per reader.
 fn readers(nodes: usize) -> usize {
--- a/buckthorn/src/counter.rs
+++ b/buckthorn/src/counter.rs
@@ -55,6 +55,8 @@
     RefusedConnections "refused.connections" "Connections over the limit.",
     RefusedBadRequest "refused.bad_request" "Requests that are malformed.",
     RefusedUnauthenticated "refused.unauthenticated" "Peers or clients without the shared secret.",
+    RefusedUnknownKey "refused.unknown_key" "Calls without the key of a tenant on a route that needs one, or with a key of none.",
+    RefusedUnconfirmed "refused.policy_unconfirmed" "Calls with a key at a node whose policy was last confirmed too long ago.",
     RefusedKeyInProgress "refused.key_in_progress" "Repeats of an idempotency key still in progress.",
     RefusedKeyReused "refused.key_reused" "Idempotency keys used again for another request.",
     RefusedKeysFull "refused.keys_full" "Calls refused because no more idempotency keys can be held.",
--- a/buckthorn/src/kernel/mod.rs
+++ b/buckthorn/src/kernel/mod.rs
@@ -83,6 +83,13 @@
     EvidenceCollected(evidence::Report),
     /// Operators' orders were read from their topic.
     OrdersRead(OrderBatch),
+    /// A read of operators' orders that was sent at `at` reached their end.
+    OrdersConfirmed {
+        /// Time at which the orders were known to end there.
+        at: Time,
+        /// Position at which the orders ended.
+        next: Position,
+    },
     /// Reports whether the last read of operators' orders succeeded.
     OrdersReadable(bool),
     /// Published decisions on moves were read.
@@ -146,6 +153,8 @@
     /// Read the operators' orders with short waits, or no longer, so that a read that the log
     /// swallowed is noticed soon.
     MonitorOrders(bool),
+    /// The policy in force was the newest one at this time, once the table is rebuilt.
+    ConfirmPolicy(Time),
     /// Read published decisions, or continue to wait for them.
     ReadDecisions,
     /// Publish a decision on a move.
@@ -219,6 +228,8 @@
     pub blocklist: Blocklist,
     /// Whether orders and decisions are received from other nodes instead of read.
     pub is_following: bool,
+    /// Whether the policy was last confirmed so long ago that reads should use short waits.
+    pub is_confirmation_old: bool,
     /// Counters of the node.
     pub counters: Arc<Counters>,
     /// Whether the fold has ever caught up with the log or a synced peer or, if orders come from a
@@ -338,6 +349,7 @@
             orders: Orders::default(),
             blocklist: Blocklist::default(),
             is_following: false,
+            is_confirmation_old: false,
             counters,
             is_synced: false,
             is_stopping: false,
--- a/buckthorn/src/lib.rs
+++ b/buckthorn/src/lib.rs
@@ -27,3 +27,4 @@
 pub mod routing;
 pub mod rpc;
 pub mod secret;
+pub mod tenant;
--- a/buckthorn/src/log_event.rs
+++ b/buckthorn/src/log_event.rs
@@ -51,6 +51,7 @@
     OrdersSource "orders.source" "subject, detail" "From now on, operators' orders are read from the log or received from peers that read it.",
     OrdersBehind "orders.behind" "subject, detail" "A peer has newer orders that this node did not read in time; the node reads the log anew and asks the peer.",
     OrdersIgnored "orders.ignored" "subject, detail" "A policy that was read or received is not in force: its version, its position, and the policy in force.",
+    PolicyConfirmation "policy.confirmation" "subject, detail" "The policy was last known to be the newest so long ago that keys of tenants may soon be refused (old), or is known to be again (current).",
     EndpointEjected "endpoint.ejected" "target, service, outcome" "A backend server is ejected for a while because it fails more than the others.",
     MemberChanged "member.changed" "subject, detail" "A node was discovered, suspected, found alive again, marked dead or left.",
     BackendAnnounced "backend.announced" "service, version, instance" "The local backend server registered or changed its announcement.",
--- a/buckthorn/src/node/adapter.rs
+++ b/buckthorn/src/node/adapter.rs
@@ -3,12 +3,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crossbeam::channel::Sender;
 
 use super::driver::{DataPath, Input};
 use crate::admission::cold_rate::Tolerance;
+use crate::clock::Time;
 use crate::config::order::Decision;
 use crate::kernel::{Event, OrderPolling};
 use crate::log::Log;
@@ -59,6 +60,9 @@
     /// Retries of a service that all nodes may make together; absent for the budgets that each node
     /// has by default.
     pub retry_bound: Option<RetryBound>,
+    /// Time within which a key of a tenant stops working after it was taken away; absent where a
+    /// node accepts keys however long ago it has read the policy.
+    pub revocation: Option<Duration>,
 }
 
 /// Source of a node's configuration.
@@ -150,6 +154,13 @@
         self.data_path.log_era.load(Ordering::Relaxed)
     }
 
+    /// Time of an earlier instant by the clock of the node.
+    pub fn time_of(&self, instant: Instant) -> Time {
+        // The time is taken first, so that a pause in between makes the result earlier.
+        let now = self.data_path.clock.now();
+        now - instant.elapsed()
+    }
+
     /// Whether the node can route calls.
     pub fn is_synced(&self) -> bool {
         self.data_path.table.load().version > 0
--- a/buckthorn/src/node/driver.rs
+++ b/buckthorn/src/node/driver.rs
@@ -33,6 +33,7 @@
 use crate::routing::table::Table;
 use crate::rpc;
 use crate::rpc::message::{Envelope, Message};
+use crate::tenant::confirmation::Confirmation;
 
 /// Interval at which the owner's evidence is passed to the kernel.
 const EVIDENCE_INTERVAL: Duration = Duration::from_millis(500);
@@ -88,6 +89,8 @@
     pub(super) blocklist: Arc<ArcSwap<Blocklist>>,
     /// Era of the operators' topic.
     pub(super) log_era: Arc<AtomicU16>,
+    /// Confirmation of the policy, which keys of callers need.
+    pub(super) confirmation: Arc<Confirmation>,
 }
 
 /// Clients, threads and registries that the driver uses to perform actions.
@@ -263,6 +266,7 @@
     fn handle(&mut self, event: &Event) {
         let now = self.data_path.clock.now();
         let mut is_table_stale = false;
+        let mut confirmed_at = None;
         for action in self.kernel.handle(now, event) {
             match action {
                 Action::Reply(messages) => self.reply.extend(messages),
@@ -282,6 +286,7 @@
                     payload,
                 } => self.append(stream, id, payload),
                 Action::RebuildTable => is_table_stale = true,
+                Action::ConfirmPolicy(at) => confirmed_at = Some(at),
                 Action::ReadOrders(polling) => {
                     if let Some(operator_channel) = &self.resources.operator_channel {
                         operator_channel.read_orders(polling);
@@ -320,6 +325,9 @@
         if is_table_stale {
             self.rebuild_table();
         }
+        if let Some(at) = confirmed_at {
+            self.data_path.confirmation.confirm(at);
+        }
     }
 
     /// Rebuilds the routing table and publishes it to the data path; does nothing until the node has
--- a/buckthorn/src/node/mod.rs
+++ b/buckthorn/src/node/mod.rs
@@ -44,7 +44,8 @@
 use crate::routing::load::Registry as Loads;
 use crate::routing::table::Table;
 use crate::secret::Secrets;
-use crate::{config, journal, membership, name, poison, proxy, rollout, rpc};
+use crate::tenant::confirmation::Confirmation;
+use crate::{config, journal, membership, name, poison, proxy, rollout, rpc, tenant};
 
 /// Capacity of the kernel thread's input queue.
 const MAX_INPUTS: usize = 4_096;
@@ -134,6 +135,7 @@
         let hop_listener = bind("hop-listen", settings.hop_listen)?;
         let rpc_listener = bind("rpc-listen", settings.rpc_listen)?;
         let admin_listener = bind("admin-listen", settings.admin_listen)?;
+        let revocation = source.adapter().and_then(|adapter| adapter.revocation);
         let data_path = DataPath {
             table: Arc::new(ArcSwap::from_pointee(Table::default())),
             owner: Arc::new(ArcSwapOption::empty()),
@@ -142,6 +144,7 @@
             peers: Arc::default(),
             blocklist: Arc::default(),
             log_era: Arc::default(),
+            confirmation: Arc::new(Confirmation::new(revocation)),
         };
         let runtime = runtime::Builder::new_multi_thread()
             .worker_threads(settings.threads)
@@ -229,7 +232,10 @@
             ConfigSource::Log(_) => register(&mut registry),
             ConfigSource::Adapter(adapter) => {
                 let bound = adapter.exposure_bound;
-                register_with_adapter(&mut registry, adapter.max_apply_time, bound)
+                register_with_adapter(&mut registry, adapter.max_apply_time, bound);
+                if let Some(revocation) = revocation {
+                    tenant::plugin::register(&mut registry, revocation);
+                }
             }
         }
         let kernel = Kernel::new(identity, counters.clone(), seed, clock.now(), registry);
@@ -398,6 +404,7 @@
     .clock(data_path.clock.clone())
     .limits(limits)
     .blocklist(data_path.blocklist.clone())
+    .confirmation(data_path.confirmation.clone())
     .watch(watch)
     .logger(logger);
     if let Some(adapter) = adapter {
--- a/buckthorn/src/proxy/contract.rs
+++ b/buckthorn/src/proxy/contract.rs
@@ -30,6 +30,10 @@
     pub expected_instance: HeaderName,
     /// Service on the host where the request originated.
     pub caller_service: HeaderName,
+    /// Key of the caller's tenant.
+    pub tenant_key: HeaderName,
+    /// Name of the caller's tenant.
+    pub tenant: HeaderName,
     /// Requests per second that the backend server takes, as long as its responses name a number.
     pub rate_limit: HeaderName,
     /// Marks the responses of a backend server that leaves, with the value `1`.
--- a/buckthorn/src/proxy/header.rs
+++ b/buckthorn/src/proxy/header.rs
@@ -119,6 +119,8 @@
     pub path: String,
     /// Whether running the call twice has the same effect as running it once.
     pub is_idempotent: bool,
+    /// Whether the call may run without a tenant's key.
+    pub is_public: bool,
     /// Load of the local failure domain's servers, in thousandths, from which the call goes to
     /// another failure domain.
     pub spill_load: u32,
@@ -191,6 +193,7 @@
             service: route.next_service().to_string(),
             path: parts.uri.path().to_owned(),
             is_idempotent: route.kind != Kind::NonIdempotent,
+            is_public: route.is_public,
             spill_load: match route.kind {
                 Kind::Bulk => BULK_SPILL_LOAD,
                 Kind::Idempotent | Kind::NonIdempotent => FULL_LOAD,
@@ -232,6 +235,7 @@
             service,
             path: parts.uri.path().to_owned(),
             is_idempotent: is_idempotent(&parts.method),
+            is_public: true,
             spill_load: FULL_LOAD,
             rank: rank(&parts.headers)?,
             deadline: now + wait,
--- a/buckthorn/src/proxy/ingress.rs
+++ b/buckthorn/src/proxy/ingress.rs
@@ -15,7 +15,7 @@
 };
 use super::payload::{Payload, UploadStatus};
 use super::response::{self, Ran, Reason};
-use super::{Plane, dispatch, keyed, request_log};
+use super::{Plane, dispatch, keyed, request_log, tenant};
 use crate::admission::gate::Refusal;
 use crate::clock::Time;
 use crate::counter::Counter;
@@ -49,7 +49,9 @@
     }
     let (mut parts, body) = request.into_parts();
     let now = plane.clock.now();
-    let mut call = match route(plane, &parts, now) {
+    let routed = route(plane, &parts, now)
+        .and_then(|call| tenant::admit(plane, call, &mut parts.headers, now));
+    let mut call = match routed {
         Ok(call) => call,
         Err((reason, detail)) => {
             let refusal = response::refuse_with(&plane.counters, reason, Ran::NotRun, detail);
--- a/buckthorn/src/proxy/mod.rs
+++ b/buckthorn/src/proxy/mod.rs
@@ -34,6 +34,7 @@
 pub mod response;
 pub mod resume;
 pub mod socket;
+mod tenant;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -58,6 +59,7 @@
 use self::limit::Limits;
 use self::owner::Owner;
 use crate::secret::Secrets;
+use crate::tenant::confirmation::Confirmation;
 
 /// Shared state of the data plane of one node.
 #[derive(Debug)]
@@ -82,6 +84,8 @@
     pub contract: Option<Contract>,
     /// Poison requests, which are not sent to backend servers.
     pub blocklist: Arc<ArcSwap<Blocklist>>,
+    /// Confirmation of the policy, which keys of callers need.
+    pub confirmation: Arc<Confirmation>,
     /// Watch of the local backend server for crashes; absent where nothing handles its reports.
     pub watch: Option<Arc<Watch>>,
     /// Logger for decisions on calls.
@@ -116,6 +120,7 @@
             limits: Limits::default(),
             contract: None,
             blocklist: Arc::default(),
+            confirmation: Arc::default(),
             watch: None,
             logger: telemetry::silent(),
         }
@@ -178,6 +183,8 @@
     contract: Option<Contract>,
     /// Poison requests, which are not sent to backend servers.
     blocklist: Arc<ArcSwap<Blocklist>>,
+    /// Confirmation of the policy.
+    confirmation: Arc<Confirmation>,
     /// Watch of the local backend server for crashes.
     watch: Option<Arc<Watch>>,
     /// Logger for decisions on calls.
@@ -227,6 +234,12 @@
         self
     }
 
+    /// Sets the shared confirmation of the policy.
+    pub fn confirmation(mut self, confirmation: Arc<Confirmation>) -> Self {
+        self.confirmation = confirmation;
+        self
+    }
+
     /// Sets the watch of the local backend server for crashes.
     pub fn watch(mut self, watch: Arc<Watch>) -> Self {
         self.watch = Some(watch);
@@ -255,6 +268,7 @@
             limits: self.limits,
             contract: self.contract,
             blocklist: self.blocklist,
+            confirmation: self.confirmation,
             watch: self.watch,
             logger: self.logger,
             rate_limiters: request_log::RateLimiters::default(),
--- a/buckthorn/src/proxy/response.rs
+++ b/buckthorn/src/proxy/response.rs
@@ -55,6 +55,10 @@
     Connections,
     /// The peer did not present the shared secret.
     Unauthenticated,
+    /// The call needs the key of a tenant, and has none that is known.
+    UnknownKey,
+    /// The call needs the key of a tenant, and the policy may be too old to tell which are known.
+    Unconfirmed,
     /// The first call with the idempotency key is still in progress.
     KeyInProgress,
     /// The idempotency key was used for a different request.
@@ -92,6 +96,8 @@
             Self::BodyShort => "body-short",
             Self::Connections => "connections",
             Self::Unauthenticated => "unauthenticated",
+            Self::UnknownKey => "unknown-key",
+            Self::Unconfirmed => "policy-unconfirmed",
             Self::KeyInProgress => "key-in-progress",
             Self::KeyReused => "key-reused",
             Self::KeyResponseNotKept => "key-answer-not-kept",
@@ -111,6 +117,7 @@
             Self::Refused(Refusal::Deadline) | Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
             Self::Refused(_)
             | Self::NotReady
+            | Self::Unconfirmed
             | Self::Connections
             | Self::KeysFull
             | Self::Poison
@@ -120,7 +127,7 @@
             Self::HeaderSize => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::HeaderTimeout | Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::BodySize => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::Unauthenticated => StatusCode::UNAUTHORIZED,
+            Self::Unauthenticated | Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::KeyInProgress | Self::KeyResponseNotKept => StatusCode::CONFLICT,
             Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
             Self::Unreachable | Self::Reset | Self::Broken => StatusCode::BAD_GATEWAY,
@@ -140,6 +147,8 @@
             Self::BodyTimeout => Some(Counter::RefusedBodyTimeout),
             Self::Connections => Some(Counter::RefusedConnections),
             Self::Unauthenticated => Some(Counter::RefusedUnauthenticated),
+            Self::UnknownKey => Some(Counter::RefusedUnknownKey),
+            Self::Unconfirmed => Some(Counter::RefusedUnconfirmed),
             Self::KeyInProgress => Some(Counter::RefusedKeyInProgress),
             Self::KeyReused => Some(Counter::RefusedKeyReused),
             Self::KeysFull => Some(Counter::RefusedKeysFull),
--- /dev/null
+++ b/buckthorn/src/proxy/tenant.rs
@@ -0,0 +1,48 @@
+//! Check of a caller's key, and the headers that go on in its place.
+
+use http::HeaderMap;
+use http::HeaderValue;
+
+use super::Plane;
+use super::header::Call;
+use super::response::Reason;
+use crate::admission::rank::Rank;
+use crate::clock::Time;
+use crate::tenant::admission::{Decision, decide};
+
+/// Checks the key of a call, if the policy has tenants: the key is removed, and the name of its
+/// tenant takes the place of one that the caller sent.
+pub(super) fn admit(
+    plane: &Plane,
+    mut call: Call,
+    headers: &mut HeaderMap,
+    now: Time,
+) -> Result<Call, (Reason, &'static str)> {
+    let table = plane.table.load();
+    let tenants = table.policy.as_ref().and_then(|p| p.tenants.as_ref());
+    let (Some(contract), Some(directory)) = (&plane.contract, tenants) else {
+        return Ok(call);
+    };
+    let names = &contract.headers;
+    let is_current = plane.confirmation.is_current(now);
+    let keys = headers.get_all(&names.tenant_key).iter();
+    let keys = keys.map(HeaderValue::as_bytes);
+    let decision = decide(directory, call.is_public, is_current, keys);
+    headers.remove(&names.tenant_key);
+    headers.remove(&names.tenant);
+    match decision {
+        Decision::Anonymous => Ok(call),
+        Decision::UnknownKey => Err((Reason::UnknownKey, "")),
+        Decision::Unconfirmed => Err((Reason::Unconfirmed, "")),
+        Decision::Tenant(tenant) => {
+            let Ok(name) = HeaderValue::from_str(&tenant.name) else {
+                return Err((Reason::UnknownKey, "the tenant's name is no header value"));
+            };
+            headers.insert(&names.tenant, name);
+            if let Some(urgency) = tenant.urgency {
+                call.rank = Rank::new(urgency);
+            }
+            Ok(call)
+        }
+    }
+}
--- a/buckthorn/src/rpc/message.rs
+++ b/buckthorn/src/rpc/message.rs
@@ -1,9 +1,11 @@
 //! Messages of the control protocol between nodes.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+use crate::clock::Time;
 use crate::config::excerpt::Excerpt;
 use crate::config::order::Decision;
 use crate::config::position::Position;
@@ -100,6 +102,20 @@
         /// Published decisions, empty if the receiver's hash matches.
         decisions: Vec<Decision>,
     },
+    /// Asks until when the receiver's policy was known to be the newest one.
+    WantConfirmation {
+        /// Time of the request by the sender's clock, returned in the reply.
+        asked_at: Time,
+    },
+    /// Replies to [`Self::WantConfirmation`].
+    Confirmation {
+        /// Time of the request.
+        asked_at: Time,
+        /// Position up to which the sender has the orders.
+        next: Position,
+        /// Time since the sender's policy was known to be the newest one.
+        age: Duration,
+    },
     /// Finding on a service's move by a node that evaluates it.
     Finding(cutover::Finding),
     /// Calls that were lost in a crash of the sender's backend server.
--- a/buckthorn/tests/proxy_kit/mod.rs
+++ b/buckthorn/tests/proxy_kit/mod.rs
@@ -75,6 +75,8 @@
             not_executed: HeaderName::from_static("test-not-executed"),
             expected_instance: HeaderName::from_static("test-instance"),
             caller_service: HeaderName::from_static("test-caller"),
+            tenant_key: HeaderName::from_static("test-key"),
+            tenant: HeaderName::from_static("test-tenant"),
             rate_limit: HeaderName::from_static("test-limit"),
             leaving: HeaderName::from_static("test-leaving"),
         },
--- a/buckthorn_lab/src/harness/mod.rs
+++ b/buckthorn_lab/src/harness/mod.rs
@@ -419,6 +419,7 @@
             // The simulated log is the mesh's own, in which decisions are appended records.
             Action::ReadOrders(_)
             | Action::MonitorOrders(_)
+            | Action::ConfirmPolicy(_)
             | Action::CollectEvidence
             | Action::RecallDeparture(_)
             | Action::UpdateBlocklist
