Count tenants' requests and hand in their sum from one node at a time

No node reported usage. Owners now count the requests of each tenant by window, three candidates in different failure domains collect the totals of all nodes, and the holder of a duty hands in the sum of each window. One record in the store, replaced only where its topic ends as last read, names the holder, its token and the window; the sum is written there before it is handed in, so that whoever takes over hands in the same one.

A deployment that names no window, or whose platform lists no such duty, counts nothing.

--- a/buckthorn/src/counter.rs
+++ b/buckthorn/src/counter.rs
@@ -106,6 +106,13 @@
     LeaseClaims "lease.claims" "Claims of the controller lease appended.",
     LeaseLost "lease.lost" "Times this node lost the controller lease.",
     StepsDropped "lease.steps_dropped" "Decisions dropped because their term was wrong.",
+    // Usage.
+    DutiesTaken "duty.taken" "Times this node took the duty of handing in usage.",
+    DutiesLost "duty.lost" "Times this node lost the duty of handing in usage.",
+    UsageHandedIn "usage.handed_in" "Windows of usage that this node handed in.",
+    UsageFenced "usage.fenced" "Windows of usage refused because a higher token was seen.",
+    UsageThrottled "usage.throttled" "Windows of usage refused because of the platform's rate.",
+    UsageDropped "usage.dropped" "Requests not counted because the queue of counts was full.",
     // Membership and distribution.
     ProbesFailed "member.probes_failed" "Probes without an answer.",
     Suspicions "member.suspicions" "Members suspected.",
--- a/buckthorn/src/kernel/mod.rs
+++ b/buckthorn/src/kernel/mod.rs
@@ -27,6 +27,7 @@
 use crate::rollout::evidence;
 use crate::rollout::quarantine::Quarantine;
 use crate::rpc::message::Message;
+use crate::usage::duty;
 
 /// Input of the kernel.
 #[derive(Clone, Debug)]
@@ -96,6 +97,8 @@
     DecisionsRead(Vec<Decision>),
     /// A decision was published, or could not be.
     Published(PublishOutcome),
+    /// The platform replied to a request for the duty of handing in usage.
+    Duty(duty::Reply),
     /// New list of control addresses of nodes to join through.
     Seeds(Vec<SocketAddr>),
     /// The process was asked to stop.
@@ -159,6 +162,8 @@
     ReadDecisions,
     /// Publish a decision on a move.
     Publish(Decision),
+    /// Send a request for the duty of handing in usage; answered by [`Event::Duty`].
+    Duty(duty::Request),
     /// Collect the owner's counts now; answered by [`Event::EvidenceCollected`].
     CollectEvidence,
     /// Refuse announcements of a backend server that left before this process started, and drain it
--- a/buckthorn/src/lib.rs
+++ b/buckthorn/src/lib.rs
@@ -28,3 +28,4 @@
 pub mod rpc;
 pub mod secret;
 pub mod tenant;
+pub mod usage;
--- a/buckthorn/src/node/adapter.rs
+++ b/buckthorn/src/node/adapter.rs
@@ -19,6 +19,8 @@
 use crate::proxy::limit::Limits;
 use crate::rollout::exposure::Bound;
 use crate::routing::budget::RetryBound;
+use crate::usage::duty;
+use crate::usage::schedule::Schedule;
 
 /// Channel to the operators' records: orders are read from it, and decisions on moves are published
 /// to it.
@@ -39,6 +41,25 @@
     fn read_decisions(&self);
 }
 
+/// Channel for the duty of handing in usage.
+///
+/// The reply to a request is delivered as [`Event::Duty`].
+pub trait DutyChannel: Send + Sync {
+    /// Starts a request without blocking.
+    fn send(&self, request: duty::Request);
+}
+
+/// How usage is counted and handed in.
+#[derive(Clone)]
+pub struct Usage {
+    /// Channel for the duty of handing it in.
+    pub channel: Arc<dyn DutyChannel>,
+    /// Windows and when they are handed in.
+    pub schedule: Schedule,
+    /// Shortest time between two holders of the duty.
+    pub lease: Duration,
+}
+
 /// Contract, limits and channel that a platform adapter provides to a node.
 #[derive(Clone)]
 pub struct PlatformAdapter {
@@ -63,6 +84,8 @@
     /// Time within which a key of a tenant stops working after it was taken away; absent where a
     /// node accepts keys however long ago it has read the policy.
     pub revocation: Option<Duration>,
+    /// How usage is handed in; absent where it is not counted.
+    pub usage: Option<Usage>,
 }
 
 /// Source of a node's configuration.
--- a/buckthorn/src/node/driver.rs
+++ b/buckthorn/src/node/driver.rs
@@ -13,7 +13,7 @@
 use super::log::LogWorkers;
 use super::status::{self, Status};
 use super::telemetry::Statsd;
-use super::{OperatorChannel, Peer};
+use super::{DutyChannel, OperatorChannel, Peer};
 use crate::admin::registration::{Registration, Transition};
 use crate::admin::{Announcement, Refusal};
 use crate::admission::cold_rate::Tolerance;
@@ -99,6 +99,8 @@
     pub(super) log_workers: Option<LogWorkers>,
     /// Channel to the operators' records; present only on a node with a platform adapter.
     pub(super) operator_channel: Option<Arc<dyn OperatorChannel>>,
+    /// Channel for the duty of handing in usage, on a node that counts it.
+    pub(super) duty_channel: Option<Arc<dyn DutyChannel>>,
     /// Loads of backend servers and retry budgets of services.
     pub(super) loads: Registry,
     /// Allowed calls to cold backend servers beyond their rate.
@@ -286,6 +288,11 @@
                     payload,
                 } => self.append(stream, id, payload),
                 Action::RebuildTable => is_table_stale = true,
+                Action::Duty(request) => {
+                    if let Some(duty_channel) = &self.resources.duty_channel {
+                        duty_channel.send(request);
+                    }
+                }
                 Action::ConfirmPolicy(at) => confirmed_at = Some(at),
                 Action::ReadOrders(polling) => {
                     if let Some(operator_channel) = &self.resources.operator_channel {
--- a/buckthorn/src/node/mod.rs
+++ b/buckthorn/src/node/mod.rs
@@ -23,7 +23,7 @@
 use tokio::runtime::{self, Runtime};
 
 use self::adapter::ConfigSource;
-pub use self::adapter::{NodeHandle, OperatorChannel, Peer, PlatformAdapter};
+pub use self::adapter::{DutyChannel, NodeHandle, OperatorChannel, Peer, PlatformAdapter, Usage};
 use self::driver::{DataPath, Driver, Input, Resources};
 use self::log::LogWorkers;
 use self::settings::Settings;
@@ -45,7 +45,8 @@
 use crate::routing::table::Table;
 use crate::secret::Secrets;
 use crate::tenant::confirmation::Confirmation;
-use crate::{config, journal, membership, name, poison, proxy, rollout, rpc, tenant};
+use crate::usage::meter::{self, Meter};
+use crate::{config, journal, membership, name, poison, proxy, rollout, rpc, tenant, usage};
 
 /// Capacity of the kernel thread's input queue.
 const MAX_INPUTS: usize = 4_096;
@@ -136,6 +137,10 @@
         let rpc_listener = bind("rpc-listen", settings.rpc_listen)?;
         let admin_listener = bind("admin-listen", settings.admin_listen)?;
         let revocation = source.adapter().and_then(|adapter| adapter.revocation);
+        let metering = source
+            .adapter()
+            .and_then(|adapter| adapter.usage.as_ref())
+            .map(|usage| meter::channel(usage.schedule));
         let data_path = DataPath {
             table: Arc::new(ArcSwap::from_pointee(Table::default())),
             owner: Arc::new(ArcSwapOption::empty()),
@@ -177,6 +182,7 @@
                 settings,
                 &data_path,
                 source.adapter(),
+                metering.as_ref().map(|(meter, _)| meter.clone()),
                 watch.clone(),
                 logger.clone(),
             );
@@ -211,6 +217,10 @@
             operator_channel: source
                 .adapter()
                 .map(|adapter| adapter.operator_channel.clone()),
+            duty_channel: source
+                .adapter()
+                .and_then(|adapter| adapter.usage.as_ref())
+                .map(|usage| usage.channel.clone()),
             loads: source
                 .adapter()
                 .and_then(|adapter| adapter.retry_bound)
@@ -236,6 +246,10 @@
                 if let Some(revocation) = revocation {
                     tenant::plugin::register(&mut registry, revocation);
                 }
+                if let (Some(usage), Some((_, changes))) = (&adapter.usage, metering) {
+                    let (schedule, lease) = (usage.schedule, usage.lease);
+                    usage::plugin::register(&mut registry, schedule, lease, changes);
+                }
             }
         }
         let kernel = Kernel::new(identity, counters.clone(), seed, clock.now(), registry);
@@ -384,6 +398,7 @@
     settings: &Settings,
     data_path: &DataPath,
     adapter: Option<&PlatformAdapter>,
+    meter: Option<Meter>,
     watch: Arc<Watch>,
     logger: Logger,
 ) -> Arc<Plane> {
@@ -407,6 +422,9 @@
     .confirmation(data_path.confirmation.clone())
     .watch(watch)
     .logger(logger);
+    if let Some(meter) = meter {
+        builder = builder.meter(meter);
+    }
     if let Some(adapter) = adapter {
         builder = builder.contract(adapter.contract.clone());
     }
--- a/buckthorn/src/proxy/mod.rs
+++ b/buckthorn/src/proxy/mod.rs
@@ -60,6 +60,7 @@
 use self::owner::Owner;
 use crate::secret::Secrets;
 use crate::tenant::confirmation::Confirmation;
+use crate::usage::meter::Meter;
 
 /// Shared state of the data plane of one node.
 #[derive(Debug)]
@@ -86,6 +87,8 @@
     pub blocklist: Arc<ArcSwap<Blocklist>>,
     /// Confirmation of the policy, which keys of callers need.
     pub confirmation: Arc<Confirmation>,
+    /// Counts the requests of tenants; absent where usage is not handed in.
+    pub meter: Option<Meter>,
     /// Watch of the local backend server for crashes; absent where nothing handles its reports.
     pub watch: Option<Arc<Watch>>,
     /// Logger for decisions on calls.
@@ -121,6 +124,7 @@
             contract: None,
             blocklist: Arc::default(),
             confirmation: Arc::default(),
+            meter: None,
             watch: None,
             logger: telemetry::silent(),
         }
@@ -185,6 +189,8 @@
     blocklist: Arc<ArcSwap<Blocklist>>,
     /// Confirmation of the policy.
     confirmation: Arc<Confirmation>,
+    /// Counts the requests of tenants.
+    meter: Option<Meter>,
     /// Watch of the local backend server for crashes.
     watch: Option<Arc<Watch>>,
     /// Logger for decisions on calls.
@@ -240,6 +246,12 @@
         self
     }
 
+    /// Sets the meter of the requests of tenants.
+    pub fn meter(mut self, meter: Meter) -> Self {
+        self.meter = Some(meter);
+        self
+    }
+
     /// Sets the watch of the local backend server for crashes.
     pub fn watch(mut self, watch: Arc<Watch>) -> Self {
         self.watch = Some(watch);
@@ -269,6 +281,7 @@
             contract: self.contract,
             blocklist: self.blocklist,
             confirmation: self.confirmation,
+            meter: self.meter,
             watch: self.watch,
             logger: self.logger,
             rate_limiters: request_log::RateLimiters::default(),
--- a/buckthorn/src/proxy/owner.rs
+++ b/buckthorn/src/proxy/owner.rs
@@ -18,7 +18,7 @@
 use super::limit::Limits;
 use super::pool::{CheckoutError, Pool, ResponseBody, SendError};
 use super::response::{self, Ran, Reason};
-use super::{Plane, request_log};
+use super::{Plane, request_log, tenant};
 use crate::admission::breaker::CircuitBreaker;
 use crate::admission::cold_rate::ColdRateLimiter;
 use crate::admission::gate::{self, Refusal};
@@ -318,8 +318,12 @@
     let deadline = Instant::now() + left;
     let method = request.method().clone();
     let request_id = request_id(plane, &request);
+    let counted = tenant::count(plane, request.headers(), sent_at);
     let request = rewrite_for_backend(plane, owner, request, left);
     let sent = send(plane, pool, request, deadline).await;
+    if let (Some(counted), true) = (counted, was_not_run(plane, request_id.as_ref(), &sent)) {
+        counted.withdraw();
+    }
     let Some(run) = run.release() else {
         return response::refuse(&plane.counters, Reason::Reset, Ran::Unknown);
     };
@@ -370,6 +374,22 @@
     }
 }
 
+/// Returns whether the backend server did not run a request.
+fn was_not_run(
+    plane: &Plane,
+    id: Option<&HeaderValue>,
+    sent: &Result<Response<ResponseBody>, CallError>,
+) -> bool {
+    match sent {
+        Ok(response) => matches!(
+            validate(plane, id, response),
+            Validation::NotRun | Validation::Misdirected
+        ),
+        Err(CallError::NotRun(_)) => true,
+        Err(CallError::Unknown(_)) => false,
+    }
+}
+
 /// Records the state that the backend server names in the head of a response to a request that was
 /// sent at `sent_at`.
 fn observe_state(plane: &Plane, owner: &Owner, headers: &HeaderMap, sent_at: Time) {
--- a/buckthorn/src/proxy/tenant.rs
+++ b/buckthorn/src/proxy/tenant.rs
@@ -1,4 +1,5 @@
-//! Check of a caller's key, and the headers that go on in its place.
+//! Check of a caller's key, the headers that go on in its place, and the count of its tenant's
+//! requests.
 
 use http::HeaderMap;
 use http::HeaderValue;
@@ -8,7 +9,9 @@
 use super::response::Reason;
 use crate::admission::rank::Rank;
 use crate::clock::Time;
+use crate::counter::Counter;
 use crate::tenant::admission::{Decision, decide};
+use crate::usage::meter::Run;
 
 /// Checks the key of a call, if the policy has tenants: the key is removed, and the name of its
 /// tenant takes the place of one that the caller sent.
@@ -46,3 +49,14 @@
         }
     }
 }
+
+/// Counts a request that is sent to the local backend server at `now`, if it belongs to a tenant.
+pub(super) fn count(plane: &Plane, headers: &HeaderMap, now: Time) -> Option<Run> {
+    let (meter, contract) = (plane.meter.as_ref()?, plane.contract.as_ref()?);
+    let tenant = headers.get(&contract.headers.tenant)?.to_str().ok()?;
+    let run = meter.begin(tenant, now);
+    if run.is_none() {
+        plane.counters.increment(Counter::UsageDropped);
+    }
+    run
+}
--- a/buckthorn/src/rpc/message.rs
+++ b/buckthorn/src/rpc/message.rs
@@ -17,6 +17,7 @@
 use crate::poison::crash::Crash;
 use crate::rollout::quarantine::Accusation;
 use crate::rollout::{cutover, evidence};
+use crate::usage::collector::Report;
 
 /// Messages that one node sends to another in one exchange. The reply is an envelope as well.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -116,6 +117,8 @@
         /// Time since the sender's policy was known to be the newest one.
         age: Duration,
     },
+    /// Requests of tenants that the sender has counted.
+    Usage(Report),
     /// Finding on a service's move by a node that evaluates it.
     Finding(cutover::Finding),
     /// Calls that were lost in a crash of the sender's backend server.
--- a/buckthorn_lab/src/harness/mod.rs
+++ b/buckthorn_lab/src/harness/mod.rs
@@ -420,6 +420,7 @@
             Action::ReadOrders(_)
             | Action::MonitorOrders(_)
             | Action::ConfirmPolicy(_)
+            | Action::Duty(_)
             | Action::CollectEvidence
             | Action::RecallDeparture(_)
             | Action::UpdateBlocklist
