Confirm the policy of a node that lags behind a series of orders

A node took a confirmation only if it had every order of the node that sent it. While one order followed another it never had, and its keys would have been refused after the bound; a node that had just started was found old in the tick between its first orders and their confirmation, and read the store once more. A node now remembers up to which orders it was confirmed when, and replies with the last of these that the other has.

The fuzzing of messages covers the new ones, and numbers in the record of the duty can't overflow.

--- a/buckthorn/src/rpc/message.rs
+++ b/buckthorn/src/rpc/message.rs
@@ -107,14 +107,16 @@
     WantConfirmation {
         /// Time of the request by the sender's clock, returned in the reply.
         asked_at: Time,
+        /// Position up to which the sender has the orders.
+        next: Position,
     },
     /// Replies to [`Self::WantConfirmation`].
     Confirmation {
         /// Time of the request.
         asked_at: Time,
-        /// Position up to which the sender has the orders.
+        /// Position at which the orders were known to end.
         next: Position,
-        /// Time since the sender's policy was known to be the newest one.
+        /// Time since they were last known to end there.
         age: Duration,
     },
     /// Requests of tenants that the sender has counted.
--- a/buckthorn/src/tenant/plugin.rs
+++ b/buckthorn/src/tenant/plugin.rs
@@ -46,10 +46,10 @@
 pub struct Confirmer {
     /// Time within which a key stops working.
     bound: Duration,
-    /// Time at which the policy of this node was last known to be the newest.
-    confirmed_at: Time,
-    /// Time of the last requests.
-    asked_at: Time,
+    /// Latest times at which the orders were known to end at a position, sorted by both.
+    confirmed: Vec<(Time, Position)>,
+    /// Time of the last requests; absent before the first order.
+    asked_at: Option<Time>,
 }
 
 impl Plugin for Confirmer {
@@ -76,19 +76,24 @@
     pub fn new(bound: Duration) -> Self {
         Self {
             bound,
-            confirmed_at: Time::default(),
-            asked_at: Time::default(),
+            confirmed: Vec::new(),
+            asked_at: None,
         }
     }
 
     /// Asks for a confirmation when one is due.
     fn tick(&mut self, cx: &mut Context<'_>) {
         let interval = self.bound / REQUESTS_PER_BOUND;
-        if !cx.shared.is_synced || cx.now.since(self.asked_at) < interval {
+        if !cx.shared.is_synced {
+            return;
+        }
+        // The read that brought the first orders confirms them in the next event.
+        let asked_at = *self.asked_at.get_or_insert(cx.now);
+        if cx.now.since(asked_at) < interval {
             return;
         }
-        self.asked_at = cx.now;
-        let age = cx.now.since(self.confirmed_at);
+        self.asked_at = Some(cx.now);
+        let age = cx.now.since(self.confirmed_at());
         let is_old = age > self.bound.mul_f64(OLD_PART);
         self.set_old(cx, is_old);
         if age < interval {
@@ -104,7 +109,10 @@
             asked.extend(other);
         }
         for member in asked {
-            let request = Message::WantConfirmation { asked_at: cx.now };
+            let request = Message::WantConfirmation {
+                asked_at: cx.now,
+                next: cx.shared.orders.next(),
+            };
             cx.send(&member, vec![request]);
         }
     }
@@ -115,7 +123,7 @@
             return;
         }
         cx.shared.is_confirmation_old = is_old;
-        let detail = format!("confirmed until {}", self.confirmed_at);
+        let detail = format!("confirmed until {}", self.confirmed_at());
         let subject = if is_old { "old" } else { "current" };
         cx.log_event(LogEvent::PolicyConfirmation, subject, detail);
         if is_old && !cx.shared.is_following {
@@ -127,13 +135,15 @@
     /// Handles a message of a peer.
     fn on_message(&mut self, cx: &mut Context<'_>, message: &Message) {
         match message {
-            Message::WantConfirmation { asked_at } if cx.shared.is_synced => {
-                let reply = Message::Confirmation {
-                    asked_at: *asked_at,
-                    next: cx.shared.orders.next(),
-                    age: cx.now.since(self.confirmed_at),
-                };
-                cx.act(Action::Reply(vec![reply]));
+            Message::WantConfirmation { asked_at, next } => {
+                if let Some((at, next)) = self.confirmed_before(*next) {
+                    let reply = Message::Confirmation {
+                        asked_at: *asked_at,
+                        next,
+                        age: cx.now.since(at),
+                    };
+                    cx.act(Action::Reply(vec![reply]));
+                }
             }
             // A time that this node can't have sent confirms nothing.
             Message::Confirmation {
@@ -148,12 +158,29 @@
     /// Confirms the policy as of a time at which the orders ended at `next`, unless this node lacks
     /// some of them.
     fn confirm(&mut self, cx: &mut Context<'_>, at: Time, next: Position) {
-        if next > cx.shared.orders.next() || at <= self.confirmed_at || !cx.shared.is_synced {
+        if next > cx.shared.orders.next() || at <= self.confirmed_at() || !cx.shared.is_synced {
             return;
         }
-        self.confirmed_at = at;
+        match self.confirmed.last_mut() {
+            Some((held, last)) if *last >= next => *held = at,
+            _ => self.confirmed.push((at, next)),
+        }
+        let bound = self.bound;
+        self.confirmed.retain(|(held, _)| at.since(*held) <= bound);
         cx.act(Action::ConfirmPolicy(at));
     }
+
+    /// Time at which the policy of this node was last known to be the newest.
+    fn confirmed_at(&self) -> Time {
+        self.confirmed.last().map_or(Time::default(), |(at, _)| *at)
+    }
+
+    /// Latest confirmation of a node that has the orders before `next`. A node that lags behind while
+    /// many orders come is confirmed up to those that it has.
+    fn confirmed_before(&self, next: Position) -> Option<(Time, Position)> {
+        let count = self.confirmed.partition_point(|(_, end)| *end <= next);
+        self.confirmed[..count].last().copied()
+    }
 }
 
 /// Parent of this node in the tree of its failure domain; `None` for the root.
--- a/buckthorn/src/usage/duty.rs
+++ b/buckthorn/src/usage/duty.rs
@@ -245,7 +245,7 @@
     fn watch(&self, now: Time, known: &Snapshot, rank: usize) -> Option<Request> {
         let late_at = match &known.record {
             Some(record) => {
-                let window = record.window + u64::from(record.is_accepted);
+                let window = record.window.saturating_add(u64::from(record.is_accepted));
                 self.schedule.takeover(window, rank)
             }
             // The preferred candidate begins at once, and the others if it does not.
@@ -278,7 +278,7 @@
         let era_floor = u64::from(known.end.era) << HOLDER_BITS;
         Request::Write {
             record: Record {
-                token: token.max(era_floor) + 1,
+                token: token.max(era_floor).saturating_add(1),
                 holder: self.host.clone(),
                 incarnation: self.incarnation,
                 window,
@@ -291,7 +291,10 @@
 
     /// Window that follows the one of the record, without those that are overdue.
     fn next_window(&self, now: Time, record: &Record) -> u64 {
-        (record.window + 1).max(self.schedule.first_open(now))
+        record
+            .window
+            .saturating_add(1)
+            .max(self.schedule.first_open(now))
     }
 
     /// Handles the reply to the request in progress.
--- a/buckthorn/tests/input_message.rs
+++ b/buckthorn/tests/input_message.rs
@@ -29,6 +29,9 @@
 use buckthorn::routing::load;
 use buckthorn::routing::table::Table;
 use buckthorn::rpc::message::{Digest, Envelope, Message, StatusUpdate};
+use buckthorn::tenant;
+use buckthorn::usage::schedule::Schedule;
+use buckthorn::usage::{self, collector, meter};
 use proptest::prelude::*;
 use proptest::sample::select;
 use proptest::test_runner::RngSeed;
@@ -104,6 +107,13 @@
         let counters = Arc::new(Counters::new());
         let mut registry = Registry::default();
         node::register(&mut registry);
+        let schedule = Schedule {
+            window: Duration::from_secs(5),
+            late: Duration::from_secs(10),
+        };
+        let (_, changes) = meter::channel(schedule);
+        usage::plugin::register(&mut registry, schedule, Duration::from_secs(3), changes);
+        tenant::plugin::register(&mut registry, Duration::from_secs(5));
         let mut fixture = Self {
             kernel: Kernel::new(identity, counters.clone(), 1, START, registry),
             counters,
@@ -497,6 +507,20 @@
         1 => prop::collection::vec(accusation, list()).prop_map(Message::Accusations),
         4 => any_report().prop_map(Message::Evidence),
         1 => any_number().prop_map(|version| Message::Applied { version }),
+        1 => (any_number(), any_number()).prop_map(|(asked_at, next)| {
+            Message::WantConfirmation { asked_at: Time(asked_at), next: next.into() }
+        }),
+        1 => (any_number(), any_number(), any_number()).prop_map(|(asked_at, next, age)| {
+            let (asked_at, age) = (Time(asked_at), Duration::from_micros(age));
+            Message::Confirmation { asked_at, next: next.into(), age }
+        }),
+        1 => (any_number(), any_number(), any_name(), any_number()).prop_map(
+            |(incarnation, at, tenant, number)| Message::Usage(collector::Report {
+                incarnation,
+                at: Time(at),
+                windows: vec![(number, vec![(tenant, number)]); 2],
+            }),
+        ),
         2 => (any::<u64>(), prop::collection::vec((0_u64..9, any::<u64>()), 0..80)).prop_map(
             |(id, suspects)| {
                 let suspects = suspects.into_iter().map(|(fingerprint, call)| Suspect {
--- a/buckthorn/tests/tenant_confirmation.rs
+++ b/buckthorn/tests/tenant_confirmation.rs
@@ -195,6 +195,31 @@
     });
 }
 
+#[test]
+fn nodes_that_are_always_a_little_behind_keep_accepting_keys() {
+    let mut mesh = Mesh::new(8);
+    mesh.run(BOUND, |_| {});
+    // A new order comes each half second, and reaches the other nodes a second after the reader.
+    let reader = mesh.reader;
+    let mut behind = Vec::new();
+    for number in 2..40 {
+        let next = Position::new(0, number);
+        mesh.next = next;
+        mesh.deliver(reader, &Event::OrdersRead(policy(number, next)));
+        behind.push(next);
+        if behind.len() > 2 {
+            let next = behind.remove(0);
+            for node in (0..8).filter(|node| *node != reader) {
+                mesh.deliver(node, &Event::OrdersRead(policy(next.offset, next)));
+            }
+        }
+        mesh.run(TICK * 5, |mesh| {
+            let are_current = (0..8).all(|node| mesh.is_current(node));
+            assert!(are_current, "at {}", mesh.now);
+        });
+    }
+}
+
 #[test]
 fn no_node_accepts_a_key_past_the_bound_while_the_store_is_away() {
     let mut mesh = Mesh::new(8);
--- a/buckthornctl/src/explain.rs
+++ b/buckthornctl/src/explain.rs
@@ -188,6 +188,10 @@
     match reason {
         "no-route" => "no route matches",
         "not-ready" => "the node had no configuration yet",
+        "unknown-key" => "it had no key of a tenant that the node knew",
+        "policy-unconfirmed" => {
+            "the node had heard for too long nothing of which keys are in force"
+        }
         "draining" => "the node was stopping",
         "no-backend-server" => "no usable backend server was known",
         "queue-full" => "every queue that was asked was full",
