Keep the rank of calls in progress when their tenant has a priority

A call that a running request makes would have ranked as a new one if it carried a key. Such calls carry none so far, so nothing changes yet.

--- a/buckthorn/src/proxy/tenant.rs
+++ b/buckthorn/src/proxy/tenant.rs
@@ -43,7 +43,11 @@
             };
             headers.insert(&names.tenant, name);
             if let Some(urgency) = tenant.urgency {
-                call.rank = Rank::new(urgency);
+                call.rank = if call.rank.is_in_progress() {
+                    Rank::in_progress(urgency)
+                } else {
+                    Rank::new(urgency)
+                };
             }
             Ok(call)
         }
