--- a/buckthorn/src/counter.rs
+++ b/buckthorn/src/counter.rs
@@ -57,6 +57,8 @@
     RefusedConnections "refused.connections" "Connections over the limit.",
     RefusedBadRequest "refused.bad_request" "Requests that are malformed.",
     RefusedUnauthenticated "refused.unauthenticated" "Peers or clients without the shared secret.",
+    RefusedUnknownKey "refused.unknown_key" "Calls without the key of a tenant on a route that needs one, or with a key of none.",
+    RefusedUnconfirmed "refused.policy_unconfirmed" "Calls with a key at a node whose policy was last confirmed too long ago.",
     RefusedKeyInProgress "refused.key_in_progress" "Repeats of an idempotency key still in progress.",
     RefusedKeyReused "refused.key_reused" "Idempotency keys used again for another request.",
     RefusedKeysFull "refused.keys_full" "Calls refused because no more idempotency keys can be held.",
@@ -108,6 +110,13 @@
     LeaseClaims "lease.claims" "Claims of the controller lease appended.",
     LeaseLost "lease.lost" "Times this node lost the controller lease.",
     StepsDropped "lease.steps_dropped" "Decisions dropped because their term was wrong.",
+    // Usage.
+    DutiesTaken "duty.taken" "Times this node took the duty of handing in usage.",
+    DutiesLost "duty.lost" "Times this node lost the duty of handing in usage.",
+    UsageHandedIn "usage.handed_in" "Windows of usage that this node handed in.",
+    UsageFenced "usage.fenced" "Windows of usage refused because a higher token was seen.",
+    UsageThrottled "usage.throttled" "Windows of usage refused because of the platform's rate.",
+    UsageDropped "usage.dropped" "Requests not counted because the queue of counts was full.",
     // Membership and distribution.
     ProbesFailed "member.probes_failed" "Probes without an answer.",
     Suspicions "member.suspicions" "Members suspected.",
--- a/buckthorn/src/lib.rs
+++ b/buckthorn/src/lib.rs
@@ -27,3 +27,5 @@
 pub mod routing;
 pub mod rpc;
 pub mod secret;
+pub mod tenant;
+pub mod usage;
--- a/buckthorn/src/node/adapter.rs
+++ b/buckthorn/src/node/adapter.rs
@@ -3,12 +3,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crossbeam::channel::Sender;
 
 use super::driver::{DataPath, Input};
 use crate::admission::cold_rate::Tolerance;
+use crate::clock::Time;
 use crate::config::order::Decision;
 use crate::kernel::{Event, OrderPolling};
 use crate::log::Log;
@@ -19,6 +20,8 @@
 use crate::proxy::limit::Limits;
 use crate::rollout::exposure::Bound;
 use crate::routing::budget::RetryBound;
+use crate::usage::duty;
+use crate::usage::schedule::Schedule;
 
 /// Channel to the operators' records: orders are read from it, and decisions on moves are published
 /// to it.
@@ -47,6 +50,25 @@
     fn store_blocklist(&self, records: &[Record]);
 }
 
+/// Channel for the duty of handing in usage.
+///
+/// The reply to a request is delivered as [`Event::Duty`].
+pub trait DutyChannel: Send + Sync {
+    /// Starts a request without blocking.
+    fn send(&self, request: duty::Request);
+}
+
+/// How usage is counted and handed in.
+#[derive(Clone)]
+pub struct Usage {
+    /// Channel for the duty of handing it in.
+    pub channel: Arc<dyn DutyChannel>,
+    /// Windows and when they are handed in.
+    pub schedule: Schedule,
+    /// Shortest time between two holders of the duty.
+    pub lease: Duration,
+}
+
 /// Contract, limits and channel that a platform adapter provides to a node.
 #[derive(Clone)]
 pub struct PlatformAdapter {
@@ -68,6 +90,11 @@
     /// Retries of a service that all nodes may make together; absent for the budgets that each node
     /// has by default.
     pub retry_bound: Option<RetryBound>,
+    /// Time within which a key of a tenant stops working after it was taken away; absent where a
+    /// node accepts keys however long ago it has read the policy.
+    pub revocation: Option<Duration>,
+    /// How usage is handed in; absent where it is not counted.
+    pub usage: Option<Usage>,
 }
 
 /// Source of a node's configuration.
@@ -159,6 +186,13 @@
         self.data_path.log_era.load(Ordering::Relaxed)
     }
 
+    /// Time of an earlier instant by the clock of the node.
+    pub fn time_of(&self, instant: Instant) -> Time {
+        // The time is taken first, so that a pause in between makes the result earlier.
+        let now = self.data_path.clock.now();
+        now - instant.elapsed()
+    }
+
     /// Whether the node can route calls.
     pub fn is_synced(&self) -> bool {
         self.data_path.table.load().version > 0
--- a/buckthorn/src/node/driver.rs
+++ b/buckthorn/src/node/driver.rs
@@ -15,7 +15,7 @@
 use super::past::Past;
 use super::status;
 use super::telemetry::Statsd;
-use super::{OperatorChannel, Peer};
+use super::{DutyChannel, OperatorChannel, Peer};
 use crate::admin::registration::{Registration, Transition};
 use crate::admin::{Announcement, Refusal};
 use crate::admission::cold_rate::Tolerance;
@@ -35,6 +35,7 @@
 use crate::routing::table::Table;
 use crate::rpc;
 use crate::rpc::message::{Envelope, Message};
+use crate::tenant::confirmation::Confirmation;
 
 /// Interval at which the owner's evidence is passed to the kernel.
 const EVIDENCE_INTERVAL: Duration = Duration::from_millis(500);
@@ -63,6 +64,8 @@
     pub(super) blocklist: Arc<ArcSwap<Blocklist>>,
     /// Era of the operators' topic.
     pub(super) log_era: Arc<AtomicU16>,
+    /// Confirmation of the policy, which keys of callers need.
+    pub(super) confirmation: Arc<Confirmation>,
 }
 
 /// Clients, threads and registries that the driver uses to perform actions.
@@ -71,6 +74,8 @@
     pub(super) log_workers: Option<LogWorkers>,
     /// Channel to the operators' records; present only on a node with a platform adapter.
     pub(super) operator_channel: Option<Arc<dyn OperatorChannel>>,
+    /// Channel for the duty of handing in usage, on a node that counts it.
+    pub(super) duty_channel: Option<Arc<dyn DutyChannel>>,
     /// Loads of backend servers and retry budgets of services.
     pub(super) loads: Registry,
     /// Allowed calls to cold backend servers beyond their rate.
@@ -268,6 +273,7 @@
     fn handle(&mut self, event: &Event) {
         let now = self.data_path.clock.now();
         let mut is_table_stale = false;
+        let mut confirmed_at = None;
         for action in self.kernel.handle(now, event) {
             match action {
                 Action::Reply(messages) => self.reply.extend(messages),
@@ -287,6 +293,12 @@
                     payload,
                 } => self.append(stream, id, payload),
                 Action::RebuildTable => is_table_stale = true,
+                Action::Duty(request) => {
+                    if let Some(duty_channel) = &self.resources.duty_channel {
+                        duty_channel.send(request);
+                    }
+                }
+                Action::ConfirmPolicy(at) => confirmed_at = Some(at),
                 Action::ReadOrders(polling) => {
                     if let Some(operator_channel) = &self.resources.operator_channel {
                         operator_channel.read_orders(polling);
@@ -335,6 +347,9 @@
         if is_table_stale {
             self.rebuild_table();
         }
+        if let Some(at) = confirmed_at {
+            self.data_path.confirmation.confirm(at);
+        }
     }
 
     /// Rebuilds the routing table and publishes it to the data path; does nothing until the node has
--- a/buckthorn/src/node/mod.rs
+++ b/buckthorn/src/node/mod.rs
@@ -25,7 +25,7 @@
 use tokio::runtime::{self, Runtime};
 
 use self::adapter::ConfigSource;
-pub use self::adapter::{NodeHandle, OperatorChannel, Peer, PlatformAdapter};
+pub use self::adapter::{DutyChannel, NodeHandle, OperatorChannel, Peer, PlatformAdapter, Usage};
 use self::driver::{DataPath, Driver, Input, Resources};
 use self::log::LogWorkers;
 use self::settings::Settings;
@@ -46,7 +46,9 @@
 use crate::routing::load::Registry as Loads;
 use crate::routing::table::Table;
 use crate::secret::Secrets;
-use crate::{config, journal, membership, name, poison, proxy, rollout, rpc};
+use crate::tenant::confirmation::Confirmation;
+use crate::usage::meter::{self, Meter};
+use crate::{config, journal, membership, name, poison, proxy, rollout, rpc, tenant, usage};
 
 /// Capacity of the kernel thread's input queue.
 const MAX_INPUTS: usize = 4_096;
@@ -136,6 +138,11 @@
         let hop_listener = bind("hop-listen", settings.hop_listen)?;
         let rpc_listener = bind("rpc-listen", settings.rpc_listen)?;
         let admin_listener = bind("admin-listen", settings.admin_listen)?;
+        let revocation = source.adapter().and_then(|adapter| adapter.revocation);
+        let metering = source
+            .adapter()
+            .and_then(|adapter| adapter.usage.as_ref())
+            .map(|usage| meter::channel(usage.schedule));
         let data_path = DataPath {
             table: Arc::new(ArcSwap::from_pointee(Table::default())),
             owner: Arc::new(ArcSwapOption::empty()),
@@ -144,6 +151,7 @@
             peers: Arc::default(),
             blocklist: Arc::default(),
             log_era: Arc::default(),
+            confirmation: Arc::new(Confirmation::new(revocation)),
         };
         let runtime = runtime::Builder::new_multi_thread()
             .worker_threads(settings.threads)
@@ -176,6 +184,7 @@
                 settings,
                 &data_path,
                 source.adapter(),
+                metering.as_ref().map(|(meter, _)| meter.clone()),
                 watch.clone(),
                 logger.clone(),
             );
@@ -210,6 +219,10 @@
             operator_channel: source
                 .adapter()
                 .map(|adapter| adapter.operator_channel.clone()),
+            duty_channel: source
+                .adapter()
+                .and_then(|adapter| adapter.usage.as_ref())
+                .map(|usage| usage.channel.clone()),
             loads: source
                 .adapter()
                 .and_then(|adapter| adapter.retry_bound)
@@ -231,7 +244,14 @@
             ConfigSource::Log(_) => register(&mut registry),
             ConfigSource::Adapter(adapter) => {
                 let bound = adapter.exposure_bound;
-                register_with_adapter(&mut registry, adapter.max_apply_time, bound)
+                register_with_adapter(&mut registry, adapter.max_apply_time, bound);
+                if let Some(revocation) = revocation {
+                    tenant::plugin::register(&mut registry, revocation);
+                }
+                if let (Some(usage), Some((_, changes))) = (&adapter.usage, metering) {
+                    let (schedule, lease) = (usage.schedule, usage.lease);
+                    usage::plugin::register(&mut registry, schedule, lease, changes);
+                }
             }
         }
         let kernel = Kernel::new(identity, counters.clone(), seed, clock.now(), registry);
@@ -380,6 +400,7 @@
     settings: &Settings,
     data_path: &DataPath,
     adapter: Option<&PlatformAdapter>,
+    meter: Option<Meter>,
     watch: Arc<Watch>,
     logger: Logger,
 ) -> Arc<Plane> {
@@ -400,8 +421,12 @@
     .clock(data_path.clock.clone())
     .limits(limits)
     .blocklist(data_path.blocklist.clone())
+    .confirmation(data_path.confirmation.clone())
     .watch(watch)
     .logger(logger);
+    if let Some(meter) = meter {
+        builder = builder.meter(meter);
+    }
     if let Some(adapter) = adapter {
         builder = builder.contract(adapter.contract.clone());
     }
--- a/buckthorn/src/proxy/mod.rs
+++ b/buckthorn/src/proxy/mod.rs
@@ -38,6 +38,7 @@
 pub mod response;
 pub mod resume;
 pub mod socket;
+mod tenant;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -63,6 +64,8 @@
 use self::limit::Limits;
 use self::owner::Owner;
 use crate::secret::Secrets;
+use crate::tenant::confirmation::Confirmation;
+use crate::usage::meter::Meter;
 
 /// Shared state of the data plane of one node.
 #[derive(Debug)]
@@ -87,6 +90,10 @@
     pub contract: Option<Contract>,
     /// Poison requests, which are not sent to backend servers.
     pub blocklist: Arc<ArcSwap<Blocklist>>,
+    /// Confirmation of the policy, which keys of callers need.
+    pub confirmation: Arc<Confirmation>,
+    /// Counts the requests of tenants; absent where usage is not handed in.
+    pub meter: Option<Meter>,
     /// Watch of the local backend server for crashes; absent where nothing handles its reports.
     pub watch: Option<Arc<Watch>>,
     /// Logger for decisions on calls.
@@ -123,6 +130,8 @@
             limits: Limits::default(),
             contract: None,
             blocklist: Arc::default(),
+            confirmation: Arc::default(),
+            meter: None,
             watch: None,
             logger: telemetry::silent(),
         }
@@ -185,6 +194,10 @@
     contract: Option<Contract>,
     /// Poison requests, which are not sent to backend servers.
     blocklist: Arc<ArcSwap<Blocklist>>,
+    /// Confirmation of the policy.
+    confirmation: Arc<Confirmation>,
+    /// Counts the requests of tenants.
+    meter: Option<Meter>,
     /// Watch of the local backend server for crashes.
     watch: Option<Arc<Watch>>,
     /// Logger for decisions on calls.
@@ -234,6 +247,18 @@
         self
     }
 
+    /// Sets the shared confirmation of the policy.
+    pub fn confirmation(mut self, confirmation: Arc<Confirmation>) -> Self {
+        self.confirmation = confirmation;
+        self
+    }
+
+    /// Sets the meter of the requests of tenants.
+    pub fn meter(mut self, meter: Meter) -> Self {
+        self.meter = Some(meter);
+        self
+    }
+
     /// Sets the watch of the local backend server for crashes.
     pub fn watch(mut self, watch: Arc<Watch>) -> Self {
         self.watch = Some(watch);
@@ -263,6 +288,8 @@
             limits: self.limits,
             contract: self.contract,
             blocklist: self.blocklist,
+            confirmation: self.confirmation,
+            meter: self.meter,
             watch: self.watch,
             logger: self.logger,
             rate_limiters: request_log::RateLimiters::default(),
--- a/buckthorn/src/proxy/owner.rs
+++ b/buckthorn/src/proxy/owner.rs
@@ -18,7 +18,7 @@
 use super::limit::Limits;
 use super::pool::{CheckoutError, Pool, ResponseBody, SendError};
 use super::response::{self, Ran, Reason};
-use super::{Plane, backend_state, request_log};
+use super::{Plane, backend_state, request_log, tenant};
 use crate::admission::breaker::CircuitBreaker;
 use crate::admission::capacity::{Capacity, Ended, Kind};
 use crate::admission::cold_rate::ColdRateLimiter;
@@ -356,8 +356,12 @@
     let deadline = Instant::now() + left;
     let method = request.method().clone();
     let request_id = request_id(plane, &request);
+    let counted = tenant::count(plane, request.headers(), sent_at);
     let request = rewrite_for_backend(plane, owner, request, left);
     let sent = send(plane, pool, request, deadline).await;
+    if let (Some(counted), true) = (counted, was_not_run(plane, request_id.as_ref(), &sent)) {
+        counted.withdraw();
+    }
     let Some(run) = run.release() else {
         return response::refuse(&plane.counters, Reason::Reset, Ran::Unknown);
     };
@@ -408,6 +412,22 @@
     }
 }
 
+/// Returns whether the backend server did not run a request.
+fn was_not_run(
+    plane: &Plane,
+    id: Option<&HeaderValue>,
+    sent: &Result<Response<ResponseBody>, CallError>,
+) -> bool {
+    match sent {
+        Ok(response) => matches!(
+            validate(plane, id, response),
+            Validation::NotRun | Validation::Misdirected
+        ),
+        Err(CallError::NotRun(_)) => true,
+        Err(CallError::Unknown(_)) => false,
+    }
+}
+
 /// Logs a refusal with the state of the semaphore that led to it.
 fn log_refusal(plane: &Plane, owner: &Owner, id: &str, reason: Reason) {
     if request_log::may_write(plane, request_log::Class::Owner) {
--- a/buckthorn/src/rpc/message.rs
+++ b/buckthorn/src/rpc/message.rs
@@ -1,9 +1,11 @@
 //! Messages of the control protocol between nodes.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+use crate::clock::Time;
 use crate::config::excerpt::Excerpt;
 use crate::config::order::Decision;
 use crate::config::position::Position;
@@ -15,6 +17,7 @@
 use crate::poison::crash::Crash;
 use crate::rollout::quarantine::Accusation;
 use crate::rollout::{cutover, evidence};
+use crate::usage::collector::Report;
 
 /// Messages that one node sends to another in one exchange. The reply is an envelope as well.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -100,6 +103,24 @@
         /// Published decisions, empty if the receiver's hash matches.
         decisions: Vec<Decision>,
     },
+    /// Asks until when the receiver's policy was known to be the newest one.
+    WantConfirmation {
+        /// Time of the request by the sender's clock, returned in the reply.
+        asked_at: Time,
+        /// Position up to which the sender has the orders.
+        next: Position,
+    },
+    /// Replies to [`Self::WantConfirmation`].
+    Confirmation {
+        /// Time of the request.
+        asked_at: Time,
+        /// Position at which the orders were known to end.
+        next: Position,
+        /// Time since they were last known to end there.
+        age: Duration,
+    },
+    /// Requests of tenants that the sender has counted.
+    Usage(Report),
     /// Finding on a service's move by a node that evaluates it.
     Finding(cutover::Finding),
     /// Calls that were lost in a crash of the sender's backend server.
--- a/buckthorn_lab/src/harness/mod.rs
+++ b/buckthorn_lab/src/harness/mod.rs
@@ -419,6 +419,8 @@
             // The simulated log is the mesh's own, in which decisions are appended records.
             Action::ReadOrders(_)
             | Action::MonitorOrders(_)
+            | Action::ConfirmPolicy(_)
+            | Action::Duty(_)
             | Action::CollectEvidence
             | Action::RecallDeparture(_)
             | Action::StoreDeparture(_)
