Close callers without progress first when connections or slots run short

Callers that stopped half-way held what others need until a timeout: the platform's ports served 16 connections and waited for them, uploads held the slots of a backend server, and connections were only refused.

Connections are now judged by what their peer does (proxy::eviction): without room, the one without progress for longest is closed. While connections, memory or slots are short (proxy::shortage), uploads without progress, unread responses and long bursts of requests sent ahead are cut. Kept bodies share a budget (proxy::memory) and are copied, as each small piece kept its whole buffer of 8 KiB. The limits of the policy, and memory and descriptors of the settings, hold.

An upload that broke off counted as a failure and suspected crash of its backend server, and was answered with 408, which says "not run"; now it counts for none, and the status is 504. A status above 599 or a 101 that nobody asked for became the caller's answer, also from another node; now it is a failure, 502. proxy_status failed with 600 before this change.

--- a/buckthorn/src/admin/server.rs
+++ b/buckthorn/src/admin/server.rs
@@ -2,40 +2,28 @@
 //!
 //! Built on `hyper`, because the server of `oxhttp` neither reports the port that it bound nor can
 //! be stopped, and limits neither the total time for a request's headers nor how much of a refused
-//! body it reads.
+//! body it reads. [`listen`] accepts the connections.
 
-use std::convert::Infallible;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
 
-use bytes::Bytes;
 use http::header::{AUTHORIZATION, CONTENT_TYPE};
 use http::{Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
 use serde_json::{Value, json};
-use tokio::net::TcpStream;
-use tokio::sync::{Semaphore, oneshot};
+use tokio::sync::oneshot;
 
+use super::listen::{self, BodyError, HttpResponse, Port};
+pub use super::listen::{MAX_HEADER_BYTES, REQUEST_TIMEOUT};
 use super::{Announcement, Handler, Refusal, announcement};
 use crate::counter::{Counter, Counters};
 use crate::metrics;
 use crate::secret::Secrets;
 
-/// Maximum number of open connections; further ones wait until one is closed.
+/// Maximum number of open connections; a further one takes the place of one that makes no progress.
 pub const MAX_CONNECTIONS: usize = 64;
 
-/// Maximum size of a request's headers in bytes.
-pub const MAX_HEADER_BYTES: usize = 16 * 1024;
-
-/// Timeout for reading a request's headers, and again for reading its body.
-pub const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// Access control of the admin API.
 #[derive(Clone, Debug)]
 pub enum Access {
@@ -72,9 +60,6 @@
     }
 }
 
-/// Response of the admin API.
-type HttpResponse = Response<Full<Bytes>>;
-
 /// Serves the admin API on a listener until the handle is dropped.
 ///
 /// Has to be called within a tokio runtime.
@@ -87,14 +72,21 @@
     access: Access,
     handler: impl Handler,
 ) -> anyhow::Result<Handle> {
-    listener.set_nonblocking(true)?;
     let address = listener.local_addr()?;
-    let listener = tokio::net::TcpListener::from_std(listener)?;
     let (stop, stopped) = oneshot::channel();
     let handler = Arc::new(handler);
+    let port = Port {
+        max_connections: MAX_CONNECTIONS,
+        idle_timeout: REQUEST_TIMEOUT,
+        counters: handler.counters().clone(),
+    };
+    let accepting = listen::serve(listener, port, move |request| {
+        let (access, handler) = (access.clone(), handler.clone());
+        async move { route(request, &access, handler).await }
+    })?;
     tokio::spawn(async move {
         tokio::select! {
-            () = accept(listener, access, handler) => {}
+            () = accepting => {}
             _ = stopped => {}
         }
     });
@@ -104,57 +96,6 @@
     })
 }
 
-/// Accepts connections, of which at most [`MAX_CONNECTIONS`] are open at a time.
-async fn accept(listener: tokio::net::TcpListener, access: Access, handler: Arc<impl Handler>) {
-    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
-    loop {
-        let Ok(permit) = permits.clone().acquire_owned().await else {
-            return;
-        };
-        let Ok((stream, _)) = listener.accept().await else {
-            // The process is most likely out of file descriptors; wait until some are closed.
-            tokio::time::sleep(Duration::from_millis(50)).await;
-            continue;
-        };
-        let (access, handler) = (access.clone(), handler.clone());
-        tokio::spawn(async move {
-            serve_connection(stream, &access, &handler).await;
-            drop(permit);
-        });
-    }
-}
-
-/// Serves one connection and counts it when it fails before a request is complete.
-async fn serve_connection(stream: TcpStream, access: &Access, handler: &Arc<impl Handler>) {
-    let has_request = AtomicBool::new(false);
-    let service = service_fn(|request| {
-        has_request.store(true, Ordering::Relaxed);
-        let (access, handler) = (access.clone(), handler.clone());
-        async move { Ok::<_, Infallible>(route(request, &access, handler).await) }
-    });
-    let result = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(REQUEST_TIMEOUT)
-        .max_buf_size(MAX_HEADER_BYTES)
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
-    let Err(error) = result else {
-        return;
-    };
-    let counter = if error.is_parse_too_large() {
-        Counter::RefusedHeaderSize
-    } else if error.is_parse() {
-        Counter::RefusedBadRequest
-    } else if error.is_timeout() && !has_request.load(Ordering::Relaxed) {
-        // The same timeout closes a connection that idles after a request, which is not an error.
-        Counter::RefusedHeaderTimeout
-    } else {
-        // Any other error only affects the client of this connection.
-        return;
-    };
-    handler.counters().increment(counter);
-}
-
 /// Authenticates one request and dispatches it by method and path.
 async fn route(
     request: Request<Incoming>,
@@ -208,21 +149,19 @@
 /// Handles `POST /v1/announce` and counts refused announcements.
 async fn announce(request: Request<Incoming>, handler: Arc<impl Handler>) -> HttpResponse {
     let counters = handler.counters().clone();
+    let body = request.into_body();
     let refused = |status, message: &str| {
         counters.increment(Counter::AnnouncementsRefused);
         error_response(status, message)
     };
-    let body = Limited::new(request.into_body(), announcement::MAX_BYTES).collect();
-    let body = match tokio::time::timeout(REQUEST_TIMEOUT, body).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            counters.increment(Counter::RefusedBodySize);
+    let body = match listen::read_body(body, announcement::MAX_BYTES, &counters).await {
+        Ok(body) => body,
+        Err(BodyError::TooLong) => {
             let message = format!("longer than {} bytes", announcement::MAX_BYTES);
             return refused(StatusCode::PAYLOAD_TOO_LARGE, &message);
         }
-        Ok(Err(_)) => return refused(StatusCode::BAD_REQUEST, "the body ended early"),
-        Err(_) => {
-            counters.increment(Counter::RefusedBodyTimeout);
+        Err(BodyError::Short) => return refused(StatusCode::BAD_REQUEST, "the body ended early"),
+        Err(BodyError::Timeout) => {
             return refused(StatusCode::REQUEST_TIMEOUT, "timed out reading the body");
         }
     };
--- a/buckthorn/src/config/policy.rs
+++ b/buckthorn/src/config/policy.rs
@@ -26,6 +26,22 @@
     pub routes: Vec<Route>,
     /// Services, sorted by name.
     pub services: Vec<Service>,
+    /// Limits on what callers send.
+    #[serde(default)]
+    pub limits: CallerLimits,
+}
+
+/// Limits on what callers send; those of the node hold where one is absent.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallerLimits {
+    /// Maximum bytes of the head of a request.
+    pub header_bytes: Option<usize>,
+    /// Maximum bytes of the body of a request.
+    pub body_bytes: Option<u64>,
+    /// Longest time that the head of a request may take.
+    pub header_timeout: Option<Duration>,
+    /// Longest time without a request on a connection.
+    pub idle_timeout: Option<Duration>,
 }
 
 /// Whether a route's requests may be retried after they may have run, and what its responses are
@@ -153,9 +169,16 @@
             version,
             routes,
             services,
+            limits: CallerLimits::default(),
         }
     }
 
+    /// Sets the limits on what callers send.
+    pub fn with_limits(mut self, limits: CallerLimits) -> Self {
+        self.limits = limits;
+        self
+    }
+
     /// Route of a request with this host and path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         let start = self.routes.partition_point(|route| *route.host < *host);
--- a/buckthorn/src/counter.rs
+++ b/buckthorn/src/counter.rs
@@ -53,6 +53,8 @@
     RefusedBodySize "refused.body_size" "Requests with a body over the limit.",
     RefusedBodyTimeout "refused.body_timeout" "Requests whose body stalled.",
     RefusedConnections "refused.connections" "Connections over the limit.",
+    BodiesNotKept "call.body_not_kept" "Request bodies that were streamed and not kept, as no memory was left for them.",
+    ConnectionsEvicted "connection.evicted" "Connections of callers closed for another one, as they made no progress or were idle.",
     RefusedBadRequest "refused.bad_request" "Requests that are malformed.",
     RefusedUnauthenticated "refused.unauthenticated" "Peers or clients without the shared secret.",
     RefusedKeyInProgress "refused.key_in_progress" "Repeats of an idempotency key still in progress.",
--- a/buckthorn/src/log_event.rs
+++ b/buckthorn/src/log_event.rs
@@ -39,6 +39,7 @@
     CallAnswered "call.answered" "request, service, status, reason, ran, attempts, version, took_ms" "A call got its final response.",
     CallAbandoned "call.abandoned" "request, service, attempts, version, took_ms" "The caller disconnected before its response.",
     CallRefused "call.refused" "request, status, reason, version" "A call was refused before a backend server was chosen.",
+    ConnectionEvicted "connection.evicted" "phase" "A caller's connection was closed for another one: it made no progress in this phase, or was idle.",
     // Calls at the owner.
     OwnerRefused "owner.refused" "request, service, reason, running, queued, limit, version" "The owner refused a call as not run.",
     OwnerFailed "owner.failed" "request, service, instance, reason, ran, took_ms" "The backend server gave no response that could be forwarded.",
--- a/buckthorn/src/proxy/body.rs
+++ b/buckthorn/src/proxy/body.rs
@@ -3,6 +3,8 @@
 use std::collections::VecDeque;
 use std::fmt;
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -14,6 +16,15 @@
 use tokio::time::{Instant, Sleep, sleep};
 
 use super::header;
+use super::memory::Reservation;
+use super::shortage::{Progress, Shortage};
+
+/// Pieces of data below this size are copied out of the buffer that they were received in, which has
+/// at least eight times this size.
+const COPIED_BYTES: usize = 1_024;
+
+/// Interval between two checks of an upload's progress.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Type-erased body of a request or response.
 pub type Body = UnsyncBoxBody<Bytes, Fault>;
@@ -99,6 +110,15 @@
 /// Callback that is invoked once when a body ends.
 pub type OnEnd = Box<dyn FnOnce(Ending) + Send>;
 
+/// Copies a small piece of data, which would keep the whole buffer that it was received in.
+fn detach(data: Bytes) -> Bytes {
+    if data.len() < COPIED_BYTES {
+        Bytes::copy_from_slice(&data)
+    } else {
+        data
+    }
+}
+
 /// Limits that a [`Monitor`] enforces.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
@@ -124,6 +144,8 @@
     timer: Option<Pin<Box<Sleep>>>,
     /// Whether the timer was started for the current wait.
     is_waiting: bool,
+    /// Progress of an upload, and the timer of its next check.
+    progress: Option<(Progress, Pin<Box<Sleep>>)>,
     /// Callback for the end of the body, `None` once invoked.
     on_end: Option<OnEnd>,
     /// Whether a fault was returned to the reader.
@@ -151,6 +173,7 @@
             idle: bounds.idle,
             timer: None,
             is_waiting: false,
+            progress: None,
             on_end: Some(Box::new(on_end)),
             is_failed: false,
         };
@@ -160,6 +183,27 @@
         monitor
     }
 
+    /// Fails the body also when it makes no progress during a shortage.
+    pub fn with_progress(mut self, shortage: &Arc<Shortage>) -> Self {
+        if !self.is_complete() {
+            let timer = Box::pin(sleep(PROGRESS_INTERVAL));
+            self.progress = Some((Progress::new(shortage.clone()), timer));
+        }
+        self
+    }
+
+    /// Polls whether the body has to fail because it makes no progress during a shortage.
+    fn poll_cut(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let Some((progress, timer)) = &mut self.progress else {
+            return Poll::Pending;
+        };
+        while !progress.is_cut() {
+            ready!(timer.as_mut().poll(cx));
+            timer.as_mut().reset(Instant::now() + PROGRESS_INTERVAL);
+        }
+        Poll::Ready(())
+    }
+
     /// Returns whether the body has ended and has its declared length.
     fn is_complete(&self) -> bool {
         self.inner.is_end_stream() && self.left.unwrap_or(0) == 0
@@ -167,6 +211,9 @@
 
     /// Deducts bytes that arrived from what is declared and allowed.
     fn count(&mut self, bytes: u64) -> Result<(), Fault> {
+        if let Some((progress, _)) = &mut self.progress {
+            progress.record(bytes);
+        }
         if let Some(left) = &mut self.left {
             *left = left.checked_sub(bytes).ok_or(Fault::Overlong)?;
         }
@@ -223,7 +270,9 @@
             return Poll::Ready(None);
         }
         let Poll::Ready(next) = Pin::new(&mut this.inner).poll_frame(cx) else {
-            ready!(this.poll_idle(cx));
+            if this.poll_cut(cx).is_pending() {
+                ready!(this.poll_idle(cx));
+            }
             return this.fail(Fault::Idle);
         };
         this.is_waiting = false;
@@ -236,6 +285,7 @@
                 return Poll::Ready(None);
             }
         };
+        let frame = frame.map_data(detach);
         let bytes = frame.data_ref().map_or(0, Bytes::len);
         if let Err(fault) = this.count(bytes as u64) {
             return this.fail(fault);
@@ -264,6 +314,90 @@
     }
 }
 
+/// Body that invokes a callback when it is dropped.
+struct OnDrop<F: FnOnce()> {
+    /// Wrapped body.
+    inner: Body,
+    /// Callback, `None` once invoked.
+    callback: Option<F>,
+}
+
+impl<F: FnOnce()> Drop for OnDrop<F> {
+    fn drop(&mut self) {
+        if let Some(callback) = self.callback.take() {
+            callback();
+        }
+    }
+}
+
+impl<F: FnOnce() + Unpin> http_body::Body for OnDrop<F> {
+    type Data = Bytes;
+    type Error = Fault;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Fault>>> {
+        Pin::new(&mut self.inner).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
+/// Returns an equivalent body that invokes a callback when it is dropped.
+pub fn on_drop(inner: Body, callback: impl FnOnce() + Send + Unpin + 'static) -> Body {
+    let callback = Some(callback);
+    OnDrop { inner, callback }.boxed_unsync()
+}
+
+/// Body that records whether it failed.
+struct Flagged {
+    /// Wrapped body.
+    inner: Body,
+    /// Set when the body fails.
+    is_failed: Arc<AtomicBool>,
+}
+
+impl http_body::Body for Flagged {
+    type Data = Bytes;
+    type Error = Fault;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Fault>>> {
+        let next = ready!(Pin::new(&mut self.inner).poll_frame(cx));
+        if matches!(next, Some(Err(_))) {
+            self.is_failed.store(true, Ordering::Release);
+        }
+        Poll::Ready(next)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
+/// Returns an equivalent body, and a flag that is set when the body fails.
+pub fn flagged(inner: Body) -> (Body, Arc<AtomicBool>) {
+    let is_failed = Arc::<AtomicBool>::default();
+    let flagged = Flagged {
+        inner,
+        is_failed: is_failed.clone(),
+    };
+    (flagged.boxed_unsync(), is_failed)
+}
+
 /// Body whose first frames were already read.
 pub struct Replayed {
     /// Frames that were already read.
@@ -273,18 +407,22 @@
 }
 
 impl Replayed {
-    /// Buffers a body until it ends or exceeds `max_bytes`. Returns an equivalent body and, if all
+    /// Buffers a body until it ends, exceeds `max_bytes` or no memory is left for it. Returns an equivalent body and, if all
     /// of it was read, its bytes.
     ///
     /// # Errors
     ///
     /// Returns the fault that the body ended with.
-    pub async fn buffer(mut body: Body, max_bytes: usize) -> Result<(Body, Option<Bytes>), Fault> {
+    pub async fn buffer(
+        mut body: Body,
+        max_bytes: usize,
+        mut reservation: Reservation,
+    ) -> Result<(Body, Option<Bytes>), Fault> {
         let mut read = BytesMut::new();
         loop {
             match body.frame().await {
                 None => {
-                    let bytes = read.freeze();
+                    let bytes = reservation.hold(read);
                     return Ok((full(bytes.clone()), Some(bytes)));
                 }
                 Some(Err(fault)) => return Err(fault),
@@ -294,8 +432,8 @@
                     }
                 }
             }
-            if read.len() > max_bytes {
-                let first = VecDeque::from([Ok(Frame::data(read.freeze()))]);
+            if read.len() > max_bytes || !reservation.grow(read.len()) {
+                let first = VecDeque::from([Ok(Frame::data(reservation.hold(read)))]);
                 let replayed = Self { first, rest: body };
                 return Ok((replayed.boxed_unsync(), None));
             }
@@ -306,24 +444,26 @@
     /// equivalent body and the bytes that were read.
     pub async fn peek(mut body: Body, max_bytes: usize, wait: Duration) -> (Body, Bytes) {
         let deadline = Instant::now() + wait;
-        let (mut first, mut read) = (VecDeque::new(), BytesMut::new());
+        let (mut after, mut read) = (None, BytesMut::new());
         while read.len() < max_bytes {
             let Ok(Some(frame)) = tokio::time::timeout_at(deadline, body.frame()).await else {
                 break;
             };
-            if let Ok(frame) = &frame
-                && let Some(data) = frame.data_ref()
-            {
-                read.extend_from_slice(data);
+            // Data is copied, as each frame would keep the whole buffer that it was received in.
+            match frame.map(Frame::into_data) {
+                Ok(Ok(data)) => read.extend_from_slice(&data),
+                Ok(Err(trailers)) => after = Some(Ok(trailers)),
+                Err(fault) => after = Some(Err(fault)),
             }
-            let is_fault = frame.is_err();
-            first.push_back(frame);
-            if is_fault {
+            if after.is_some() {
                 break;
             }
         }
+        let read = read.freeze();
+        let data = (!read.is_empty()).then(|| Ok(Frame::data(read.clone())));
+        let first = data.into_iter().chain(after).collect();
         let replayed = Self { first, rest: body };
-        (replayed.boxed_unsync(), read.freeze())
+        (replayed.boxed_unsync(), read)
     }
 }
 
--- a/buckthorn/src/proxy/dispatch.rs
+++ b/buckthorn/src/proxy/dispatch.rs
@@ -314,7 +314,8 @@
 ) -> Result<Response<Body>, HopError> {
     let deadline = Instant::now() + call.deadline.since(plane.clock.now());
     let (parts, body) = response.into_parts();
-    let read = tokio::time::timeout_at(deadline, Replayed::buffer(body, max_bytes));
+    let buffered = Replayed::buffer(body, max_bytes, plane.kept_memory.reservation());
+    let read = tokio::time::timeout_at(deadline, buffered);
     match read.await {
         Ok(Ok((body, _))) => Ok(Response::from_parts(parts, body)),
         Ok(Err(_)) => Err(HopError::Unknown(Reason::Broken)),
@@ -377,6 +378,9 @@
     if response::has_reason(response, Reason::Timeout) {
         return Outcome::Timeout;
     }
+    if response::has_reason(response, Reason::BodyShort) {
+        return Outcome::Cancelled;
+    }
     Outcome::Reset
 }
 
--- a/buckthorn/src/proxy/hop.rs
+++ b/buckthorn/src/proxy/hop.rs
@@ -22,7 +22,7 @@
 use super::body::{self, Body};
 use super::header::{DEADLINE, ROLE, Role, SECRET};
 use super::limit::Limits;
-use super::response::Reason;
+use super::response::{self, Reason};
 use super::socket;
 use crate::counter::{Counter, Counters};
 use crate::secret::Secrets;
@@ -130,9 +130,15 @@
                 Ok(None) => return Err(HopError::NotRun(Reason::Unreachable)),
                 Err(_) => return Err(HopError::NotRun(Reason::Timeout)),
             };
-        let request = add_hop_headers(outgoing, secrets);
+        let (parts, body) = add_hop_headers(outgoing, secrets).into_parts();
+        let (body, is_body_failed) = body::flagged(body);
+        let request = Request::from_parts(parts, body);
         let sent = connection.sender.clone().try_send_request(request);
         match tokio::time::timeout_at(deadline, sent).await {
+            Ok(Ok(response)) if !response::is_final(response.status()) => {
+                self.counters.increment(Counter::BrokenResponses);
+                Err(HopError::Unknown(Reason::Broken))
+            }
             Ok(Ok(response)) => {
                 connection
                     .last_response
@@ -140,6 +146,9 @@
                 Ok(response)
             }
             Ok(Err(mut error)) => {
+                if is_body_failed.load(Ordering::Acquire) {
+                    return Err(HopError::Unknown(Reason::BodyShort));
+                }
                 let is_not_sent = error.take_message().is_some();
                 Err(self.classify(is_not_sent, error.error()))
             }
--- a/buckthorn/src/proxy/keyed.rs
+++ b/buckthorn/src/proxy/keyed.rs
@@ -267,7 +267,9 @@
         return response;
     }
     let (head, body) = response.into_parts();
-    let (body, kept) = match Replayed::buffer(body, plane.limits.key_body_bytes).await {
+    let reservation = plane.kept_memory.reservation();
+    let buffered = Replayed::buffer(body, plane.limits.key_body_bytes, reservation);
+    let (body, kept) = match buffered.await {
         Ok(read) => read,
         Err(_) => {
             let refusal = response::refuse(&plane.counters, Reason::Broken, Ran::Unknown);
@@ -278,6 +280,8 @@
             return refusal;
         }
     };
+    // A copy is stored, as the memory of the body is only reserved until the caller has it.
+    let kept = kept.map(|kept| Bytes::copy_from_slice(&kept));
     // The outcome is stored on both nodes before the caller receives it.
     running_key.end(head.status, &head.headers, kept).await;
     Response::from_parts(head, body)
--- a/buckthorn/src/proxy/limit.rs
+++ b/buckthorn/src/proxy/limit.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::config::policy::CallerLimits;
+
 /// Limits of one node. A request over a limit is refused with a status, a reason and a counter.
 #[derive(Clone, Debug)]
 pub struct Limits {
@@ -11,6 +13,8 @@
     pub headers: usize,
     /// Maximum bytes of a request body.
     pub body_bytes: u64,
+    /// Maximum bytes of all bodies that are kept in memory at a time; further ones are streamed.
+    pub kept_bytes: usize,
     /// Largest request body in bytes that is kept for a retry; larger ones are streamed once.
     pub kept_body_bytes: u64,
     /// Maximum connections from callers.
@@ -21,8 +25,15 @@
     pub hop_streams: u32,
     /// Flow-control window of one call on a connection between nodes, in bytes.
     pub hop_window_bytes: u32,
-    /// Longest wait for the head of a request, and idle timeout of a caller's connection.
+    /// Longest time from the first byte of a request's head to its end.
     pub header_timeout: Duration,
+    /// Idle timeout of a caller's connection; that for a head where absent.
+    pub idle_timeout: Option<Duration>,
+    /// Requests sent ahead on a connection after which it is closed while room is short, so that
+    /// others get their turn.
+    pub burst_requests: u32,
+    /// Bytes of responses that a peer may leave unread before writes to it block.
+    pub unread_bytes: usize,
     /// Longest wait for the next frame of a body, and longest time that a write may be blocked.
     pub idle_body_timeout: Duration,
     /// Timeout for the head of the response when the caller sets no deadline.
@@ -53,12 +64,16 @@
             header_bytes: 16 * 1024,
             headers: 100,
             body_bytes: 64 * 1024 * 1024,
+            kept_bytes: 256 * 1024 * 1024,
             kept_body_bytes: 64 * 1024,
             caller_connections: 1_024,
             hop_connections: 1_024,
             hop_streams: 256,
             hop_window_bytes: 64 * 1024,
             header_timeout: Duration::from_secs(10),
+            idle_timeout: None,
+            burst_requests: 64,
+            unread_bytes: 256 * 1024,
             idle_body_timeout: Duration::from_secs(15),
             call_timeout: Duration::from_secs(30),
             connect_timeout: Duration::from_millis(500),
@@ -73,3 +88,30 @@
         }
     }
 }
+
+/// Limits of callers' requests, from the operators' policy or else from [`Limits`].
+#[derive(Clone, Copy, Debug)]
+pub struct RequestLimits {
+    /// Maximum bytes of a head.
+    pub header_bytes: usize,
+    /// Maximum bytes of a body.
+    pub body_bytes: u64,
+    /// Longest time from the first byte of a head to its end.
+    pub header_timeout: Duration,
+    /// Longest time without a request on a connection.
+    pub idle_timeout: Duration,
+}
+
+impl RequestLimits {
+    /// Combines the limits of the node with those of a policy.
+    pub fn new(limits: &Limits, policy: Option<&CallerLimits>) -> Self {
+        let policy = policy.cloned().unwrap_or_default();
+        let idle_timeout = limits.idle_timeout.unwrap_or(limits.header_timeout);
+        Self {
+            header_bytes: policy.header_bytes.unwrap_or(limits.header_bytes),
+            body_bytes: policy.body_bytes.unwrap_or(limits.body_bytes),
+            header_timeout: policy.header_timeout.unwrap_or(limits.header_timeout),
+            idle_timeout: policy.idle_timeout.unwrap_or(idle_timeout),
+        }
+    }
+}
--- a/buckthorn/src/proxy/listen.rs
+++ b/buckthorn/src/proxy/listen.rs
@@ -11,20 +11,25 @@
 use hyper::server::conn::{http1, http2};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use slog::info;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 use tokio::task::JoinSet;
+use tokio::time::MissedTickBehavior;
 
-use super::body::{Body, Bounds, Monitor};
+use super::body::{self, Body, Bounds, Monitor};
+use super::connections::{Admission, ConnectionState, Registry};
+use super::eviction::{Cause, Phase as PeerPhase, Timeouts};
 use super::header::{self, Call, Role, SECRET};
 use super::ingress::Origin;
 use super::payload::{Payload, UploadStatus};
 use super::response::{self, Ran, Reason};
-use super::socket::{ConnectionState, Socket};
-use super::{Plane, hop, ingress, keyed, owner};
+use super::socket::{self, Socket};
+use super::{Plane, hop, ingress, keyed, owner, request_log};
 use crate::admission::gate::Refusal;
 use crate::counter::Counter;
+use crate::log_event::LogEvent;
 
 /// Pause after a failed accept, to avoid a busy loop when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -33,6 +38,8 @@
 /// Maximum concurrent refusals of connections; beyond it, connections are closed without a
 /// response.
 const MAX_REFUSALS: usize = 64;
+/// Longest interval between two checks of the timeouts of connections.
+const MAX_EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum streams that a node may reset before they were accepted.
 const MAX_PENDING_RESETS: usize = 256;
 
@@ -79,31 +86,52 @@
         Port::Callers => plane.limits.caller_connections,
         Port::Hop => plane.limits.hop_connections,
     };
-    let slots = Arc::new(Semaphore::new(limit));
+    let mut registry = Registry::new(limit);
     let refusals = Arc::new(Semaphore::new(MAX_REFUSALS));
+    let interval = plane.limits.header_timeout / 4;
+    let mut expiry = tokio::time::interval(interval.clamp(ACCEPT_PAUSE, MAX_EXPIRY_INTERVAL));
+    expiry.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut tasks = JoinSet::new();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             Some(_) = tasks.join_next() => continue,
+            _ = expiry.tick(), if port == Port::Callers => {
+                let limits = plane.request_limits();
+                let evicted = registry.expire(&Timeouts {
+                    head: limits.header_timeout,
+                    idle: limits.idle_timeout,
+                    is_shortage: plane.shortage.is_current(),
+                });
+                for _ in 0..evicted {
+                    record_eviction(&plane, PeerPhase::Blocked);
+                }
+                continue;
+            }
             () = draining(&mut phase) => break,
         };
         let Ok((stream, peer)) = accepted else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        // Nagle's algorithm would delay small responses; a socket that rejects the option still
-        // works.
-        let _ = stream.set_nodelay(true);
-        let Ok(slot) = slots.clone().try_acquire_owned() else {
-            plane.counters.increment(Counter::RefusedConnections);
-            if let Ok(permit) = refusals.clone().try_acquire_owned() {
-                tasks.spawn(async move {
-                    refuse_connection(stream, Reason::Connections).await;
-                    drop(permit);
-                });
+        socket::prepare(&stream, plane.limits.unread_bytes);
+        let state = match registry.admit() {
+            Admission::Open(state) => state,
+            Admission::Replaced(state, phase) => {
+                record_eviction(&plane, phase);
+                state
+            }
+            Admission::Refused => {
+                plane.counters.increment(Counter::RefusedConnections);
+                plane.shortage.record();
+                if let Ok(permit) = refusals.clone().try_acquire_owned() {
+                    tasks.spawn(async move {
+                        refuse_connection(stream, Reason::Connections).await;
+                        drop(permit);
+                    });
+                }
+                continue;
             }
-            continue;
         };
         let is_local = stream
             .local_addr()
@@ -114,12 +142,20 @@
             Origin::Remote
         };
         let (plane, phase) = (plane.clone(), phase.clone());
+        let refusals = refusals.clone();
         tasks.spawn(async move {
             match port {
-                Port::Callers => serve_caller(plane, stream, origin, phase).await,
-                Port::Hop => serve_node(plane, stream, phase).await,
+                Port::Callers => {
+                    let connection = Connection {
+                        stream,
+                        state,
+                        origin,
+                        refusals,
+                    };
+                    serve_caller(plane, connection, phase).await;
+                }
+                Port::Hop => serve_node(plane, stream, state, phase).await,
             }
-            drop(slot);
         });
     }
     drop(listener);
@@ -141,35 +177,59 @@
     let _ = tokio::time::timeout(REFUSAL_TIME, exchange).await;
 }
 
-/// Serves one connection of a caller.
-async fn serve_caller(
-    plane: Arc<Plane>,
+/// Counts and logs that a connection was closed for another one.
+fn record_eviction(plane: &Plane, phase: PeerPhase) {
+    plane.counters.increment(Counter::ConnectionsEvicted);
+    plane.shortage.record();
+    if request_log::may_write(plane, request_log::Class::Response) {
+        info!(plane.logger, "{}", LogEvent::ConnectionEvicted.name(); "phase" => format!("{phase:?}"));
+    }
+}
+
+/// An accepted connection of a caller.
+struct Connection {
+    /// TCP stream.
     stream: TcpStream,
+    /// State that decides whether it is closed for another one.
+    state: Arc<ConnectionState>,
+    /// Where it comes from.
     origin: Origin,
-    mut phase: PhaseReceiver,
-) {
-    let state = Arc::new(ConnectionState::default());
+    /// Limits the concurrent refusals.
+    refusals: Arc<Semaphore>,
+}
+
+/// Serves one connection of a caller.
+async fn serve_caller(plane: Arc<Plane>, accepted: Connection, mut phase: PhaseReceiver) {
+    let Connection {
+        stream,
+        state,
+        origin,
+        refusals,
+    } = accepted;
     let write_timeout = plane.limits.idle_body_timeout;
     let socket = TokioIo::new(Socket::new(stream, state.clone(), write_timeout));
     let service = {
         let (plane, state) = (plane.clone(), state.clone());
         service_fn(move |request| handle_caller(plane.clone(), state.clone(), origin, request))
     };
+    let limits = plane.request_limits();
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(plane.limits.header_timeout)
-        .max_buf_size(plane.limits.header_bytes.max(8 * 1024))
+        // It also ends the wait for the next request, so the timeout of heads is enforced apart.
+        .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
+        .max_buf_size(limits.header_bytes.max(8 * 1024))
         .max_headers(plane.limits.headers)
         .serve_connection(socket, service);
     let mut linger = pin!(async {
         draining(&mut phase).await;
         tokio::time::sleep(plane.limits.drain_linger).await;
     });
-    let result = {
+    let ended = {
         let mut is_closing = false;
         loop {
             tokio::select! {
-                result = &mut connection => break result,
+                result = &mut connection => break Ok(result),
+                cause = state.closing() => break Err(cause),
                 () = &mut linger, if !is_closing => {
                     is_closing = true;
                     std::pin::Pin::new(&mut connection).graceful_shutdown();
@@ -177,17 +237,30 @@
             }
         }
     };
-    let Err(error) = result else { return };
-    if state.is_stalled() {
-        plane.counters.increment(Counter::ConnectionsStalled);
-    } else if error.is_parse_too_large() {
-        plane.counters.increment(Counter::RefusedHeaderSize);
-    } else if error.is_parse() {
-        plane.counters.increment(Counter::RefusedBadRequest);
-    } else if error.is_timeout() && state.has_unconsumed() {
+    let reason = match ended {
+        Ok(Ok(())) => return,
+        Ok(Err(error)) if state.is_stalled() => {
+            drop(error);
+            return plane.counters.increment(Counter::ConnectionsStalled);
+        }
+        Ok(Err(error)) if error.is_parse_too_large() => {
+            return plane.counters.increment(Counter::RefusedHeaderSize);
+        }
+        Ok(Err(error)) if error.is_parse() => {
+            return plane.counters.increment(Counter::RefusedBadRequest);
+        }
+        Ok(Err(error)) if error.is_timeout() && state.has_unconsumed() => Reason::HeaderTimeout,
+        Err(Cause::HeadTimeout) => Reason::HeaderTimeout,
+        // Only an incomplete head is known not to have run.
+        Err(Cause::Room) if state.view().phase == PeerPhase::Head => Reason::Connections,
+        Ok(Err(_)) | Err(Cause::Room | Cause::IdleTimeout) => return,
+    };
+    if reason == Reason::HeaderTimeout {
         plane.counters.increment(Counter::RefusedHeaderTimeout);
-        let socket = connection.into_parts().io.into_inner();
-        refuse_connection(socket, Reason::HeaderTimeout).await;
+    }
+    let socket = connection.into_parts().io.into_inner();
+    if let Ok(_permit) = refusals.try_acquire() {
+        refuse_connection(socket, reason).await;
     }
 }
 
@@ -198,32 +271,44 @@
     origin: Origin,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
-    state.mark_consumed();
+    state.begin_request(!http_body::Body::is_end_stream(request.body()));
     let bounds = Bounds {
         declared: header::declared_length(request.headers()).ok().flatten(),
-        max_bytes: plane.limits.body_bytes,
+        max_bytes: plane.request_limits().body_bytes,
         idle: plane.limits.idle_body_timeout,
     };
     let upload = UploadStatus::default();
     let status = upload.clone();
+    let uploading = state.clone();
     let mut request = request.map(|body| {
         Monitor::new(body, bounds, move |ending| {
-            state.mark_consumed();
+            uploading.end_body();
             status.record(ending);
         })
+        .with_progress(&plane.shortage)
     });
     request.extensions_mut().insert(upload);
     let mut response = ingress::handle(&plane, origin, request).await;
-    if plane.is_draining() {
+    let is_burst = state.burst() > plane.limits.burst_requests && plane.shortage.is_current();
+    if is_burst {
+        record_eviction(&plane, PeerPhase::Waiting);
+    }
+    if is_burst || plane.is_draining() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(names::CONNECTION, close);
     }
-    Ok(response)
+    Ok(response.map(|body| body::on_drop(body, move || state.end_request())))
 }
 
 /// Serves one connection of another node.
-async fn serve_node(plane: Arc<Plane>, stream: TcpStream, mut phase: PhaseReceiver) {
-    let state = Arc::new(ConnectionState::default());
+async fn serve_node(
+    plane: Arc<Plane>,
+    stream: TcpStream,
+    state: Arc<ConnectionState>,
+    mut phase: PhaseReceiver,
+) {
+    // It carries many calls at a time, so it is never closed for another one.
+    state.begin_request(false);
     let socket = Socket::new(stream, state.clone(), plane.limits.idle_body_timeout);
     let service = {
         let plane = plane.clone();
@@ -279,7 +364,7 @@
         max_bytes: plane.limits.body_bytes,
         idle: plane.limits.idle_body_timeout,
     };
-    let body = Monitor::new(body, bounds, |_| {});
+    let body = Monitor::new(body, bounds, |_| {}).with_progress(&plane.shortage);
     Ok(match role {
         Role::Owner => {
             let request = Request::from_parts(parts, body.boxed_unsync());
--- a/buckthorn/src/proxy/mod.rs
+++ b/buckthorn/src/proxy/mod.rs
@@ -17,9 +17,11 @@
 
 mod attempts;
 pub mod body;
+pub mod connections;
 pub mod contract;
 pub mod crash_watch;
 pub mod dispatch;
+pub mod eviction;
 pub mod header;
 pub mod hop;
 pub mod ingress;
@@ -27,12 +29,14 @@
 pub mod keyed;
 pub mod limit;
 pub mod listen;
+pub mod memory;
 pub mod owner;
 pub mod payload;
 pub mod pool;
 pub mod request_log;
 pub mod response;
 pub mod resume;
+pub mod shortage;
 pub mod socket;
 
 use std::sync::Arc;
@@ -55,7 +59,7 @@
 
 use self::contract::Contract;
 use self::crash_watch::Watch;
-use self::limit::Limits;
+use self::limit::{Limits, RequestLimits};
 use self::owner::Owner;
 use crate::secret::Secrets;
 
@@ -94,6 +98,10 @@
     pub(crate) repeat_share: RepeatShare,
     /// Idempotency keys held by this node.
     pub(crate) keys: key::Store,
+    /// Shortage of connections, memory or slots of the local backend server.
+    pub(crate) shortage: Arc<shortage::Shortage>,
+    /// Memory left for bodies that are kept.
+    pub(crate) kept_memory: memory::Memory,
     /// Whether the node drains and refuses new calls.
     is_draining: AtomicBool,
 }
@@ -149,6 +157,13 @@
         blocklist.level(fingerprint, self.clock.now())
     }
 
+    /// Returns the limits of callers' requests under the current policy.
+    pub(crate) fn request_limits(&self) -> RequestLimits {
+        let table = self.table.load();
+        let policy = table.policy.as_ref();
+        RequestLimits::new(&self.limits, policy.map(|policy| &policy.limits))
+    }
+
     /// Returns whether the node drains and refuses new calls.
     pub fn is_draining(&self) -> bool {
         self.is_draining.load(Ordering::Acquire)
@@ -244,6 +259,8 @@
         Plane {
             peers: hop::Peers::new(self.counters.clone(), &self.limits),
             repeat_share: RepeatShare::default(),
+            shortage: Arc::default(),
+            kept_memory: memory::Memory::new(self.limits.kept_bytes),
             keys: key::Store::new(self.limits.keys, self.limits.key_window),
             table: self.table,
             owner: self.owner,
--- a/buckthorn/src/proxy/owner.rs
+++ b/buckthorn/src/proxy/owner.rs
@@ -128,6 +128,9 @@
             response
         }
         Err(reason) => {
+            if is_shortage(reason) {
+                plane.shortage.record();
+            }
             log_refusal(plane, &owner, &plane.request_id(request.headers()), reason);
             response::refuse(&plane.counters, reason, Ran::NotRun)
         }
@@ -138,6 +141,14 @@
     response
 }
 
+/// Returns whether a call was refused for lack of slots, which stalled uploads may hold.
+const fn is_shortage(reason: Reason) -> bool {
+    matches!(
+        reason,
+        Reason::Refused(Refusal::QueueFull | Refusal::Deadline | Refusal::Shed)
+    )
+}
+
 /// A call that was admitted.
 struct Admitted {
     /// Permit of the semaphore.
@@ -359,6 +370,8 @@
                     owner.circuit_breaker.record_no_response(latency.min(left));
                     Outcome::Timeout
                 }
+                // The caller's body failed.
+                Reason::BodyShort => Outcome::Cancelled,
                 _ => {
                     run.watch.record_lost();
                     Outcome::Reset
@@ -441,12 +454,15 @@
     request.headers().get(&contract.headers.request_id).cloned()
 }
 
-/// Validates the head of a response; without a contract every response is valid.
+/// Validates the head of a response; without a contract only its status has to be valid.
 fn validate(
     plane: &Plane,
     id: Option<&HeaderValue>,
     response: &Response<ResponseBody>,
 ) -> Validation {
+    if !response::is_final(response.status()) {
+        return Validation::Invalid;
+    }
     match &plane.contract {
         Some(contract) => contract
             .headers
@@ -521,6 +537,9 @@
         let contract = plane.contract.as_ref();
         contract.is_none_or(|contract| contract.headers.allows_reuse(headers))
     };
+    let (parts, body) = request.into_parts();
+    let (body, is_body_failed) = body::flagged(body);
+    request = Request::from_parts(parts, body);
     for _ in 0..MAX_CONNECTIONS_TRIED {
         let connection = match pool.check_out(deadline).await {
             Ok(connection) => connection,
@@ -535,6 +554,9 @@
         match tokio::time::timeout_at(deadline, connection.send(request, allows_reuse)).await {
             Ok(Ok(response)) => return Ok(response),
             Ok(Err(SendError::NotSent(unsent))) => request = *unsent,
+            Ok(Err(SendError::Lost)) if is_body_failed.load(Ordering::Acquire) => {
+                return Err(CallError::Unknown(Reason::BodyShort));
+            }
             Ok(Err(SendError::Lost)) => return Err(CallError::Unknown(Reason::Reset)),
             Err(_) => {
                 pool.discard_idle();
--- a/buckthorn/src/proxy/payload.rs
+++ b/buckthorn/src/proxy/payload.rs
@@ -12,6 +12,7 @@
 use super::body::{self, Body, Ending, Fault, Monitor, Replayed};
 use super::header;
 use super::response::Reason;
+use crate::counter::Counter;
 use crate::poison::fingerprint::BODY_BYTES;
 
 /// Longest wait for the beginning of a body that is streamed. It mostly arrives with the head; a
@@ -50,16 +51,20 @@
         let Some(length) = declared else {
             return Ok(Self::stream(body).await);
         };
-        if length > plane.limits.body_bytes {
+        if length > plane.request_limits().body_bytes {
             return Err(Reason::BodySize);
         }
         if length > plane.limits.kept_body_bytes {
             return Ok(Self::stream(body).await);
         }
-        match body.collect().await {
-            Ok(collected) => Ok(Self::Kept(collected.to_bytes())),
-            Err(fault) => Err(reason(fault)),
+        let mut reservation = plane.kept_memory.reservation();
+        if !reservation.grow(length as usize) {
+            plane.counters.increment(Counter::BodiesNotKept);
+            plane.shortage.record();
+            return Ok(Self::stream(body).await);
         }
+        let read = read_all(body, length as usize).await.map_err(reason)?;
+        Ok(Self::Kept(reservation.hold(read)))
     }
 
     /// Leaves a body to be streamed after its beginning was read.
@@ -95,6 +100,18 @@
     }
 }
 
+/// Copies a body of a known length. The frames are not kept, as each would keep the whole buffer that
+/// it was received in.
+async fn read_all(mut body: Monitor<Incoming>, length: usize) -> Result<Vec<u8>, Fault> {
+    let mut read = Vec::with_capacity(length);
+    while let Some(frame) = body.frame().await {
+        if let Some(data) = frame?.data_ref() {
+            read.extend_from_slice(data);
+        }
+    }
+    Ok(read)
+}
+
 /// Fault of a caller's request body, set when the body ends with one.
 #[derive(Clone, Debug, Default)]
 pub struct UploadStatus(Arc<OnceLock<Fault>>);
--- a/buckthorn/src/proxy/response.rs
+++ b/buckthorn/src/proxy/response.rs
@@ -229,6 +229,12 @@
         .is_some_and(|ran| ran.as_bytes() == Ran::NotRun.as_str().as_bytes())
 }
 
+/// Returns whether a call may end with a status: one of the five classes of RFC 9110, section 15, and
+/// not interim. No request is sent with an `Upgrade` header that a status of 101 could answer.
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Creates a response without a body.
 pub fn empty(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(body::empty());
@@ -244,13 +250,20 @@
     response.map(BodyExt::boxed_unsync)
 }
 
-/// Rewrites a refusal for callers under a contract: if the call was not run, the status alone says
-/// so, and `Retry-After` says when to retry.
+/// Rewrites a refusal for callers under a contract: the status alone says whether the call was run, and `Retry-After` says when to retry.
 pub fn rewrite_for_contract(response: &mut Response<Body>, retry_after: &RetryAfter) {
-    if !is_refusal(response) || !is_not_run(response) {
+    if !is_refusal(response) {
         return;
     }
+    let is_not_run = is_not_run(response);
     let status = response.status_mut();
+    if !is_not_run {
+        // Callers read this status as "not run".
+        if *status == StatusCode::REQUEST_TIMEOUT {
+            *status = StatusCode::GATEWAY_TIMEOUT;
+        }
+        return;
+    }
     if matches!(
         *status,
         StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT
--- a/buckthorn/src/proxy/socket.rs
+++ b/buckthorn/src/proxy/socket.rs
@@ -3,7 +3,6 @@
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -12,6 +11,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep};
 
+use super::connections::ConnectionState;
+
 /// Idle time before the first TCP keepalive probe, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -35,33 +36,12 @@
     let _ = socket.set_tcp_nodelay(true);
 }
 
-/// State of a connection, shared with the task that serves it.
-#[derive(Debug, Default)]
-pub struct ConnectionState {
-    /// Total bytes read.
-    read: AtomicU64,
-    /// Total bytes read when a request or body was last consumed.
-    consumed: AtomicU64,
-    /// Whether a write was blocked for longer than the write timeout.
-    is_stalled: AtomicBool,
-}
-
-impl ConnectionState {
-    /// Marks all bytes read so far as belonging to requests that were consumed.
-    pub fn mark_consumed(&self) {
-        self.consumed
-            .store(self.read.load(Ordering::Relaxed), Ordering::Relaxed);
-    }
-
-    /// Returns whether bytes were read that no request consumed.
-    pub fn has_unconsumed(&self) -> bool {
-        self.read.load(Ordering::Relaxed) > self.consumed.load(Ordering::Relaxed)
-    }
-
-    /// Returns whether a write was blocked for longer than the write timeout.
-    pub fn is_stalled(&self) -> bool {
-        self.is_stalled.load(Ordering::Relaxed)
-    }
+/// Sets the options of an accepted connection, on which the peer may leave `unread_bytes` unread.
+pub fn prepare(stream: &TcpStream, unread_bytes: usize) {
+    let socket = SockRef::from(stream);
+    // Nagle's algorithm would delay small responses; a socket that rejects an option still works.
+    let _ = socket.set_tcp_nodelay(true);
+    let _ = socket.set_send_buffer_size(unread_bytes);
 }
 
 /// TCP connection that counts the bytes read and limits blocked writes.
@@ -97,10 +77,13 @@
         cx: &mut Context<'_>,
         written: Poll<io::Result<usize>>,
     ) -> Poll<io::Result<usize>> {
-        if written.is_ready() {
+        if let Poll::Ready(result) = &written {
             self.is_blocked = false;
+            self.state
+                .record_written(*result.as_ref().unwrap_or(&0) as u64);
             return written;
         }
+        self.state.record_blocked();
         let until = Instant::now() + self.write_timeout;
         let timer = self
             .timer
@@ -110,7 +93,7 @@
             self.is_blocked = true;
         }
         if timer.as_mut().poll(cx).is_ready() {
-            self.state.is_stalled.store(true, Ordering::Relaxed);
+            self.state.record_stalled();
             return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
         }
         Poll::Pending
@@ -125,8 +108,11 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let result = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if result.is_pending() {
+            self.state.record_read_to_end();
+        }
         let bytes = buf.filled().len() - before;
-        self.state.read.fetch_add(bytes as u64, Ordering::Relaxed);
+        self.state.record_read(bytes as u64);
         result
     }
 }
