--- a/buckthorn/src/proxy/body.rs
+++ b/buckthorn/src/proxy/body.rs
@@ -130,6 +130,16 @@
     pub idle: Duration,
 }
 
+/// Watch of an upload for progress.
+struct Upload {
+    /// Shortage of room at the node.
+    shortage: Arc<Shortage>,
+    /// Progress so far.
+    progress: Progress,
+    /// Timer of the next check.
+    timer: Pin<Box<Sleep>>,
+}
+
 /// Body wrapper that enforces bounds and reports how the body ended.
 pub struct Monitor<B> {
     /// Wrapped body.
@@ -144,8 +154,8 @@
     timer: Option<Pin<Box<Sleep>>>,
     /// Whether the timer was started for the current wait.
     is_waiting: bool,
-    /// Progress of an upload, and the timer of its next check.
-    progress: Option<(Progress, Pin<Box<Sleep>>)>,
+    /// Progress of an upload.
+    upload: Option<Upload>,
     /// Callback for the end of the body, `None` once invoked.
     on_end: Option<OnEnd>,
     /// Whether a fault was returned to the reader.
@@ -173,7 +183,7 @@
             idle: bounds.idle,
             timer: None,
             is_waiting: false,
-            progress: None,
+            upload: None,
             on_end: Some(Box::new(on_end)),
             is_failed: false,
         };
@@ -186,22 +196,28 @@
     /// Fails the body also when it makes no progress during a shortage.
     pub fn with_progress(mut self, shortage: &Arc<Shortage>) -> Self {
         if !self.is_complete() {
-            let timer = Box::pin(sleep(PROGRESS_INTERVAL));
-            self.progress = Some((Progress::new(shortage.clone()), timer));
+            self.upload = Some(Upload {
+                shortage: shortage.clone(),
+                progress: Progress::default(),
+                timer: Box::pin(sleep(PROGRESS_INTERVAL)),
+            });
         }
         self
     }
 
     /// Polls whether the body has to fail because it makes no progress during a shortage.
     fn poll_cut(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        let Some((progress, timer)) = &mut self.progress else {
+        let Some(upload) = &mut self.upload else {
             return Poll::Pending;
         };
-        while !progress.is_cut() {
-            ready!(timer.as_mut().poll(cx));
-            timer.as_mut().reset(Instant::now() + PROGRESS_INTERVAL);
+        loop {
+            let now = Instant::now();
+            if upload.progress.is_stalled(now) && upload.shortage.is_current() {
+                return Poll::Ready(());
+            }
+            ready!(upload.timer.as_mut().poll(cx));
+            upload.timer.as_mut().reset(now + PROGRESS_INTERVAL);
         }
-        Poll::Ready(())
     }
 
     /// Returns whether the body has ended and has its declared length.
@@ -211,8 +227,8 @@
 
     /// Deducts bytes that arrived from what is declared and allowed.
     fn count(&mut self, bytes: u64) -> Result<(), Fault> {
-        if let Some((progress, _)) = &mut self.progress {
-            progress.record(bytes);
+        if let Some(upload) = &mut self.upload {
+            upload.progress.record(bytes, Instant::now());
         }
         if let Some(left) = &mut self.left {
             *left = left.checked_sub(bytes).ok_or(Fault::Overlong)?;
--- a/buckthorn/src/proxy/shortage.rs
+++ b/buckthorn/src/proxy/shortage.rs
@@ -4,7 +4,6 @@
 //! memory was lacking lately, uploads that make no progress are cut; otherwise they may take their
 //! time.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -49,10 +48,8 @@
 }
 
 /// Progress of an upload. Only the time in which the caller is waited for counts.
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Progress {
-    /// Shortage of room at the node.
-    shortage: Arc<Shortage>,
     /// Time waited for the caller since the last progress, before the current wait.
     waited: Duration,
     /// Bytes received since the last progress.
@@ -62,20 +59,10 @@
 }
 
 impl Progress {
-    /// Starts to watch an upload.
-    pub fn new(shortage: Arc<Shortage>) -> Self {
-        Self {
-            shortage,
-            waited: Duration::ZERO,
-            bytes: 0,
-            waiting_since: None,
-        }
-    }
-
     /// Records bytes that arrived.
-    pub fn record(&mut self, bytes: u64) {
+    pub fn record(&mut self, bytes: u64, now: Instant) {
         if let Some(since) = self.waiting_since.take() {
-            self.waited += since.elapsed();
+            self.waited += now.saturating_duration_since(since);
         }
         self.bytes += bytes;
         if self.bytes >= PROGRESS_BYTES {
@@ -83,9 +70,9 @@
         }
     }
 
-    /// Records that the upload waits for the caller, and returns whether it has to be cut.
-    pub fn is_cut(&mut self) -> bool {
-        let since = *self.waiting_since.get_or_insert_with(Instant::now);
-        self.waited + since.elapsed() >= MIN_STALL && self.shortage.is_current()
+    /// Records that the upload waits for the caller, and returns whether it has stalled.
+    pub fn is_stalled(&mut self, now: Instant) -> bool {
+        let since = *self.waiting_since.get_or_insert(now);
+        self.waited + now.saturating_duration_since(since) >= MIN_STALL
     }
 }
--- a/buckthorn/tests/proxy_eviction.rs
+++ b/buckthorn/tests/proxy_eviction.rs
@@ -1,11 +1,13 @@
 //! When connections run short, those without progress go first, and ordinary callers stay.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use buckthorn::proxy::eviction::{
     Cause, Decision, MIN_STALL, Phase, Timeouts, View, decide, expired,
 };
 
+use buckthorn::proxy::shortage::Progress;
+
 /// Returns a connection that has made no progress for a number of milliseconds.
 fn view(phase: Phase, stalled_ms: u64) -> View {
     let stalled = Duration::from_millis(stalled_ms);
@@ -93,3 +95,26 @@
     assert_eq!((blocked(999), blocked(1_000)), (None, Some(Cause::Room)));
     assert_eq!(expired(&view(Phase::Waiting, 60_000), &timeouts), None);
 }
+
+/// Returns the time at which an upload stalls that sends `bytes` in each interval, within a minute.
+fn stalls_at(bytes: u64, interval_ms: u64) -> Option<u64> {
+    let start = Instant::now();
+    let mut progress = Progress::default();
+    (0..60_000).step_by(10).find(|&ms| {
+        let now = (start + Duration::from_millis(ms)).into();
+        if ms > 0 && ms % interval_ms == 0 {
+            progress.record(bytes, now);
+        }
+        progress.is_stalled(now)
+    })
+}
+
+#[test]
+fn an_upload_stalls_when_it_stops_or_trickles_but_not_on_a_slow_link() {
+    let stall = MIN_STALL.as_millis() as u64;
+    assert_eq!(stalls_at(0, 100_000), Some(stall));
+    // Single bytes are no progress.
+    assert_eq!(stalls_at(1, 200), Some(stall));
+    // A link of 100 kbit/s, whose packets arrive every 120 ms.
+    assert_eq!(stalls_at(1_460, 120), None);
+}
