--- a/buckthorn/src/proxy/dispatch.rs
+++ b/buckthorn/src/proxy/dispatch.rs
@@ -376,7 +376,8 @@
 ) -> Result<Response<Body>, HopError> {
     let deadline = Instant::now() + call.deadline.since(plane.clock.now());
     let (parts, body) = response.into_parts();
-    let read = tokio::time::timeout_at(deadline, Replayed::buffer(body, max_bytes));
+    let buffered = Replayed::buffer(body, max_bytes, plane.kept_memory.reservation());
+    let read = tokio::time::timeout_at(deadline, buffered);
     match read.await {
         Ok(Ok((body, Some(_)))) => Ok(Response::from_parts(parts, body)),
         Ok(Ok((body, None))) => Ok(Response::from_parts(
@@ -443,6 +444,9 @@
     if response::has_reason(response, Reason::Timeout) {
         return Outcome::Timeout;
     }
+    if response::has_reason(response, Reason::BodyShort) {
+        return Outcome::Cancelled;
+    }
     Outcome::Reset
 }
 
--- a/buckthorn/src/proxy/mod.rs
+++ b/buckthorn/src/proxy/mod.rs
@@ -18,10 +18,12 @@
 mod attempts;
 mod backend_state;
 pub mod body;
+pub mod connections;
 pub mod contract;
 pub mod crash_watch;
 mod deadline;
 pub mod dispatch;
+pub mod eviction;
 pub mod header;
 pub mod hop;
 pub mod ingress;
@@ -29,6 +31,7 @@
 pub mod keyed;
 pub mod limit;
 pub mod listen;
+pub mod memory;
 pub mod overload;
 pub mod owner;
 pub mod payload;
@@ -37,6 +40,7 @@
 pub mod request_log;
 pub mod response;
 pub mod resume;
+pub mod shortage;
 pub mod socket;
 mod tenant;
 
@@ -61,7 +65,7 @@
 
 use self::contract::Contract;
 use self::crash_watch::Watch;
-use self::limit::Limits;
+use self::limit::{Limits, RequestLimits};
 use self::owner::Owner;
 use crate::secret::Secrets;
 use crate::tenant::confirmation::Confirmation;
@@ -108,6 +112,10 @@
     pub(crate) parents: Arc<Parents>,
     /// Idempotency keys held by this node.
     pub(crate) keys: key::Store,
+    /// Shortage of connections, memory or slots of the local backend server.
+    pub(crate) shortage: Arc<shortage::Shortage>,
+    /// Memory left for bodies that are kept.
+    pub(crate) kept_memory: memory::Memory,
     /// Whether the node drains and refuses new calls.
     is_draining: AtomicBool,
 }
@@ -165,6 +173,13 @@
         blocklist.level(fingerprint, self.clock.now())
     }
 
+    /// Returns the limits of callers' requests under the current policy.
+    pub(crate) fn request_limits(&self) -> RequestLimits {
+        let table = self.table.load();
+        let policy = table.policy.as_ref();
+        RequestLimits::new(&self.limits, policy.map(|policy| &policy.limits))
+    }
+
     /// Returns whether the node drains and refuses new calls.
     pub fn is_draining(&self) -> bool {
         self.is_draining.load(Ordering::Acquire)
@@ -277,6 +292,8 @@
             peers: hop::Peers::new(self.counters.clone(), &self.limits),
             repeat_share: RepeatShare::default(),
             parents: Arc::default(),
+            shortage: Arc::default(),
+            kept_memory: memory::Memory::new(self.limits.kept_bytes),
             keys: key::Store::new(self.limits.keys, self.limits.key_window),
             table: self.table,
             owner: self.owner,
