Move the running calls of an owner to a module of their own

Change: the call that runs, what its end is recorded as, and the guard for its cancellation are proxy/running.rs; behaviour is unchanged.

--- a/buckthorn/src/proxy/mod.rs
+++ b/buckthorn/src/proxy/mod.rs
@@ -40,6 +40,7 @@
 pub mod request_log;
 pub mod response;
 pub mod resume;
+mod running;
 pub mod shortage;
 pub mod socket;
 mod tenant;
--- a/buckthorn/src/proxy/owner.rs
+++ b/buckthorn/src/proxy/owner.rs
@@ -13,28 +13,25 @@
 
 use super::body::{self, Body, Bounds, Ending, Fault, Monitor};
 use super::contract::Validation;
-use super::crash_watch::Watch;
 use super::header::{self, Call, DEADLINE, FINGERPRINT, LOAD, REPEAT};
 use super::limit::Limits;
 use super::pool::{CheckoutError, Pool, ResponseBody, SendError};
 use super::response::{self, Ran, Reason};
+use super::running::{self, CancelGuard};
 use super::{Plane, backend_state, request_log, tenant};
 use crate::admission::breaker::CircuitBreaker;
-use crate::admission::capacity::{Capacity, Ended, Kind};
+use crate::admission::capacity::Capacity;
 use crate::admission::cold_rate::ColdRateLimiter;
 use crate::admission::gate::{self, Refusal};
 use crate::admission::rank::Rank;
 use crate::admission::rate_limit::{Admission, RateLimiter};
 use crate::admission::semaphore::{Permit, Semaphore};
-use crate::clock::Clock;
 use crate::counter::{Counter, Counters};
 use crate::log_event::LogEvent;
 use crate::metrics::Stage;
 use crate::name::Name;
 use crate::poison::blocklist::Level;
-use crate::poison::fingerprint::Suspect;
 use crate::rollout::evidence::{self, Outcome, Recorder};
-use crate::routing::parent::Parent;
 
 /// Connections tried for one call before it is refused. Another is tried only while no byte of the
 /// request was sent.
@@ -160,11 +157,11 @@
 }
 
 /// A call that was admitted.
-struct Admitted {
+pub(super) struct Admitted {
     /// Permit of the semaphore.
-    permit: Permit,
+    pub(super) permit: Permit,
     /// Route under which the call is recorded.
-    route: Name,
+    pub(super) route: Name,
 }
 
 /// Admits a call or returns the reason for refusing it.
@@ -254,74 +251,6 @@
     Ok(evidence::route_key(&route.prefix, &call.path).into())
 }
 
-/// A call that is running on the backend server.
-struct RunningCall {
-    /// Permit of the semaphore, released when the call ends.
-    permit: Permit,
-    /// Records the outcome of the call.
-    recorder: Arc<Recorder>,
-    /// Circuit breaker of the backend server.
-    circuit_breaker: Arc<CircuitBreaker>,
-    /// Counters of the node.
-    counters: Arc<Counters>,
-    /// Route under which the call is recorded.
-    route: Name,
-    /// Kind of the call.
-    kind: Kind,
-    /// Estimate of what the backend server takes.
-    capacity: Arc<Capacity>,
-    /// Clock of the node.
-    clock: Clock,
-    /// When the call was sent to the backend server.
-    started: Instant,
-    /// Reports how the call ended.
-    watch: CallWatch,
-    /// Counts the call as a parent of those that the backend server makes.
-    _parent: Parent,
-}
-
-/// Reports the end of a call to the watch of the backend server, if there is one.
-struct CallWatch {
-    /// Watch of the backend server.
-    watch: Option<Arc<Watch>>,
-    /// Identity of the request.
-    suspect: Option<Suspect>,
-    /// Address of the backend server.
-    address: SocketAddr,
-}
-
-impl CallWatch {
-    /// Reports that the backend server ran the call to its end.
-    fn record_completed(&self) {
-        if let Some(watch) = &self.watch {
-            watch.record_completed(self.suspect);
-        }
-    }
-
-    /// Reports that the connection of the call broke.
-    fn record_lost(&self) {
-        if let Some(watch) = &self.watch {
-            watch.record_lost(self.suspect, self.address);
-        }
-    }
-}
-
-impl RunningCall {
-    /// Records the outcome of the call and releases its permit.
-    fn finish(self, outcome: Outcome, latency: Duration) {
-        self.recorder.record(&self.route, outcome, latency);
-        let ended = Ended {
-            kind: self.kind,
-            outcome,
-            latency,
-            slot_time: self.started.elapsed(),
-            running: self.permit.running(),
-        };
-        self.capacity.record(&ended, self.clock.now());
-        self.permit.finish(outcome, latency);
-    }
-}
-
 /// Why the backend server gave no response.
 enum CallError {
     /// No byte of the request was sent.
@@ -338,25 +267,9 @@
     admitted: Admitted,
     request: Request<Body>,
 ) -> Response<Body> {
-    let run = CancelGuard(Some(RunningCall {
-        permit: admitted.permit,
-        recorder: owner.recorder.clone(),
-        circuit_breaker: owner.circuit_breaker.clone(),
-        counters: plane.counters.clone(),
-        route: admitted.route,
-        kind: Kind::of(&call.path),
-        capacity: owner.capacity.clone(),
-        clock: plane.clock.clone(),
-        started: Instant::now(),
-        watch: CallWatch {
-            watch: plane.watch.clone(),
-            suspect: call.suspect,
-            address: owner.address,
-        },
-        _parent: plane
-            .parents
-            .start(&plane.request_id(request.headers()), call.rank),
-    }));
+    let id = plane.request_id(request.headers());
+    let run = running::Call::start(plane, owner, call, admitted, &id);
+    let run = CancelGuard::new(run);
     let repeat_permille = header::mesh_number(request.headers(), REPEAT).unwrap_or_default();
     plane
         .repeat_share
@@ -503,7 +416,7 @@
 async fn reject_response(
     plane: &Plane,
     owner: &Owner,
-    run: RunningCall,
+    run: running::Call,
     validation: Validation,
     response: Response<ResponseBody>,
 ) -> Response<Body> {
@@ -534,26 +447,6 @@
     }
 }
 
-/// Records a call as cancelled if it is dropped while it waits for its response.
-struct CancelGuard(Option<RunningCall>);
-
-impl CancelGuard {
-    /// Disarms the guard and returns the call.
-    fn release(mut self) -> Option<RunningCall> {
-        self.0.take()
-    }
-}
-
-impl Drop for CancelGuard {
-    fn drop(&mut self) {
-        if let Some(run) = self.0.take() {
-            let latency = run.started.elapsed();
-            run.circuit_breaker.record_no_response(latency);
-            run.finish(Outcome::Cancelled, latency);
-        }
-    }
-}
-
 /// Sends a request on a pooled connection; tries another one while no byte was sent.
 async fn send(
     plane: &Plane,
@@ -635,7 +528,7 @@
 /// Relays a response to the ingress and checks its body on the way.
 fn relay_response(
     plane: &Plane,
-    run: RunningCall,
+    run: running::Call,
     method: &http::Method,
     deadline: Instant,
     mut response: Response<ResponseBody>,
