--- a/buckthorn/src/routing/choice.rs
+++ b/buckthorn/src/routing/choice.rs
@@ -174,9 +174,7 @@
 ) -> Option<&'a Endpoint> {
     let means = match criterion {
         Criterion::Load { .. } => None,
-        Criterion::Completion(demand) => Means::of(share, demand.kind, now)
-            .filter(|means| !means.is_busy())
-            .map(|means| (means, demand)),
+        Criterion::Completion(demand) => Means::of(share, demand.kind, now).map(|m| (m, demand)),
     };
     let filter = Filter {
         now,
--- a/buckthorn/src/routing/completion.rs
+++ b/buckthorn/src/routing/completion.rs
@@ -50,9 +50,8 @@
 const DETOUR: f64 = 0.5;
 
 /// Mean load from which the servers are busy. Calls then wait at once, since those that rank first
-/// have to get the next free slot and owners know only those that wait. The choice goes by told load
-/// alone, since by old expectations all would go to the fast servers, which then refuse.
-const BUSY_LOAD: f64 = 0.9;
+/// have to get the next free slot, and owners know only those that wait.
+const BUSY_LOAD: f64 = 0.8;
 
 /// How much earlier a server outside the failure domain must be expected to complete a call, as a
 /// share of the mean time of the call's kind. Bytes between failure domains have a cost.
@@ -172,7 +171,7 @@
     }
 
     /// Returns whether most of the servers are full or about to be.
-    pub fn is_busy(&self) -> bool {
+    fn is_busy(&self) -> bool {
         self.load >= BUSY_LOAD
     }
 
