--- a/buckthorn/src/admin/mod.rs
+++ b/buckthorn/src/admin/mod.rs
@@ -3,8 +3,8 @@
 //! The backend server or its supervisor calls `POST /v1/announce` and `POST /v1/leave`; operators
 //! use `GET /v1/status`, `/v1/counters`, `/v1/ready` and `/v1/live`. The port is bound to loopback,
 //! or each request has to carry the shared secret as a bearer token. [`announcement`] parses and
-//! validates announcements, [`listen`] accepts connections, [`registration`] holds the state machine of the backend server, and
-//! [`server`] serves the API over HTTP.
+//! validates announcements, [`listen`] accepts connections, [`registration`] holds the state machine
+//! of the backend server, and [`server`] serves the API over HTTP.
 
 pub mod announcement;
 pub mod listen;
--- a/buckthorn/src/proxy/body.rs
+++ b/buckthorn/src/proxy/body.rs
@@ -449,8 +449,8 @@
 }
 
 impl Replayed {
-    /// Buffers a body until it ends, exceeds `max_bytes` or no memory is left for it. Returns an equivalent body and, if all
-    /// of it was read, its bytes.
+    /// Buffers a body until it ends, exceeds `max_bytes` or no memory is left for it. Returns an
+    /// equivalent body and, if all of it was read, its bytes.
     ///
     /// # Errors
     ///
--- a/buckthorn/src/routing/completion.rs
+++ b/buckthorn/src/routing/completion.rs
@@ -3,12 +3,12 @@
 //! The expectation for a backend server adds the wait behind the calls ahead to the time of the
 //! call's kind there. It rests on the last report of the server's owner. The calls in a report are
 //! gone after about the time that a call takes, its usual load may change soon after, and its speed
-//! within seconds, so all fade to the mean of the version's servers as the report ages. A server without a report
-//! counts as the mean and is drawn half as often: it is tried, but not flooded.
+//! within seconds, so all fade to the mean of the version's servers as the report ages. A server
+//! without a report counts as the mean and is drawn half as often: it is tried, but not flooded.
 //!
-//! Two candidates at each distance are drawn at random, in proportion to the calls that they are expected to serve in a
-//! second. So fast servers get more calls, and ingresses that hear of the same free server do not
-//! all choose it.
+//! Two candidates at each distance are drawn at random, in proportion to the calls that they are
+//! expected to serve in a second. So fast servers get more calls, and ingresses that hear of the same
+//! free server do not all choose it.
 
 use std::time::Duration;
 
--- a/buckthorn/tests/proxy_pipeline.rs
+++ b/buckthorn/tests/proxy_pipeline.rs
@@ -9,7 +9,7 @@
 use buckthorn::proxy::Drained;
 use buckthorn::proxy::limit::Limits;
 use buckthorn::proxy::pipeline::{Head, Scanner, Window};
-use proxy_kit::{Caller, GUARD, SERVICE, limits, node, scripted, settled};
+use proxy_kit::{Caller, GUARD, Node, SERVICE, limits, node, scripted, settled};
 use tokio::sync::Semaphore;
 
 /// Heads of all kinds, with the number of those that are found and of those without a body.
@@ -172,8 +172,8 @@
     format!("GET {path} HTTP/1.1\r\nhost: {SERVICE}\r\n\r\n")
 }
 
-#[tokio::test]
-async fn requests_sent_ahead_run_together_and_are_answered_in_order() {
+/// Starts a node whose backend server holds three requests that a caller has sent ahead.
+async fn three_ahead() -> (Held, Node, Caller) {
     let (held, backend) = Held::start().await;
     let node = node("h1", Some(backend), limits()).await;
     node.route_to(&[node.endpoint()]);
@@ -182,6 +182,12 @@
         .send([get("/1"), get("/2"), get("/3")].concat())
         .await;
     held.until_arrived(3).await;
+    (held, node, caller)
+}
+
+#[tokio::test]
+async fn requests_sent_ahead_run_together_and_are_answered_in_order() {
+    let (held, node, mut caller) = three_ahead().await;
     held.permits.add_permits(3);
     for path in ["/1", "/2", "/3"] {
         assert_eq!(caller.response("GET").await.body, path.as_bytes());
@@ -215,14 +221,7 @@
 
 #[tokio::test]
 async fn calls_ahead_are_cancelled_when_their_caller_leaves() {
-    let (held, backend) = Held::start().await;
-    let node = node("h1", Some(backend), limits()).await;
-    node.route_to(&[node.endpoint()]);
-    let mut caller = Caller::connect(node.callers).await;
-    caller
-        .send([get("/1"), get("/2"), get("/3")].concat())
-        .await;
-    held.until_arrived(3).await;
+    let (held, _node, caller) = three_ahead().await;
     drop(caller);
     let left = async {
         while held.left.load(Ordering::SeqCst) < 3 {
@@ -234,14 +233,7 @@
 
 #[tokio::test]
 async fn a_draining_node_answers_the_requests_that_run_ahead() {
-    let (held, backend) = Held::start().await;
-    let node = node("h1", Some(backend), limits()).await;
-    node.route_to(&[node.endpoint()]);
-    let mut caller = Caller::connect(node.callers).await;
-    caller
-        .send([get("/1"), get("/2"), get("/3")].concat())
-        .await;
-    held.until_arrived(3).await;
+    let (held, node, mut caller) = three_ahead().await;
     let drained = tokio::spawn(node.handle.drain(GUARD));
     // Longer than the time that connections stay open in a drain.
     tokio::time::sleep(limits().drain_linger * 4).await;
