--- a/buckthorn/tests/proxy_limit.rs
+++ b/buckthorn/tests/proxy_limit.rs
@@ -32,6 +32,25 @@
     ingress.until(Counter::RefusedHeaderSize, 1).await;
 }
 
+/// The hop counts each field with 32 bytes more than a caller sends (RFC 9113, section 6.5.2).
+#[tokio::test(flavor = "multi_thread")]
+async fn the_largest_head_of_a_caller_fits_the_hop() {
+    const HEADER_BYTES: usize = 8 * 1024;
+    for count in [1, 20, 90] {
+        let (ingress, _owner) = tight(|limits| limits.header_bytes = HEADER_BYTES).await;
+        let start = format!("GET / HTTP/1.1\r\nhost: {SERVICE}\r\n");
+        let left = HEADER_BYTES - start.len() - "\r\n".len();
+        let value = "x".repeat(left / count - "a00: \r\n".len());
+        let fields: String = (0..count)
+            .map(|n| format!("a{n:02}: {value}\r\n"))
+            .collect();
+        let mut caller = Caller::connect(ingress.callers).await;
+        caller.send(format!("{start}{fields}\r\n")).await;
+        let response = caller.response("GET").await;
+        assert_eq!(response.status, 200, "{count} fields: {response:?}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn slow_header() {
     let (ingress, _owner) =
