Bound peers without the secret at the ports between nodes

Cause: at the port for calls and at the control port a connection on which nothing was sent kept its place for good, or 15 s; 75 silent ones kept nodes out of a port with 75 places. The limit of the control port didn't follow the descriptors of the settings, and an evicted connection for calls was taken off the list but stayed open.

A head between nodes was limited to the bytes of a caller's head, although HTTP/2 counts 32 bytes more for each field and nodes add their own: a head near the limit with many fields got a 431 that didn't say whether the call ran.

Change: at both ports a connection counts as one without a request until its peer has shown the shared secret. Without room the oldest of these makes place, each is closed after 10 s or 16 requests, and little is read of it at once (`connection.unverified`). A connection whose peer is verified is never closed for another one. The limit of heads between nodes covers the overhead of the fields and what nodes add. A head that the other node's HTTP library refuses has not run, and the connection is replaced, as it may date from before a policy that allows longer heads.

--- a/buckthorn/src/counter.rs
+++ b/buckthorn/src/counter.rs
@@ -57,6 +57,7 @@
     RefusedConnections "refused.connections" "Connections over the limit.",
     BodiesNotKept "call.body_not_kept" "Request bodies that were streamed and not kept, as no memory was left for them.",
     ConnectionsEvicted "connection.evicted" "Connections of callers closed for another one, as they made no progress or were idle.",
+    UnverifiedPeers "connection.unverified" "Connections between nodes closed before their peers showed that they know the shared secret.",
     RefusedBadRequest "refused.bad_request" "Requests that are malformed.",
     RefusedUnauthenticated "refused.unauthenticated" "Peers or clients without the shared secret.",
     RefusedUnknownKey "refused.unknown_key" "Calls without the key of a tenant on a route that needs one, or with a key of none.",
--- a/buckthorn/src/node/mod.rs
+++ b/buckthorn/src/node/mod.rs
@@ -180,6 +180,8 @@
             seeds: settings.seeds.clone(),
         };
         let (proxy, rpc, client) = runtime.block_on(async {
+            let limits = source.adapter().map(|adapter| adapter.limits.clone());
+            let control_connections = limits.unwrap_or_default().control_connections;
             let plane = build_plane(
                 settings,
                 &data_path,
@@ -200,7 +202,10 @@
                 settings.host.clone(),
                 rpc_listener,
                 secrets,
-                rpc::server::Limits::default(),
+                rpc::server::Limits {
+                    connections: control_connections,
+                    ..rpc::server::Limits::default()
+                },
                 counters.clone(),
                 inbound,
             )?;
--- a/buckthorn/src/proxy/connections.rs
+++ b/buckthorn/src/proxy/connections.rs
@@ -1,5 +1,7 @@
 //! Open connections of a listener, and the state of each that [`eviction`] decides by.
 
+use std::future::poll_fn;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
@@ -8,13 +10,23 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use super::eviction::{self, Cause, Decision, PROGRESS_BYTES, Phase, Timeouts, View};
+use super::eviction::{
+    self, Cause, Decision, MAX_UNVERIFIED_REQUESTS, PROGRESS_BYTES, Phase, Timeouts, View,
+};
 
 /// State of a connection, shared with the task that serves it.
 #[derive(Debug)]
 pub struct ConnectionState {
     /// Reference point of the timestamps.
     origin: Instant,
+    /// Whether only another node may use it.
+    is_for_node: bool,
+    /// Whether the peer has shown that it knows the shared secret.
+    is_verified: AtomicBool,
+    /// Requests without the shared secret.
+    unverified_requests: AtomicU32,
+    /// Whether bytes were read since the task that serves the connection was last polled.
+    has_read_in_turn: AtomicBool,
     /// Total bytes read.
     read: AtomicU64,
     /// Total bytes read when a request or body was last consumed.
@@ -45,6 +57,10 @@
     fn default() -> Self {
         Self {
             origin: Instant::now(),
+            is_for_node: false,
+            is_verified: AtomicBool::new(false),
+            unverified_requests: AtomicU32::new(0),
+            has_read_in_turn: AtomicBool::new(false),
             read: AtomicU64::new(0),
             consumed: AtomicU64::new(0),
             moved: AtomicU64::new(0),
@@ -62,6 +78,53 @@
 }
 
 impl ConnectionState {
+    /// Creates the state of a connection that only another node may use.
+    fn for_node() -> Self {
+        Self {
+            is_for_node: true,
+            ..Self::default()
+        }
+    }
+
+    /// Records that the peer has shown that it knows the shared secret.
+    pub fn verify(&self) {
+        self.is_verified.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the peer has yet to show that it is a node, where only nodes may connect.
+    pub fn is_unverified_node(&self) -> bool {
+        self.is_for_node && !self.is_verified()
+    }
+
+    /// Returns whether bytes were read since the connection was last polled.
+    pub(super) fn has_read_in_turn(&self) -> bool {
+        self.has_read_in_turn.load(Ordering::Relaxed)
+    }
+
+    /// Polls a connection that only another node may use. Each poll reads once at most of a peer that
+    /// is not verified, so that its refusals get their turn.
+    pub async fn in_turns<F: Future>(&self, mut connection: Pin<&mut F>) -> F::Output {
+        poll_fn(|cx| {
+            self.has_read_in_turn.store(false, Ordering::Relaxed);
+            connection.as_mut().poll(cx)
+        })
+        .await
+    }
+
+    /// Records a request without the shared secret, and closes the connection after too many of them
+    /// unless one had the secret.
+    pub fn record_unverified_request(&self) {
+        let before = self.unverified_requests.fetch_add(1, Ordering::Relaxed);
+        if before + 1 >= MAX_UNVERIFIED_REQUESTS && !self.is_verified() {
+            self.close(Cause::Unverified);
+        }
+    }
+
+    /// Returns whether the peer has shown that it knows the shared secret.
+    pub fn is_verified(&self) -> bool {
+        self.is_verified.load(Ordering::Relaxed)
+    }
+
     /// Returns the microseconds since the origin.
     fn elapsed(&self) -> u64 {
         self.origin.elapsed().as_micros() as u64
@@ -85,6 +148,7 @@
         if bytes == 0 {
             return;
         }
+        self.has_read_in_turn.store(true, Ordering::Relaxed);
         if !self.has_unconsumed() {
             self.head_began.store(self.elapsed(), Ordering::Relaxed);
         }
@@ -160,6 +224,9 @@
 
     /// Returns the state that decides whether the connection is closed.
     pub fn view(&self) -> View {
+        if self.is_for_node {
+            return self.view_of_node();
+        }
         let phase = if self.is_blocked.load(Ordering::Relaxed) {
             Phase::Blocked
         } else if self.has_request.load(Ordering::Relaxed) {
@@ -184,6 +251,21 @@
         }
     }
 
+    /// Returns the state of a connection that only another node may use. It carries many calls at a
+    /// time, so it is never closed for another one once its peer is verified; until then nothing
+    /// that the peer sends counts as progress.
+    fn view_of_node(&self) -> View {
+        View {
+            phase: if self.is_verified() {
+                Phase::Waiting
+            } else {
+                Phase::New
+            },
+            stalled: self.origin.elapsed(),
+            head_age: None,
+        }
+    }
+
     /// Asks the task that serves the connection to close it.
     fn close(&self, cause: Cause) {
         self.cause.store(Some(Arc::new(cause)));
@@ -217,6 +299,8 @@
 pub struct Registry {
     /// Maximum open connections.
     limit: usize,
+    /// Whether only other nodes may use the connections.
+    is_for_nodes: bool,
     /// State of each connection; its task holds another reference until the connection is closed.
     open: Vec<Arc<ConnectionState>>,
 }
@@ -226,10 +310,19 @@
     pub fn new(limit: usize) -> Self {
         Self {
             limit,
+            is_for_nodes: false,
             open: Vec::new(),
         }
     }
 
+    /// Creates an empty registry for up to `limit` connections that only other nodes may use.
+    pub fn for_nodes(limit: usize) -> Self {
+        Self {
+            is_for_nodes: true,
+            ..Self::new(limit)
+        }
+    }
+
     /// Removes the connections that were closed.
     fn prune(&mut self) {
         self.open.retain(|state| Arc::strong_count(state) > 1);
@@ -241,7 +334,10 @@
             self.prune();
         }
         let views = self.open.iter().map(|state| state.view());
-        let state = Arc::new(ConnectionState::default());
+        let state = Arc::new(match self.is_for_nodes {
+            true => ConnectionState::for_node(),
+            false => ConnectionState::default(),
+        });
         match eviction::decide(self.limit, views) {
             Decision::Refuse => Admission::Refused,
             Decision::Admit => {
--- a/buckthorn/src/proxy/eviction.rs
+++ b/buckthorn/src/proxy/eviction.rs
@@ -4,6 +4,9 @@
 //! progress before the others. After them go connections on which no request was ever begun, then
 //! those that are idle between requests. A connection whose request is being served is never
 //! closed. Without any connection to close, the new one is refused.
+//!
+//! At a port that only nodes may use, a connection counts as one without a request until its peer has
+//! shown that it knows the shared secret, whatever it sends; after that it is never closed.
 
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -16,10 +19,18 @@
 /// retransmission of a lost packet.
 pub const MIN_STALL: Duration = Duration::from_secs(1);
 
+/// Longest time until a node has to show on a new connection that it knows the shared secret. Nodes
+/// connect only to send something at once; this covers a host that is short of CPU time.
+pub const VERIFY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Requests without the shared secret after which a connection between nodes is closed. A node whose
+/// secret differs gets its refusals on further connections.
+pub const MAX_UNVERIFIED_REQUESTS: u32 = 16;
+
 /// What the peer of a connection does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
-    /// It has not sent a byte yet.
+    /// It has not sent a byte yet, or has not shown that it is a node where only nodes may connect.
     New,
     /// It is between two requests.
     Idle,
@@ -53,6 +64,8 @@
     HeadTimeout,
     /// It was idle for too long.
     IdleTimeout,
+    /// Too many requests came without the shared secret.
+    Unverified,
 }
 
 /// What to do with a new connection.
--- a/buckthorn/src/proxy/hop.rs
+++ b/buckthorn/src/proxy/hop.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use http::{HeaderValue, Method, Request, Response, Uri, Version, header as names};
+use http::{HeaderValue, Method, Request, Response, StatusCode, Uri, Version, header as names};
 use hyper::body::Incoming;
 use hyper::client::conn::http2;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -20,7 +20,7 @@
 use tokio::time::Instant;
 
 use super::body::{self, Body};
-use super::header::{DEADLINE, ROLE, Role, SECRET};
+use super::header::{DEADLINE, LOAD, REASON, ROLE, Role, SECRET};
 use super::limit::Limits;
 use super::response::{self, Reason};
 use super::socket;
@@ -33,6 +33,12 @@
 /// Time after a failed connection attempt during which no other is made.
 const REOPEN_PAUSE: Duration = Duration::from_millis(250);
 
+/// Bytes that a field counts beyond its name and value (RFC 9113, section 6.5.2).
+const FIELD_OVERHEAD_BYTES: usize = 32;
+
+/// Room for the fields that nodes add for each other, about 20 with their overhead, and the secret.
+const ADDED_HEADER_BYTES: usize = 4 * 1024;
+
 /// Why a call got no response from another node.
 #[derive(Debug)]
 pub enum HopError {
@@ -121,7 +127,7 @@
         secrets: &Secrets,
         outgoing: HopRequest,
     ) -> Result<Response<Incoming>, HopError> {
-        let deadline = outgoing.deadline;
+        let (deadline, role) = (outgoing.deadline, outgoing.role);
         let peer = self.peer(address);
         let connection =
             match tokio::time::timeout_at(deadline, self.connection(&peer, address, secrets)).await
@@ -139,6 +145,11 @@
                 self.counters.increment(Counter::BrokenResponses);
                 Err(HopError::Unknown(Reason::Broken))
             }
+            Ok(Ok(response)) if is_head_refused(role, &response) => {
+                // The connection may date from before a policy that allows longer heads.
+                peer.connection.compare_and_swap(&connection, None);
+                Err(HopError::NotRun(Reason::HeaderSize))
+            }
             Ok(Ok(response)) => {
                 connection
                     .last_response
@@ -290,7 +301,7 @@
             .initial_stream_window_size(self.limits.hop_window_bytes)
             .initial_connection_window_size(connection_window(&self.limits))
             .initial_max_send_streams(self.limits.hop_streams as usize)
-            .max_header_list_size(self.limits.header_bytes as u32)
+            .max_header_list_size(header_list_bytes(self.limits.header_bytes, &self.limits))
             .max_send_buf_size(self.limits.hop_window_bytes as usize)
             .keep_alive_interval(self.limits.ping_interval)
             .keep_alive_timeout(self.limits.ping_timeout)
@@ -328,6 +339,22 @@
     bytes.min((1 << 31) - 1) as u32
 }
 
+/// Returns the limit on a head between nodes, which every legal head of `header_bytes` fits with what
+/// nodes add to it.
+pub fn header_list_bytes(header_bytes: usize, limits: &Limits) -> u32 {
+    let bytes = header_bytes + limits.headers * FIELD_OVERHEAD_BYTES + ADDED_HEADER_BYTES;
+    u32::try_from(bytes).unwrap_or(u32::MAX)
+}
+
+/// Returns whether the HTTP library of the other node refused the head of a call: an owner names the
+/// load in all of its responses.
+fn is_head_refused(role: Role, response: &Response<Incoming>) -> bool {
+    role == Role::Owner
+        && response.status() == StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE
+        && !response.headers().contains_key(LOAD)
+        && !response.headers().contains_key(REASON)
+}
+
 /// Returns whether the other node reported that it did not process the request.
 fn is_unprocessed(error: &hyper::Error) -> bool {
     use std::error::Error;
--- a/buckthorn/src/proxy/limit.rs
+++ b/buckthorn/src/proxy/limit.rs
@@ -21,6 +21,8 @@
     pub caller_connections: usize,
     /// Maximum connections from other nodes.
     pub hop_connections: usize,
+    /// Maximum connections for control messages from other nodes.
+    pub control_connections: usize,
     /// Maximum concurrent calls on one connection between nodes.
     pub hop_streams: u32,
     /// Flow-control window of one call on a connection between nodes, in bytes.
@@ -70,6 +72,7 @@
             kept_body_bytes: 64 * 1024,
             caller_connections: 1_024,
             hop_connections: 1_024,
+            control_connections: 256,
             hop_streams: 256,
             hop_window_bytes: 64 * 1024,
             requests_ahead: 8,
--- a/buckthorn/src/proxy/listen.rs
+++ b/buckthorn/src/proxy/listen.rs
@@ -20,7 +20,7 @@
 
 use super::body::{self, Body, Bounds, Monitor};
 use super::connections::{Admission, ConnectionState, Registry};
-use super::eviction::{Cause, Phase as PeerPhase, Timeouts};
+use super::eviction::{Cause, Phase as PeerPhase, Timeouts, VERIFY_TIMEOUT};
 use super::header::{self, Call, Role, SECRET};
 use super::ingress::Origin;
 use super::payload::{Payload, UploadStatus};
@@ -87,7 +87,10 @@
         Port::Callers => plane.limits.caller_connections,
         Port::Hop => plane.limits.hop_connections,
     };
-    let mut registry = Registry::new(limit);
+    let mut registry = match port {
+        Port::Callers => Registry::new(limit),
+        Port::Hop => Registry::for_nodes(limit),
+    };
     let refusals = Arc::new(Semaphore::new(MAX_REFUSALS));
     let interval = plane.limits.header_timeout / 4;
     let mut expiry = tokio::time::interval(interval.clamp(ACCEPT_PAUSE, MAX_EXPIRY_INTERVAL));
@@ -97,13 +100,8 @@
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             Some(_) = tasks.join_next() => continue,
-            _ = expiry.tick(), if port == Port::Callers => {
-                let limits = plane.request_limits();
-                let evicted = registry.expire(&Timeouts {
-                    head: limits.header_timeout,
-                    idle: limits.idle_timeout,
-                    is_shortage: plane.shortage.is_current(),
-                });
+            _ = expiry.tick() => {
+                let evicted = registry.expire(&timeouts(&plane, port));
                 for _ in 0..evicted {
                     record_eviction(&plane, PeerPhase::Blocked);
                 }
@@ -119,7 +117,9 @@
         let state = match registry.admit() {
             Admission::Open(state) => state,
             Admission::Replaced(state, phase) => {
-                record_eviction(&plane, phase);
+                if port == Port::Callers {
+                    record_eviction(&plane, phase);
+                }
                 state
             }
             Admission::Refused => {
@@ -163,6 +163,25 @@
     while tasks.join_next().await.is_some() {}
 }
 
+/// Returns the timeouts of the connections of a port.
+fn timeouts(plane: &Plane, port: Port) -> Timeouts {
+    match port {
+        Port::Callers => {
+            let limits = plane.request_limits();
+            Timeouts {
+                head: limits.header_timeout,
+                idle: limits.idle_timeout,
+                is_shortage: plane.shortage.is_current(),
+            }
+        }
+        Port::Hop => Timeouts {
+            head: VERIFY_TIMEOUT,
+            idle: VERIFY_TIMEOUT,
+            is_shortage: false,
+        },
+    }
+}
+
 /// Sends a refusal on a connection and closes it.
 async fn refuse_connection(mut stream: impl AsyncReadExt + AsyncWriteExt + Unpin, reason: Reason) {
     let response = response::raw(reason, Ran::NotRun);
@@ -325,7 +344,7 @@
         Err(Cause::HeadTimeout) => Reason::HeaderTimeout,
         // Only an incomplete head is known not to have run.
         Err(Cause::Room) if state.view().phase == PeerPhase::Head => Reason::Connections,
-        Ok(Err(_)) | Err(Cause::Room | Cause::IdleTimeout) => return,
+        Ok(Err(_)) | Err(Cause::Room | Cause::IdleTimeout | Cause::Unverified) => return,
     };
     if reason == Reason::HeaderTimeout {
         plane.counters.increment(Counter::RefusedHeaderTimeout);
@@ -411,21 +430,30 @@
     state: Arc<ConnectionState>,
     mut phase: PhaseReceiver,
 ) {
-    // It carries many calls at a time, so it is never closed for another one.
-    state.begin_request(false);
     let socket = Socket::new(stream, state.clone(), plane.limits.idle_body_timeout);
     let service = {
-        let plane = plane.clone();
-        service_fn(move |request| handle_node(plane.clone(), request))
+        let (plane, state) = (plane.clone(), state.clone());
+        service_fn(move |request| {
+            let refusal = refuse_unverified(&plane, &state, &request);
+            let plane = plane.clone();
+            async move {
+                match refusal {
+                    Some(response) => Ok(response),
+                    // The future of a call is large, and many requests may begin at once.
+                    None => Box::pin(handle_node(plane, request)).await,
+                }
+            }
+        })
     };
     let limits = &plane.limits;
+    let header_bytes = plane.request_limits().header_bytes.max(limits.header_bytes);
     let mut connection = pin!(
         http2::Builder::new(TokioExecutor::new())
             .timer(TokioTimer::new())
             .initial_stream_window_size(limits.hop_window_bytes)
             .initial_connection_window_size(hop::connection_window(limits))
             .max_concurrent_streams(limits.hop_streams)
-            .max_header_list_size(limits.header_bytes as u32)
+            .max_header_list_size(hop::header_list_bytes(header_bytes, limits))
             .max_send_buf_size(limits.hop_window_bytes as usize)
             .max_pending_accept_reset_streams(MAX_PENDING_RESETS)
             .keep_alive_interval(limits.ping_interval)
@@ -433,8 +461,15 @@
             .serve_connection(TokioIo::new(socket), service)
     );
     let result = tokio::select! {
-        result = &mut connection => result,
+        result = state.in_turns(connection.as_mut()) => result,
+        _ = state.closing() => {
+            plane.counters.increment(Counter::UnverifiedPeers);
+            return;
+        }
         () = draining(&mut phase) => {
+            if !state.is_verified() {
+                return;
+            }
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -447,16 +482,27 @@
     }
 }
 
+/// Refuses a request without the shared secret, and closes a connection on which too many came.
+fn refuse_unverified(
+    plane: &Plane,
+    state: &ConnectionState,
+    request: &Request<Incoming>,
+) -> Option<Response<Body>> {
+    let secret = request.headers().get(SECRET);
+    if secret.is_some_and(|secret| plane.secrets.accepts(secret.as_bytes())) {
+        state.verify();
+        return None;
+    }
+    state.record_unverified_request();
+    let reason = Reason::Unauthenticated;
+    Some(response::refuse(&plane.counters, reason, Ran::NotRun))
+}
+
 /// Handles one request of another node.
 async fn handle_node(
     plane: Arc<Plane>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
-    let secret = request.headers().get(SECRET);
-    if !secret.is_some_and(|secret| plane.secrets.accepts(secret.as_bytes())) {
-        let reason = Reason::Unauthenticated;
-        return Ok(response::refuse(&plane.counters, reason, Ran::NotRun));
-    }
     let (parts, body) = request.into_parts();
     let call = Call::parse(&parts, plane.clock.now(), plane.limits.call_timeout);
     let (Some(role), Ok(call)) = (Role::parse(&parts.headers), call) else {
--- a/buckthorn/src/proxy/socket.rs
+++ b/buckthorn/src/proxy/socket.rs
@@ -44,6 +44,10 @@
     let _ = socket.set_send_buffer_size(unread_bytes);
 }
 
+/// Bytes that are read at once of a peer that has yet to show that it is a node. A frame of HTTP/2 takes
+/// ten bytes at least, and some hundred in memory.
+const MAX_UNVERIFIED_READ_BYTES: usize = 1_024;
+
 /// Connection that counts the bytes read and limits blocked writes.
 #[derive(Debug)]
 pub struct Socket<S = TcpStream> {
@@ -105,14 +109,39 @@
     }
 }
 
+/// Reads at most [`MAX_UNVERIFIED_READ_BYTES`].
+fn read_some(
+    stream: Pin<&mut impl AsyncRead>,
+    cx: &mut Context<'_>,
+    buf: &mut ReadBuf<'_>,
+) -> Poll<io::Result<()>> {
+    let mut bytes = [0; MAX_UNVERIFIED_READ_BYTES];
+    let length = bytes.len().min(buf.remaining());
+    let mut read = ReadBuf::new(&mut bytes[..length]);
+    let result = stream.poll_read(cx, &mut read);
+    buf.put_slice(read.filled());
+    result
+}
+
 impl<S: AsyncRead + Unpin> AsyncRead for Socket<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        // The HTTP library parses and holds all that it can read before any request is handled, so
+        // little is read of an unverified peer before its requests are refused.
+        let is_unverified = self.state.is_unverified_node();
+        if is_unverified && self.state.has_read_in_turn() {
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         let before = buf.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let result = if is_unverified {
+            read_some(Pin::new(&mut self.stream), cx, buf)
+        } else {
+            Pin::new(&mut self.stream).poll_read(cx, buf)
+        };
         if result.is_pending() {
             self.state.record_read_to_end();
         }
--- a/buckthorn/src/rpc/server.rs
+++ b/buckthorn/src/rpc/server.rs
@@ -1,8 +1,9 @@
 //! Server of the control protocol.
 //!
 //! A request is authenticated by its headers before its body is read. A connection is closed if it
-//! is idle for [`IDLE_TIMEOUT`] or if its headers take longer than that. A request is answered
-//! within [`REQUEST_TIMEOUT`].
+//! is idle for [`IDLE_TIMEOUT`], if its headers take longer than that, or after a request without the
+//! secret. When there is no room for another connection, the oldest one on which no request had the
+//! secret is closed. A request is answered within [`REQUEST_TIMEOUT`].
 
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
@@ -20,13 +21,17 @@
     BatchRequestConfig, Server, ServerConfig, ServerHandle, StopHandle, stop_channel,
 };
 use jsonrpsee::types::{ErrorObjectOwned, Params};
-use tokio::sync::{Semaphore, oneshot};
+use tokio::sync::oneshot;
+use tokio::time::MissedTickBehavior;
 use tower::Service;
 
 use crate::counter::{Counter, Counters};
 
 use super::message::{Envelope, Message};
 use super::{MAX_MESSAGE_BYTES, METHOD, RESPONSE_HEADER_BYTES, depth};
+use crate::proxy::connections::{Admission, ConnectionState, Registry};
+use crate::proxy::eviction::{Timeouts, VERIFY_TIMEOUT};
+use crate::proxy::socket::Socket;
 use crate::secret::Secrets;
 
 /// Time after which an idle connection is closed, and time limit for receiving headers.
@@ -35,6 +40,9 @@
 /// Time limit from the end of a request's headers to its response.
 pub const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Interval between two checks of the timeouts of connections.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
+
 /// JSON-RPC error code: the queue of inbound envelopes is full.
 pub const CODE_BUSY: i32 = -32_001;
 
@@ -194,10 +202,20 @@
         .http_only()
         .build();
     let builder = Server::builder().set_config(config).to_service_builder();
-    let permits = Arc::new(Semaphore::new(shared.limits.connections));
+    let mut registry = Registry::for_nodes(shared.limits.connections);
+    let mut expiry = tokio::time::interval(EXPIRY_INTERVAL);
+    expiry.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         let stream = tokio::select! {
             () = stop.clone().shutdown() => return,
+            _ = expiry.tick() => {
+                registry.expire(&Timeouts {
+                    head: VERIFY_TIMEOUT,
+                    idle: VERIFY_TIMEOUT,
+                    is_shortage: false,
+                });
+                continue;
+            }
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => stream,
                 Err(_) => {
@@ -208,16 +226,16 @@
                 }
             },
         };
-        let Ok(permit) = permits.clone().try_acquire_owned() else {
-            shared.counters.increment(Counter::RefusedConnections);
-            continue;
+        let state = match registry.admit() {
+            Admission::Open(state) | Admission::Replaced(state, _) => state,
+            Admission::Refused => {
+                shared.counters.increment(Counter::RefusedConnections);
+                continue;
+            }
         };
         let service = builder.clone().build(module.clone(), stop.clone());
         let (shared, stop) = (shared.clone(), stop.clone());
-        tokio::spawn(async move {
-            handle_connection(stream, service, shared, stop).await;
-            drop(permit);
-        });
+        tokio::spawn(handle_connection(stream, state, service, shared, stop));
     }
 }
 
@@ -228,28 +246,36 @@
 /// Serves one connection.
 async fn handle_connection(
     stream: tokio::net::TcpStream,
+    state: Arc<ConnectionState>,
     service: Rpc,
     shared: Arc<Shared>,
     stop: StopHandle,
 ) {
     // With Nagle's algorithm, small responses would wait for the peer's acknowledgement.
     let _ = stream.set_nodelay(true);
+    let counters = shared.counters.clone();
+    let verified = state.clone();
     let service = service_fn(move |request| {
         let (service, shared) = (service.clone(), shared.clone());
-        async move { Ok::<_, std::convert::Infallible>(respond(request, service, &shared).await) }
+        let state = verified.clone();
+        async move {
+            Ok::<_, std::convert::Infallible>(respond(request, &state, service, &shared).await)
+        }
     });
+    let socket = Socket::new(stream, state.clone(), IDLE_TIMEOUT);
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(IDLE_TIMEOUT)
         .max_buf_size(16 * 1024)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(socket), service);
     tokio::pin!(connection);
     tokio::select! {
-        _ = &mut connection => {}
+        _ = state.in_turns(connection.as_mut()) => {}
+        _ = state.closing() => counters.increment(Counter::UnverifiedPeers),
         () = stop.shutdown() => {
             connection.as_mut().graceful_shutdown();
             // The peer detects a broken connection itself.
-            let _ = connection.await;
+            let _ = state.in_turns(connection).await;
         }
     }
 }
@@ -257,6 +283,7 @@
 /// Authenticates one request, serves it and counts its bytes.
 async fn respond(
     request: http::Request<Incoming>,
+    state: &ConnectionState,
     mut service: Rpc,
     shared: &Arc<Shared>,
 ) -> http::Response<http_helpers::Body> {
@@ -268,8 +295,14 @@
         .is_some_and(|value| shared.secrets.accepts_bearer(value.as_bytes()));
     if !is_accepted {
         counters.increment(Counter::RefusedUnauthenticated);
-        return empty_response(http::StatusCode::UNAUTHORIZED);
+        let mut response = empty_response(http::StatusCode::UNAUTHORIZED);
+        let close = http::HeaderValue::from_static("close");
+        response
+            .headers_mut()
+            .insert(http::header::CONNECTION, close);
+        return response;
     }
+    state.verify();
     let body_counters = counters.clone();
     let request = request.map(|body| {
         body.map_frame(move |frame| {
--- a/buckthorn/tests/proxy_eviction.rs
+++ b/buckthorn/tests/proxy_eviction.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use buckthorn::proxy::connections::{Admission, Registry};
 use buckthorn::proxy::eviction::{
     Cause, Decision, MIN_STALL, Phase, Timeouts, View, decide, expired,
 };
@@ -53,6 +54,29 @@
     assert_eq!(decide_when_full(&open), Decision::Refuse);
 }
 
+#[tokio::test]
+async fn peers_without_the_secret_make_room_for_nodes_whatever_they_send() {
+    let mut registry = Registry::for_nodes(2);
+    let Admission::Open(node) = registry.admit() else {
+        panic!("there is room");
+    };
+    let Admission::Open(stranger) = registry.admit() else {
+        panic!("there is room");
+    };
+    node.verify();
+    tokio::time::sleep(MIN_STALL).await;
+    // Requests without the secret are no progress.
+    stranger.begin_request(false);
+    stranger.end_request();
+    let Admission::Replaced(second, Phase::New) = registry.admit() else {
+        panic!("the stranger makes room");
+    };
+    assert_eq!(stranger.closing().await, Cause::Room);
+    second.verify();
+    tokio::time::sleep(MIN_STALL).await;
+    assert!(matches!(registry.admit(), Admission::Refused));
+}
+
 #[test]
 fn callers_that_make_progress_are_not_closed_for_a_burst_of_connections() {
     let recent = MIN_STALL.as_millis() as u64 - 1;
--- a/buckthorn/tests/proxy_limit.rs
+++ b/buckthorn/tests/proxy_limit.rs
@@ -10,7 +10,7 @@
 use http_body_util::Empty;
 use hyper::client::conn::http2;
 use hyper_util::rt::{TokioExecutor, TokioIo};
-use proxy_kit::{Caller, Node, SERVICE, echo, limits, pair, scripted};
+use proxy_kit::{Caller, Node, SERVICE, echo, limits, node, pair, scripted};
 use tokio::net::TcpStream;
 
 /// Starts two nodes with tight limits in front of an echoing backend server.
@@ -51,6 +51,25 @@
     }
 }
 
+/// The owner's connection may date from before a policy that allows longer heads.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_head_that_an_owner_refuses_has_not_run() {
+    let owner = node("owner", Some(echo().await), limits()).await;
+    let mut longer = limits();
+    longer.header_bytes = 64 * 1024;
+    let ingress = node("ingress", None, longer).await;
+    for node in [&ingress, &owner] {
+        node.route_to(&[owner.endpoint()]);
+    }
+    let long = "x".repeat(50 * 1024);
+    let request = format!("POST / HTTP/1.1\r\nhost: {SERVICE}\r\nlong: {long}\r\n\r\n");
+    let mut caller = Caller::connect(ingress.callers).await;
+    caller.send(request).await;
+    let response = caller.response("POST").await;
+    assert_eq!((response.status, response.reason()), (431, "header-size"));
+    assert_eq!(response.ran(), "not-run");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn slow_header() {
     let (ingress, _owner) =
