Take the first orders from a peer where the store cannot be read

Cause: a node without a policy read the store and asked nobody. Nodes that were restarted while their failure domain was cut off from the store refused every call as not ready until the end of the cut, though all their peers had a policy; their backend servers stood idle in a failure domain that was short of room. A digest of a peer that is ahead was recorded, but only looked at once the node had a policy. Change: such a node asks the peer that is ahead for its orders after the same grace as a node that has a policy, and goes on reading the store. A test starts a node whose reads hang; it failed before the change.

--- a/buckthorn/src/config/intake.rs
+++ b/buckthorn/src/config/intake.rs
@@ -4,7 +4,8 @@
 //! read that makes no progress is restarted when a peer has newer orders, and the peer is asked for
 //! them: probes carry the position up to which a node has read. A node that reads new orders after a
 //! failed read notifies a few peers at once, whose reads may hang for the same cause; they notify
-//! others in turn.
+//! others in turn. A node that starts where the topic cannot be read gets its first orders from a peer
+//! in the same way.
 
 use std::time::Duration;
 
@@ -95,18 +96,26 @@
 }
 
 impl Intake {
-    /// Requests orders when due. A node without a policy reads the log itself.
+    /// Requests orders when due. A node without a policy reads the log itself, and asks a peer only if
+    /// that takes too long.
     fn tick(&mut self, cx: &mut Context<'_>) {
         let out = cx.shared.orders.domains_out();
         if cx.shared.orders.settle(cx.now) {
             log_domains_out(cx, &out);
             cx.act(Action::RebuildTable);
         }
-        if !cx.shared.is_synced || cx.shared.is_stopping {
+        if cx.shared.is_stopping {
             return;
         }
         let is_due = |ahead: &Ahead| cx.now.since(ahead.since) >= self.read_grace;
-        let action = if !self.ahead.as_ref().is_some_and(is_due) {
+        let is_due = self.ahead.as_ref().is_some_and(is_due);
+        if !cx.shared.is_synced {
+            if is_due {
+                self.ask_ahead(cx);
+            }
+            return;
+        }
+        let action = if !is_due {
             let shared = &cx.shared;
             self.relay.poll(cx.now, &shared.identity, &shared.view)
         } else if self.relay.is_following() {
@@ -325,6 +334,13 @@
     /// Reads the log anew and asks the peer that has newer orders for them, as the read may be slow
     /// again.
     fn catch_up(&mut self, cx: &mut Context<'_>) {
+        let from = cx.shared.orders.next();
+        cx.act(Action::ReadOrders(OrderPolling::From(from)));
+        self.ask_ahead(cx);
+    }
+
+    /// Asks the peer that has newer orders for them.
+    fn ask_ahead(&mut self, cx: &mut Context<'_>) {
         let Some(ahead) = &mut self.ahead else {
             return;
         };
@@ -336,7 +352,6 @@
             &host,
             format!("this node has read up to {from}"),
         );
-        cx.act(Action::ReadOrders(OrderPolling::From(from)));
         self.execute(cx, RelayAction::Request(vec![host]));
     }
 }
--- a/buckthorn/tests/config_relay.rs
+++ b/buckthorn/tests/config_relay.rs
@@ -734,6 +734,39 @@
     }
 }
 
+/// A node that restarted while its failure domain was cut off from the log stayed without a policy until
+/// the end of the cut, though all its peers had one.
+#[test]
+fn a_node_that_starts_while_it_cannot_read_the_log_gets_the_policy_from_a_peer() {
+    let mut mesh = Mesh::new(25);
+    mesh.order(policy(2, 3));
+    mesh.run(BOUND);
+    let (started, peer) = (7, mesh.members[3].host.clone());
+    let members = mesh.members.clone();
+    let node = &mut mesh.nodes[started];
+    node.kernel = kernel_support::kernel(&members[started], &members, 1, mesh.now, |registry| {
+        intake::register(registry, BOUND);
+        cutover::register(registry, Bound::default());
+    });
+    (node.reads, node.is_log_silent) = (Some(0), true);
+    let digest = Digest {
+        next: Position::from(mesh.log.len() as u64),
+        view: 0,
+        quarantine: 0,
+        blocklist: 0,
+        is_synced: true,
+    };
+    let probed = Event::Received {
+        from: peer,
+        messages: vec![Message::Ping(digest)],
+    };
+    mesh.handle(started, &probed);
+    mesh.run(BOUND);
+    let shared = mesh.nodes[started].kernel.shared();
+    assert!(shared.is_synced);
+    assert_eq!(shared.orders.policy().unwrap().version, 2);
+}
+
 #[test]
 fn a_node_that_is_cut_off_from_the_log_learns_of_the_restore_from_peers() {
     let mut mesh = Mesh::new(25);
