Skip failure domains whose hosts are all silent

Cause: a host that did not respond was skipped for a second, then any number of calls tried it at the same time and waited 300 to 800 ms for it, and each ingress found out about each host by itself. In the 8 s around a cut, 727 logged attempts went across it in vain (234 s of callers' waiting) and 183 calls were refused in the end for want of a host that could be reached. Owners that had no configuration yet were asked again and again: 1764 refusals. Change: routing::reach. The first call after a host's pause is a trial, others skip the host until it responds. An owner without configuration is skipped like one whose backend server is unreachable.

--- a/buckthorn/src/counter.rs
+++ b/buckthorn/src/counter.rs
@@ -99,6 +99,7 @@
     EjectDenied "eject.denied" "Ejections denied because too few would remain.",
     PanicRouting "route.panic" "Choices made among ejected backend servers for want of others.",
     FirstTryFull "route.first_try_full" "First tries that found a backend server without room.",
+    DomainsSilent "route.domain_silent" "Failure domains skipped because none of their hosts responded.",
     SpilledOver "route.spilled" "Calls sent to another failure domain.",
     // Configuration.
     RecordsApplied "config.applied" "Log records accepted by the fold.",
--- a/buckthorn/src/log_event.rs
+++ b/buckthorn/src/log_event.rs
@@ -59,6 +59,7 @@
     DutyLost "duty.lost" "subject, detail" "This node no longer holds a duty, of the token named.",
     UsageHandedIn "usage.handed_in" "subject, detail" "The platform accepted the usage of a window: its number, the token, and the time after its end.",
     EndpointEjected "endpoint.ejected" "target, service, outcome" "A backend server is ejected for a while because it fails more than the others.",
+    DomainSilent "route.domain_silent" "failure_domain, target" "No host of a failure domain responds to this node, so it gets no calls but trials.",
     MemberChanged "member.changed" "subject, detail" "A node was discovered, suspected, found alive again, marked dead or left.",
     BackendAnnounced "backend.announced" "service, version, instance" "The local backend server registered or changed its announcement.",
     BackendLeaves "backend.leaves" "service" "The local backend server is draining or leaving.",
--- a/buckthorn/src/proxy/dispatch.rs
+++ b/buckthorn/src/proxy/dispatch.rs
@@ -289,6 +289,7 @@
         NextHopDeadline::Expired => return refused(plane, Reason::Refused(Refusal::Deadline)),
     };
     let in_flight = InFlight::start(&endpoint.load);
+    endpoint.load.start_call(plane.clock.now());
     let method = request.method().clone();
     let max_wait = call.remaining_wait(plane.clock.now());
     if let Some(max_wait) = max_wait {
@@ -305,18 +306,19 @@
             Ok(response) => response,
             Err(failure) => {
                 if is_host_unreachable(&failure) {
-                    mark_unreachable(plane, call, endpoint);
+                    mark_silent(plane, call, endpoint);
                 }
                 observe(plane, call, &endpoint.host, failure_outcome(&failure));
                 return failed(plane, failure);
             }
         }
     };
-    if response::has_reason(&response, Reason::Unreachable) {
-        // The owner responds, but its backend server is unreachable.
-        mark_unreachable(plane, call, endpoint);
+    if cannot_serve(&response) {
+        if skips_unreachable(call) {
+            endpoint.load.mark_unable(plane.clock.now());
+        }
     } else {
-        endpoint.load.mark_reachable();
+        endpoint.load.mark_reachable(plane.clock.now());
     }
     if let Some(permille) = reported_load(&response) {
         endpoint.load.set_reported(permille);
@@ -403,12 +405,36 @@
     }
 }
 
-/// Marks a host as unreachable for a moment after its first failure, if a policy's route bounds the
-/// attempts and time of the call. Other calls have time for the repeated failures after which a
+/// Returns whether an owner responded that it cannot serve at the moment, whatever its load: its backend
+/// server is unreachable, or it has not received its configuration yet, as after a start while it is cut
+/// off.
+fn cannot_serve(response: &Response<Body>) -> bool {
+    [Reason::Unreachable, Reason::NotReady]
+        .into_iter()
+        .any(|reason| response::has_reason(response, reason))
+}
+
+/// Returns whether a host is skipped for a moment after its first failure: if a policy's route bounds
+/// the attempts and time of the call. Other calls have time for the repeated failures after which a
 /// host is ejected as an outlier.
-fn mark_unreachable(plane: &Plane, call: &Call, endpoint: &Endpoint) {
-    if call.max_backend_attempts.is_some() {
-        endpoint.load.mark_unreachable(plane.clock.now());
+const fn skips_unreachable(call: &Call) -> bool {
+    call.max_backend_attempts.is_some()
+}
+
+/// Marks a host that did not respond as unreachable, and its failure domain once all of it is silent.
+/// Without the own failure domain nothing would be left of the service where this node is cut off.
+fn mark_silent(plane: &Plane, call: &Call, endpoint: &Endpoint) {
+    if !skips_unreachable(call) {
+        return;
+    }
+    let now = plane.clock.now();
+    if endpoint.failure_domain == plane.failure_domain {
+        endpoint.load.mark_unreachable(now);
+    } else if endpoint.load.mark_silent(now) {
+        plane.counters.increment(Counter::DomainsSilent);
+        info!(plane.logger, "{}", LogEvent::DomainSilent.name();
+            "failure_domain" => endpoint.failure_domain.as_ref(),
+            "target" => endpoint.host.as_ref());
     }
 }
 
--- a/buckthorn/src/routing/load.rs
+++ b/buckthorn/src/routing/load.rs
@@ -2,11 +2,11 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
-use std::time::Duration;
 
 use super::budget::{Budget, RETRY_COST, RetryBound};
 use super::estimate::Estimate;
 use super::pressure::Pressure;
+use super::reach;
 use crate::clock::Time;
 use crate::name::Name;
 
@@ -14,10 +14,6 @@
 /// so that a load reported long ago does not exclude it forever.
 const REPORTED_DECAY_DIVISOR: u32 = 8;
 
-/// How long an unreachable host is skipped, unless there is no other. The next call then tries it
-/// again, which costs at most the time of a connection attempt.
-const UNREACHABLE_PAUSE: Duration = Duration::from_millis(1_000);
-
 /// Load and health of one backend server as seen from this node.
 #[derive(Debug, Default)]
 pub struct Load {
@@ -31,8 +27,10 @@
     pub pressure: Pressure,
     /// Time until which the backend server is ejected, in microseconds since the Unix epoch.
     pub ejected_until: AtomicU64,
-    /// Time until which the host counts as unreachable, in microseconds since the Unix epoch.
-    unreachable_until: AtomicU64,
+    /// Reachability of the host.
+    host: reach::Host,
+    /// Reachability of its failure domain.
+    domain: Arc<reach::Domain>,
     /// Consecutive failures since the last good response or ejection.
     pub(super) failures: AtomicU32,
     /// Good responses still needed until the backend server counts as recovered, then zero.
@@ -100,24 +98,42 @@
         self.reported.load(Ordering::Relaxed)
     }
 
-    /// Records that the host could not be reached.
-    pub fn mark_unreachable(&self, now: Time) {
-        let until = now + UNREACHABLE_PAUSE;
-        self.unreachable_until.store(until.0, Ordering::Relaxed);
+    /// Records that the host could not be reached; returns whether it had responded before.
+    pub fn mark_unreachable(&self, now: Time) -> bool {
+        self.host.mark_unreachable(now)
+    }
+
+    /// Records that the host, which is in another failure domain than this node, did not respond.
+    /// Returns whether the whole failure domain is skipped from now on.
+    pub fn mark_silent(&self, now: Time) -> bool {
+        let had_responded = self.host.mark_unreachable(now);
+        self.domain.record_silent(had_responded, now)
     }
 
     /// Records that the host responded.
     #[inline]
-    pub fn mark_reachable(&self) {
-        if self.unreachable_until.load(Ordering::Relaxed) > 0 {
-            self.unreachable_until.store(0, Ordering::Relaxed);
-        }
+    pub fn mark_reachable(&self, now: Time) {
+        self.host.mark_reachable();
+        self.domain.record_response(now);
+    }
+
+    /// Records that the host responded, but cannot serve at the moment.
+    pub fn mark_unable(&self, now: Time) {
+        self.host.mark_unreachable(now);
+        self.domain.record_response(now);
+    }
+
+    /// Records that a call is sent to the host.
+    #[inline]
+    pub fn start_call(&self, now: Time) {
+        self.host.start_call(now);
+        self.domain.start_call(now);
     }
 
-    /// Returns whether the host counts as unreachable.
+    /// Returns whether the host or its failure domain counts as unreachable.
     #[inline]
     pub fn is_unreachable(&self, now: Time) -> bool {
-        now.0 < self.unreachable_until.load(Ordering::Relaxed)
+        self.host.is_unreachable(now) || self.domain.is_unreachable(now)
     }
 
     /// Returns whether the backend server may be chosen.
@@ -138,6 +154,8 @@
 pub struct Registry {
     /// Loads sorted by key.
     entries: Vec<((Name, u64), Arc<Load>)>,
+    /// Reachability of failure domains, sorted by name.
+    domains: Vec<(Name, Arc<reach::Domain>)>,
     /// Retry budgets sorted by service.
     budgets: Vec<(Name, Arc<Budget>)>,
     /// Size of the retry budgets, if it differs from the default.
@@ -189,19 +207,35 @@
         }
     }
 
-    /// Returns the load of a host's incarnation, creating it if necessary.
-    pub fn load(&mut self, host: &Name, incarnation: u64) -> Arc<Load> {
+    /// Returns the load of a host's incarnation in a failure domain, creating it if necessary.
+    pub fn load(&mut self, host: &Name, incarnation: u64, failure_domain: &Name) -> Arc<Load> {
         let key = (host.clone(), incarnation);
         match self.entries.binary_search_by(|(k, _)| k.cmp(&key)) {
             Ok(index) => self.entries[index].1.clone(),
             Err(index) => {
-                let load = Arc::new(Load::default());
+                let load = Arc::new(Load {
+                    domain: self.domain(failure_domain),
+                    ..Load::default()
+                });
                 self.entries.insert(index, (key, load.clone()));
                 load
             }
         }
     }
 
+    /// Returns the reachability of a failure domain, creating it if necessary.
+    fn domain(&mut self, name: &Name) -> Arc<reach::Domain> {
+        match self.domains.binary_search_by(|(known, _)| known.cmp(name)) {
+            Ok(index) => self.domains[index].1.clone(),
+            Err(index) => {
+                let domain = Arc::default();
+                self.domains
+                    .insert(index, (name.clone(), Arc::clone(&domain)));
+                domain
+            }
+        }
+    }
+
     /// Returns the retry budget of a service, creating it if necessary.
     pub fn budget(&mut self, service: &Name) -> Arc<Budget> {
         match self.budgets.binary_search_by(|(name, _)| name.cmp(service)) {
@@ -224,5 +258,7 @@
         self.budgets
             .retain(|(_, budget)| Arc::strong_count(budget) > 1);
         self.entries.retain(|(_, load)| Arc::strong_count(load) > 1);
+        self.domains
+            .retain(|(_, domain)| Arc::strong_count(domain) > 1);
     }
 }
--- a/buckthorn/src/routing/table.rs
+++ b/buckthorn/src/routing/table.rs
@@ -464,7 +464,11 @@
                     failure_domain: member.failure_domain.clone(),
                     region: member.region.clone(),
                     slots: server.slots,
-                    load: self.registry.load(&member.host, member.incarnation),
+                    load: self.registry.load(
+                        &member.host,
+                        member.incarnation,
+                        &member.failure_domain,
+                    ),
                 })
             })
             .collect()
