Charge calls by the run that they are made for

A node charges its retry budgets for the calls of its backend server with the share of repeats among the server's runs, since the calls of a repeat are repeats as well. The requests of the host's own callers come from the same address and were charged, too. They carried the share to the owners that they reached, which counted it as a share of a repeat and charged their own callers: the share hardly fell again, and budgets stayed in debt after a burst of retries.

Where calls are recognised by their identifiers, each is now charged by the run that it is made for, and others are new requests. Without identifiers the share goes for all, as before.

--- a/buckthorn/src/proxy/ingress.rs
+++ b/buckthorn/src/proxy/ingress.rs
@@ -80,8 +80,7 @@
         parts.headers.remove(name);
     }
     if origin == Origin::Local {
-        call.repeat_permille = plane.repeat_share.permille();
-        rank_with_parent(plane, &parts, &mut call);
+        inherit(plane, &parts, &mut call, now);
     }
     let upload = parts
         .extensions
@@ -107,13 +106,18 @@
     finish(plane, prefer_upload_fault(plane, &upload, response))
 }
 
-/// Ranks a call of the local backend server with the request that it is made for.
-fn rank_with_parent(plane: &Plane, parts: &Parts, call: &mut Call) {
+/// Gives a call of the local backend server what it inherits from the request that it is made for.
+fn inherit(plane: &Plane, parts: &Parts, call: &mut Call, now: Time) {
     let id = plane.request_id(&parts.headers);
     let parent = plane.contract.as_ref().and_then(|c| c.parent_id(&id));
-    if let Some(rank) = parent.and_then(|parent| plane.parents.rank(parent)) {
-        plane.counters.increment(Counter::CallsInProgress);
-        call.set_in_progress(rank);
+    match parent.and_then(|parent| plane.parents.inherited(parent)) {
+        Some(inherited) => {
+            plane.counters.increment(Counter::CallsInProgress);
+            plane.repeat_share.record_recognised(now);
+            call.set_in_progress(inherited.rank);
+            call.repeat_permille = inherited.repeat_permille;
+        }
+        None => call.repeat_permille = plane.repeat_share.unrecognised_permille(now),
     }
 }
 
--- a/buckthorn/src/proxy/owner.rs
+++ b/buckthorn/src/proxy/owner.rs
@@ -268,12 +268,11 @@
     request: Request<Body>,
 ) -> Response<Body> {
     let id = plane.request_id(request.headers());
-    let run = running::Call::start(plane, owner, call, admitted, &id);
-    let run = CancelGuard::new(run);
     let repeat_permille = header::mesh_number(request.headers(), REPEAT).unwrap_or_default();
-    plane
-        .repeat_share
-        .record(u32::try_from(repeat_permille).unwrap_or(u32::MAX));
+    let repeat_permille = u32::try_from(repeat_permille).unwrap_or(u32::MAX);
+    plane.repeat_share.record(repeat_permille);
+    let run = running::Call::start(plane, owner, call, admitted, &id, repeat_permille);
+    let run = CancelGuard::new(run);
     let pool = owner.pool(&plane.counters, &plane.limits);
     let sent_at = plane.clock.now();
     let left = call.deadline.since(sent_at);
--- a/buckthorn/src/proxy/running.rs
+++ b/buckthorn/src/proxy/running.rs
@@ -73,13 +73,15 @@
 }
 
 impl Call {
-    /// Starts the call of an admitted request with this identifier.
+    /// Starts the call of an admitted request with this identifier, which is a repeat with this
+    /// probability in thousandths.
     pub(super) fn start(
         plane: &Plane,
         owner: &Owner,
         call: &header::Call,
         admitted: Admitted,
         request_id: &str,
+        repeat_permille: u32,
     ) -> Self {
         Self {
             permit: admitted.permit,
@@ -96,7 +98,7 @@
                 suspect: call.suspect,
                 address: owner.address,
             },
-            _parent: plane.parents.start(request_id, call.rank),
+            _parent: plane.parents.start(request_id, call.rank, repeat_permille),
         }
     }
 
--- a/buckthorn/src/routing/parent.rs
+++ b/buckthorn/src/routing/parent.rs
@@ -4,6 +4,9 @@
 //! own callers do. It is known by its identifier where identifiers are hierarchical: that of a call
 //! extends that of the request that it is made for. A caller could choose such an identifier, too, so
 //! the request has to be one that runs at the backend server now.
+//!
+//! The call inherits from its request: the rank, and whether the run is a repeat, as the call then
+//! repeats an earlier one.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -13,12 +16,21 @@
 use crate::admission::gate::Urgency;
 use crate::admission::rank::Rank;
 
+use super::repeat::REPEAT;
+
 /// Requests that are known at once. Calls of further ones rank as new.
 const CAPACITY: usize = 64;
 
-/// Bits of an entry that hold the urgency; the bits above hold the hash of the identifier.
+/// Bits of an entry that hold the urgency.
 const URGENCY_BITS: u32 = 3;
 
+/// Bits above them that hold the probability of a repeat in thousandths. The bits above these hold the
+/// hash of the identifier.
+const REPEAT_BITS: u32 = 10;
+
+/// Lowest bit of the hash of the identifier.
+const HASH_SHIFT: u32 = URGENCY_BITS + REPEAT_BITS;
+
 /// Requests that run at the local backend server.
 ///
 /// Each entry is zero when it is free.
@@ -34,6 +46,15 @@
     index: Option<usize>,
 }
 
+/// What a call inherits from the request that it is made for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Inherited {
+    /// Rank of the call.
+    pub rank: Rank,
+    /// Probability in thousandths that the call repeats an earlier one.
+    pub repeat_permille: u32,
+}
+
 impl Default for Parents {
     fn default() -> Self {
         Self([const { AtomicU64::new(0) }; CAPACITY])
@@ -41,9 +62,11 @@
 }
 
 impl Parents {
-    /// Registers a request until the returned value is dropped.
-    pub fn start(self: &Arc<Self>, id: &str, rank: Rank) -> Parent {
-        let entry = key(id) | u64::from(rank.urgency());
+    /// Registers a request, which is a repeat with a probability in thousandths, until the returned
+    /// value is dropped.
+    pub fn start(self: &Arc<Self>, id: &str, rank: Rank, repeat_permille: u32) -> Parent {
+        let repeat = u64::from(repeat_permille.min(REPEAT)) << URGENCY_BITS;
+        let entry = key(id) | repeat | u64::from(rank.urgency());
         let take = |place: &AtomicU64| {
             place
                 .compare_exchange(0, entry, Ordering::AcqRel, Ordering::Relaxed)
@@ -55,23 +78,27 @@
         }
     }
 
-    /// Returns the rank of a call that is made for the request with an identifier; `None` if that
-    /// request does not run here.
-    pub fn rank(&self, id: &str) -> Option<Rank> {
+    /// Returns what a call inherits from the request with an identifier; `None` if that request does
+    /// not run here.
+    pub fn inherited(&self, id: &str) -> Option<Inherited> {
         let key = key(id);
         let entries = self.0.iter().map(|entry| entry.load(Ordering::Acquire));
         let found = entries
             .into_iter()
-            .find(|entry| entry >> URGENCY_BITS == key >> URGENCY_BITS)?;
+            .find(|entry| entry >> HASH_SHIFT == key >> HASH_SHIFT)?;
         let urgency = found & ((1 << URGENCY_BITS) - 1);
-        Some(Rank::in_progress(urgency as Urgency))
+        let repeat = found >> URGENCY_BITS & ((1 << REPEAT_BITS) - 1);
+        Some(Inherited {
+            rank: Rank::in_progress(urgency as Urgency),
+            repeat_permille: repeat as u32,
+        })
     }
 }
 
-/// Returns the entry of an identifier without its urgency, never zero.
+/// Returns the entry of an identifier without what its calls inherit, never zero.
 fn key(id: &str) -> u64 {
-    let hash = xxh3_64(id.as_bytes()) >> URGENCY_BITS;
-    hash.max(1) << URGENCY_BITS
+    let hash = xxh3_64(id.as_bytes()) >> HASH_SHIFT;
+    hash.max(1) << HASH_SHIFT
 }
 
 impl Drop for Parent {
--- a/buckthorn/tests/admission_in_progress.rs
+++ b/buckthorn/tests/admission_in_progress.rs
@@ -82,21 +82,22 @@
 }
 
 #[test]
-fn a_call_takes_the_rank_of_its_request_while_that_runs() {
+fn a_call_inherits_from_its_request_while_that_runs() {
     let parents = Arc::new(Parents::default());
-    let background = parents.start("a", Rank::new(5));
-    let urgent = parents.start("b", Rank::in_progress(1));
-    assert_eq!(parents.rank("a"), Some(Rank::in_progress(5)));
-    assert_eq!(parents.rank("b"), Some(Rank::in_progress(1)));
-    assert_eq!(parents.rank("c"), None);
+    let background = parents.start("a", Rank::new(5), 0);
+    let urgent = parents.start("b", Rank::in_progress(1), 1_000);
+    let inherited = |id| parents.inherited(id).map(|i| (i.rank, i.repeat_permille));
+    assert_eq!(inherited("a"), Some((Rank::in_progress(5), 0)));
+    assert_eq!(inherited("b"), Some((Rank::in_progress(1), 1_000)));
+    assert_eq!(inherited("c"), None);
     drop(urgent);
-    assert_eq!(parents.rank("b"), None);
+    assert_eq!(inherited("b"), None);
     drop(background);
     // Requests beyond those that are known are not confused with others.
     let many: Vec<_> = (0..100)
-        .map(|id| parents.start(&format!("{id}"), Rank::new(0)))
+        .map(|id| parents.start(&format!("{id}"), Rank::new(0), 0))
         .collect();
-    assert_eq!(parents.rank("99"), None);
+    assert_eq!(inherited("99"), None);
     drop(many);
-    assert_eq!(parents.rank("0"), None);
+    assert_eq!(inherited("0"), None);
 }
--- a/buckthorn/tests/routing_repeat.rs
+++ b/buckthorn/tests/routing_repeat.rs
@@ -5,10 +5,11 @@
 
 use std::time::Duration;
 
+use buckthorn::clock::Time;
 use buckthorn::routing::budget::{
     Attempt, Budget, Execution, Failure, Layer, Next, RETRY_COST, decide,
 };
-use buckthorn::routing::repeat::{REPEAT, RepeatShare};
+use buckthorn::routing::repeat::{RECOGNITION, REPEAT, RepeatShare};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
@@ -31,6 +32,17 @@
     Budget::with_capacity(capacity.max(RETRY_COST), (RATIO * SHARE * cost) as u32)
 }
 
+/// Where the callers' requests arrive, and what is known of the calls of backend servers.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Callers {
+    /// From other hosts, at nodes that charge each call by the share of repeats.
+    Remote,
+    /// From the host itself, at such nodes.
+    Local,
+    /// From the host itself, at nodes that recognise the calls of their backend server.
+    Recognised,
+}
+
 struct Host {
     outer: Budget,
     inner: Budget,
@@ -43,6 +55,24 @@
     repeats: Vec<u32>,
 }
 
+impl Tally {
+    /// Retries of rejected calls and repeats of earlier ones from a time on.
+    fn repeats_from(&self, from: usize) -> u32 {
+        self.repeats[from..].iter().sum()
+    }
+}
+
+impl Host {
+    /// Charge for a request of the host's own callers.
+    fn caller_charge(&self, callers: Callers, now: Time) -> u32 {
+        match callers {
+            Callers::Remote => 0,
+            Callers::Local => self.repeats.permille(),
+            Callers::Recognised => self.repeats.unrecognised_permille(now),
+        }
+    }
+}
+
 /// Whether a failed attempt of an idempotent call is retried.
 fn is_retried(budget: &Budget, ran: Execution, attempts_left: u32) -> bool {
     let failed = Attempt {
@@ -58,21 +88,32 @@
     matches!(decide(budget, &failed), Next::Retry(_))
 }
 
-/// Makes a call to the inner service from a run at `host`; returns whether it succeeds.
-fn call_inner(
-    host: &Host,
-    is_repeat: bool,
-    rejected: f64,
+/// A call to the inner service from a run that is a repeat with a probability in thousandths.
+struct InnerCall<'a> {
+    host: &'a Host,
+    run_permille: u32,
+    callers: Callers,
     at: usize,
-    tally: &mut Tally,
-    rng: &mut ChaCha8Rng,
-) -> bool {
-    tally.requests[at] += 1;
+    rejected: f64,
+}
+
+/// Makes a call to the inner service; returns whether it succeeds.
+fn call_inner(call: &InnerCall<'_>, tally: &mut Tally, rng: &mut ChaCha8Rng) -> bool {
+    let host = call.host;
+    let charge = match call.callers {
+        Callers::Remote | Callers::Local => host.repeats.permille(),
+        Callers::Recognised => {
+            host.repeats.record_recognised(time(call.at));
+            call.run_permille
+        }
+    };
+    tally.requests[call.at] += 1;
     host.inner.earn();
-    host.inner.charge_repeat(host.repeats.permille());
+    host.inner.charge_repeat(charge);
     for attempt in 0..3 {
-        tally.repeats[at] += u32::from(is_repeat || attempt > 0);
-        if !rng.random_bool(rejected) {
+        let is_repeat = call.run_permille == REPEAT || attempt > 0;
+        tally.repeats[call.at] += u32::from(is_repeat);
+        if !rng.random_bool(call.rejected) {
             return true;
         }
         if !is_retried(&host.inner, Execution::NotRun, 2 - attempt) {
@@ -82,9 +123,24 @@
     false
 }
 
+/// Virtual time of a millisecond.
+fn time(at: usize) -> Time {
+    Time::from_secs(1_000) + Duration::from_millis(at as u64)
+}
+
 /// Plays calls to the outer service, each of whose runs calls the inner one twice, while the inner
 /// one rejects a share of its arrivals.
 fn play(seed: u64, per_second: usize, rejected: impl Fn(usize) -> f64) -> Tally {
+    play_from(Callers::Remote, seed, per_second, rejected)
+}
+
+/// Plays the same with callers at some place.
+fn play_from(
+    callers: Callers,
+    seed: u64,
+    per_second: usize,
+    rejected: impl Fn(usize) -> f64,
+) -> Tally {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let hosts: Vec<Host> = (0..HOSTS)
         .map(|_| Host {
@@ -101,13 +157,21 @@
     for call in 0..span * per_second / 1_000 {
         let at = call * 1_000 / per_second;
         let ingress = &hosts[rng.random_range(0..HOSTS)];
+        let charge = ingress.caller_charge(callers, time(at));
         ingress.outer.earn();
+        ingress.outer.charge_repeat(charge);
         for attempt in 0..3 {
             let host = &hosts[rng.random_range(0..OUTER_HOSTS)];
-            let is_repeat = attempt > 0;
-            host.repeats.record(if is_repeat { REPEAT } else { 0 });
-            let is_good =
-                (0..2).all(|_| call_inner(host, is_repeat, rejected(at), at, &mut tally, &mut rng));
+            let run_permille = if attempt > 0 { REPEAT } else { charge };
+            host.repeats.record(run_permille);
+            let call = InnerCall {
+                host,
+                run_permille,
+                callers,
+                at,
+                rejected: rejected(at),
+            };
+            let is_good = (0..2).all(|_| call_inner(&call, &mut tally, &mut rng));
             if is_good || !is_retried(&ingress.outer, Execution::Unknown, 2 - attempt) {
                 break;
             }
@@ -151,6 +215,44 @@
     }
 }
 
+/// A service that sheds twice, with callers on the hosts of the backend servers: what they are charged
+/// comes back with the runs that they cause.
+#[test]
+fn requests_of_local_callers_keep_no_budget_in_debt() {
+    let sheds = |at: usize| {
+        if matches!(at / 5_000, 1 | 4..) {
+            0.55
+        } else {
+            0.0
+        }
+    };
+    for seed in 0..5 {
+        let play = |callers| play_from(callers, seed, 600, sheds);
+        let [charged, recognised] = [Callers::Local, Callers::Recognised].map(play);
+        assert_within_budget(&recognised, &format!("seed {seed}"));
+        let second = 20_000;
+        let [charged, recognised] = [charged, recognised].map(|t| t.repeats_from(second));
+        assert!(
+            charged * 2 < recognised,
+            "seed {seed}: {charged} and {recognised}"
+        );
+    }
+}
+
+#[test]
+fn calls_count_as_new_only_while_others_are_recognised() {
+    let share = RepeatShare::default();
+    (0..200).for_each(|_| share.record(REPEAT));
+    let now = time(0);
+    assert_eq!(share.unrecognised_permille(now), share.permille());
+    share.record_recognised(now);
+    assert_eq!(share.unrecognised_permille(now), 0);
+    assert_eq!(
+        share.unrecognised_permille(now + RECOGNITION),
+        share.permille()
+    );
+}
+
 #[test]
 fn the_share_of_repeats_follows_recent_runs() {
     let share = RepeatShare::default();
