Keep usage whole when the candidates for its duty change

While most nodes were stopped and started in turn, windows of usage were handed in short or not at all.

- A node that stopped had reported only to the candidates of that time.
Candidates chosen after these had stopped as well did not have its counts.
- The store turned two of the three candidates away for 8 s, and the third was a node that had left 13 s before; views are out of date for that long when 83 nodes leave at once.
Nobody who could take over knew of it, and two windows were not handed in.

Candidates now pass the reports of ended lifetimes on to candidates that they have not passed them to, and every node reports to a new candidate at once. A candidate says in its reply to a report that it stops, or that it has no access to the record; it is replaced, or others collect beside it, six in all at most. The same holds for one that doesn't answer. Candidates read the record at 0.2 of the time for handing in, so that the lease has passed when they take over.

The node status shows the holder, its token, since when, and the last window; `usage.impeded` counts and logs candidates that can't do the duty.

The literal of a record in usage_duty names the new field; input_message makes the new messages.

--- a/buckthorn/src/counter.rs
+++ b/buckthorn/src/counter.rs
@@ -116,6 +116,7 @@
     DutiesTaken "duty.taken" "Times this node took the duty of handing in usage.",
     DutiesLost "duty.lost" "Times this node lost the duty of handing in usage.",
     UsageHandedIn "usage.handed_in" "Windows of usage that this node handed in.",
+    UsageImpeded "usage.impeded" "Times a candidate for the duty of handing in usage could not do it, or did not answer this node.",
     UsageFenced "usage.fenced" "Windows of usage refused because a higher token was seen.",
     UsageThrottled "usage.throttled" "Windows of usage refused because of the platform's rate.",
     UsageDropped "usage.dropped" "Requests not counted because the queue of counts was full.",
--- a/buckthorn/src/kernel/mod.rs
+++ b/buckthorn/src/kernel/mod.rs
@@ -253,6 +253,8 @@
     pub is_synced: bool,
     /// Whether the process is stopping.
     pub is_stopping: bool,
+    /// Who holds the duty of handing in usage, on a node that takes part in it.
+    pub duty: Option<duty::Standing>,
 }
 
 /// Context in which a plug-in handles an event.
@@ -369,6 +371,7 @@
             counters,
             is_synced: false,
             is_stopping: false,
+            duty: None,
             identity,
         };
         Self {
--- a/buckthorn/src/log_event.rs
+++ b/buckthorn/src/log_event.rs
@@ -57,6 +57,7 @@
     PolicyConfirmation "policy.confirmation" "subject, detail" "The policy was last known to be the newest so long ago that keys of tenants may soon be refused (old), or is known to be again (current).",
     DutyTaken "duty.taken" "subject, detail" "This node holds a duty from now on, by the token named.",
     DutyLost "duty.lost" "subject, detail" "This node no longer holds a duty, of the token named.",
+    UsageImpeded "usage.impeded" "subject, detail" "A candidate for the duty of handing in usage can't do it: its host and why.",
     UsageHandedIn "usage.handed_in" "subject, detail" "The platform accepted the usage of a window: its number, the token, and the time after its end.",
     EndpointEjected "endpoint.ejected" "target, service, outcome" "A backend server is ejected for a while because it fails more than the others.",
     MemberChanged "member.changed" "subject, detail" "A node was discovered, suspected, found alive again, marked dead or left.",
--- a/buckthorn/src/node/status.rs
+++ b/buckthorn/src/node/status.rs
@@ -8,6 +8,7 @@
 use crate::membership::member::Status as Liveness;
 use crate::name::Name;
 use crate::routing::table::Table;
+use crate::usage::duty::Standing;
 
 /// Status of one node, returned as JSON by `GET /v1/status`.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -38,6 +39,9 @@
     pub moves: Vec<Move>,
     /// Failure domains out of service.
     pub out: Vec<Name>,
+    /// Who holds the duty of handing in usage; absent on a node that takes no part in it.
+    #[serde(default)]
+    pub duty: Option<Standing>,
 }
 
 /// Number of members by liveness.
@@ -92,6 +96,7 @@
         routes: routes(table),
         moves: state.intent.moves.clone(),
         out: table.domains_out.clone(),
+        duty: shared.duty.clone(),
     }
 }
 
--- a/buckthorn/src/rpc/message.rs
+++ b/buckthorn/src/rpc/message.rs
@@ -17,6 +17,7 @@
 use crate::poison::crash::Crash;
 use crate::rollout::quarantine::Accusation;
 use crate::rollout::{cutover, evidence};
+use crate::usage::candidate::Impediment;
 use crate::usage::collector::Report;
 
 /// Messages that one node sends to another in one exchange. The reply is an envelope as well.
@@ -121,6 +122,10 @@
     },
     /// Requests of tenants that the sender has counted.
     Usage(Report),
+    /// Replies to [`Self::Usage`] that the sender can't do the duty of handing in counts.
+    UsageImpeded(Impediment),
+    /// Requests of tenants that lifetimes of other nodes had counted before they ended.
+    PastUsage(Vec<(Name, Report)>),
     /// Finding on a service's move by a node that evaluates it.
     Finding(cutover::Finding),
     /// Calls that were lost in a crash of the sender's backend server.
--- a/buckthorn/src/usage/collector.rs
+++ b/buckthorn/src/usage/collector.rs
@@ -14,6 +14,9 @@
 /// not overdue loses its oldest counts.
 const MAX_LIFETIMES: usize = 8;
 
+/// Reports that are kept, so that what peers pass on about others stays bounded.
+const MAX_REPORTS: usize = 8_192;
+
 /// Counts of one lifetime of a node.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
@@ -42,13 +45,25 @@
         match self.reports.binary_search_by_key(&key, entry_key) {
             Ok(index) if self.reports[index].1.at < report.at => self.reports[index].1 = report,
             Ok(_) => {}
-            Err(index) => {
+            Err(index) if self.reports.len() < MAX_REPORTS => {
                 self.reports.insert(index, (host.clone(), report));
                 self.limit_lifetimes(host);
             }
+            Err(_) => {}
         }
     }
 
+    /// Reports with their hosts.
+    pub fn reports(&self) -> impl Iterator<Item = (&Name, &Report)> {
+        self.reports.iter().map(|(host, report)| (host, report))
+    }
+
+    /// Whether there is a report of a lifetime.
+    pub fn holds(&self, host: &Name, incarnation: u64) -> bool {
+        let key = (host, incarnation);
+        self.reports.binary_search_by_key(&key, entry_key).is_ok()
+    }
+
     /// Drops the oldest lifetime of a host that has too many.
     fn limit_lifetimes(&mut self, host: &Name) {
         let first = self.reports.partition_point(|(held, _)| held < host);
--- a/buckthorn/src/usage/duty.rs
+++ b/buckthorn/src/usage/duty.rs
@@ -27,6 +27,10 @@
 /// Delay after a call that failed, or that exceeded the rate that the platform accepts.
 const RETRY_DELAY: Duration = Duration::from_millis(400);
 
+/// Time for which calls that concern the record fail before a candidate counts as having no access to
+/// it; two calls that are repeated.
+const DETACH_DELAY: Duration = RETRY_DELAY.saturating_mul(2);
+
 /// Bits of a token that count holders; the era of the store stands above them, so that tokens rise
 /// also when the store comes back from an older copy.
 const HOLDER_BITS: u32 = 32;
@@ -46,6 +50,28 @@
     pub counts: Counts,
     /// Whether the platform accepted the counts.
     pub is_accepted: bool,
+    /// Time at which the holder took the duty, by its clock.
+    #[serde(default)]
+    pub since: Time,
+}
+
+/// Who holds the duty, as operators read it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Standing {
+    /// Host that holds the duty.
+    pub holder: Name,
+    /// Token of the holder.
+    pub token: u64,
+    /// Time at which the holder took the duty, by its clock.
+    pub since: Time,
+    /// Last window whose counts were written or accepted.
+    pub window: u64,
+    /// Whether the platform accepted the counts of that window.
+    pub is_accepted: bool,
+    /// Time at which the record was last known to be so.
+    pub read_at: Time,
+    /// Whether this node lacks access to the record.
+    pub is_detached: bool,
 }
 
 /// Record as read, and the position at which its topic ended.
@@ -141,6 +167,8 @@
     fenced: Option<u64>,
     /// Window of the record that the platform accepted, until that is written.
     accepted: Option<u64>,
+    /// Time since which calls that concern the record have failed.
+    failing_since: Option<Time>,
 }
 
 impl Keeper {
@@ -159,9 +187,30 @@
             held: None,
             fenced: None,
             accepted: None,
+            failing_since: None,
         }
     }
 
+    /// Whether this node has had no access to the record for a while.
+    pub fn is_detached(&self, now: Time) -> bool {
+        self.failing_since
+            .is_some_and(|since| now.since(since) >= DETACH_DELAY)
+    }
+
+    /// Who holds the duty, as far as this node knows.
+    pub fn standing(&self, now: Time) -> Option<Standing> {
+        let record = self.known.as_ref()?.record.as_ref()?;
+        Some(Standing {
+            holder: record.holder.clone(),
+            token: record.token,
+            since: record.since,
+            window: record.window,
+            is_accepted: record.is_accepted,
+            read_at: self.seen_at,
+            is_detached: self.is_detached(now),
+        })
+    }
+
     /// Token by which this node holds the duty, as far as it knows.
     pub fn token(&self) -> Option<u64> {
         let record = self.known.as_ref()?.record.as_ref()?;
@@ -243,29 +292,34 @@
 
     /// Next request of a candidate that doesn't hold the duty.
     fn watch(&self, now: Time, known: &Snapshot, rank: usize) -> Option<Request> {
-        let late_at = match &known.record {
+        let (observe_at, late_at) = match &known.record {
             Some(record) => {
                 let window = record.window.saturating_add(u64::from(record.is_accepted));
-                self.schedule.takeover(window, rank)
+                let schedule = &self.schedule;
+                (schedule.observe(window), schedule.takeover(window, rank))
             }
             // The preferred candidate begins at once, and the others if it does not.
-            None => self.known_since + self.lease * rank as u32,
+            None => {
+                let at = self.known_since + self.lease * rank as u32;
+                (at, at)
+            }
         };
+        let passed = [late_at, observe_at].into_iter().find(|at| now >= *at)?;
+        if self.seen_at < passed {
+            return Some(Request::Read);
+        }
         if now < late_at {
             return None;
         }
-        if self.seen_at < late_at {
-            return Some(Request::Read);
-        }
         let Some(record) = &known.record else {
             let last = self.schedule.window_at(now).saturating_sub(1);
-            return Some(self.claim(known, last));
+            return Some(self.claim(now, known, last));
         };
-        (now.since(self.known_since) >= self.lease).then(|| self.claim(known, record.window))
+        (now.since(self.known_since) >= self.lease).then(|| self.claim(now, known, record.window))
     }
 
     /// Write that makes this node the holder; `window` is the last one if there is no record.
-    fn claim(&self, known: &Snapshot, window: u64) -> Request {
+    fn claim(&self, now: Time, known: &Snapshot, window: u64) -> Request {
         let (token, window, counts, is_accepted) = match &known.record {
             Some(record) => (
                 record.token,
@@ -284,6 +338,7 @@
                 window,
                 counts,
                 is_accepted,
+                since: now,
             },
             at: known.end,
         }
@@ -302,6 +357,10 @@
         let Some((request, sent_at)) = self.pending.take() else {
             return Transition::None;
         };
+        if !matches!(request, Request::HandIn { .. }) {
+            self.failing_since =
+                (reply == Reply::Failed).then(|| self.failing_since.unwrap_or(sent_at));
+        }
         match (reply, request) {
             (Reply::Read(snapshot), _) => self.learn(snapshot, sent_at),
             (Reply::Written(end), Request::Write { record, .. }) => {
--- a/buckthorn/src/usage/plugin.rs
+++ b/buckthorn/src/usage/plugin.rs
@@ -1,16 +1,18 @@
 //! Plug-in that reports the counts of this node and, on a candidate, sums and hands in those of all.
 //!
-//! The candidates are the first nodes by rendezvous in different failure domains, so that the loss of
-//! one domain leaves others with the counts. Every node sends its counts to each of them, twice a
-//! window and while it stops.
+//! Every node sends its counts to each candidate, twice a window and while it stops, and to one that was
+//! just chosen at once. A candidate that stops or has no access to the record says so in its reply, and
+//! the sender chooses others beside it.
 
 use std::time::Duration;
 
 use crossbeam::channel::Receiver;
 
 use super::Counts;
+use super::candidate::{self, Impediment, Impediments};
 use super::collector::{Collector, Report};
 use super::duty::{Keeper, Reply, Transition};
+use super::handover::Handover;
 use super::meter::{Change, Tally};
 use super::schedule::Schedule;
 use crate::clock::Time;
@@ -18,16 +20,9 @@
 use crate::kernel::{Action, Context, Event, Plugin, Registry};
 use crate::log_event::LogEvent;
 use crate::membership::member::Member;
-use crate::membership::view::View;
 use crate::name::{self, Name};
 use crate::rpc::message::Message;
 
-/// Nodes that collect counts and may hold the duty.
-const CANDIDATES: usize = 3;
-
-/// Key of the rendezvous hash that chooses candidates.
-const CANDIDATE_KEY: &str = "usage.candidate";
-
 /// Reports of a node within a window.
 const REPORTS_PER_WINDOW: u32 = 2;
 
@@ -57,6 +52,9 @@
         keeper: None,
         started_at: None,
         slot: 0,
+        reported: Vec::new(),
+        impediments: Impediments::default(),
+        handover: Handover::default(),
     });
 }
 
@@ -78,6 +76,12 @@
     started_at: Option<Time>,
     /// Number of the last time slot in which counts were reported.
     slot: u64,
+    /// Hosts and incarnations of the candidates that the counts were sent to in this slot.
+    reported: Vec<(Name, u64)>,
+    /// Nodes known to be impeded.
+    impediments: Impediments,
+    /// Counts of lifetimes that ended, as passed on to other candidates.
+    handover: Handover,
 }
 
 impl Plugin for Reporter {
@@ -90,11 +94,22 @@
             Event::Tick => self.tick(cx),
             Event::Received { from, messages } => {
                 for message in messages {
-                    if let Message::Usage(report) = message {
-                        self.collect(cx, from, report);
+                    self.receive(cx, from, message);
+                }
+            }
+            Event::Replied { from, messages } => {
+                for message in messages {
+                    if let Message::UsageImpeded(impediment) = message {
+                        self.impede(cx, from, *impediment);
                     }
                 }
             }
+            Event::Unreachable { host, .. }
+                if self.reported.iter().any(|(reported, _)| reported == host) =>
+            {
+                self.handover.forget(host);
+                self.impede(cx, host, Impediment::Detached);
+            }
             Event::Duty(reply) => self.on_reply(cx, reply),
             _ => {}
         }
@@ -114,8 +129,10 @@
         if !cx.shared.is_synced {
             return;
         }
-        let candidates = candidates(&cx.shared.view);
+        self.impediments.prune(cx.now);
+        let candidates = candidate::choose(&cx.shared.view, &self.impediments);
         self.report(cx, &candidates);
+        self.hand_over(cx, &candidates);
         // A node that has just started may not know the others yet.
         let is_settled = cx.now.since(started_at) >= self.lease;
         let local_host = &cx.shared.identity.host;
@@ -140,33 +157,94 @@
             ..self.schedule
         };
         let slot = slots.window_at(cx.now - delay);
-        if slot == self.slot {
-            return;
+        if slot != self.slot {
+            self.slot = slot;
+            self.reported.clear();
         }
-        self.slot = slot;
-        let report = Report {
-            incarnation: cx.shared.identity.incarnation,
-            at: cx.now,
-            windows: self.tally.windows.clone(),
-        };
         for candidate in candidates {
+            let key = (candidate.host.clone(), candidate.incarnation);
+            if self.reported.contains(&key) {
+                continue;
+            }
+            self.reported.push(key);
+            let report = Report {
+                incarnation: cx.shared.identity.incarnation,
+                at: cx.now,
+                windows: self.tally.windows.clone(),
+            };
             if candidate.host == host {
-                self.collect(cx, &host, &report);
+                self.collect(cx, &host, report);
             } else {
-                cx.send(candidate, vec![Message::Usage(report.clone())]);
+                cx.send(candidate, vec![Message::Usage(report)]);
+            }
+        }
+    }
+
+    /// Passes the counts of lifetimes that ended on to candidates that may not have them.
+    fn hand_over(&mut self, cx: &mut Context<'_>, candidates: &[Member]) {
+        self.handover.prune(candidates, &self.collector);
+        let local_host = cx.shared.identity.host.clone();
+        for candidate in candidates.iter().filter(|m| m.host != local_host) {
+            let view = &cx.shared.view;
+            let reports = self.handover.next(candidate, &self.collector, view);
+            if !reports.is_empty() {
+                cx.send(candidate, vec![Message::PastUsage(reports)]);
+            }
+        }
+    }
+
+    /// Handles a message of another node.
+    fn receive(&mut self, cx: &mut Context<'_>, from: &Name, message: &Message) {
+        match message {
+            Message::Usage(report) => {
+                if cx.shared.view.get(from).is_none() {
+                    cx.shared.counters.increment(Counter::MessagesRefused);
+                    return;
+                }
+                self.collect(cx, from, report.clone());
+                if let Some(impediment) = self.impediment(cx) {
+                    cx.act(Action::Reply(vec![Message::UsageImpeded(impediment)]));
+                }
             }
+            Message::PastUsage(reports) => {
+                for (host, report) in reports {
+                    self.collect(cx, host, report.clone());
+                }
+            }
+            _ => {}
         }
     }
 
-    /// Collects a report of a known member.
-    fn collect(&mut self, cx: &Context<'_>, host: &Name, report: &Report) {
-        if cx.shared.view.get(host).is_none() {
-            cx.shared.counters.increment(Counter::MessagesRefused);
+    /// Why this node can't do the duty, if so.
+    fn impediment(&self, cx: &Context<'_>) -> Option<Impediment> {
+        if cx.shared.is_stopping {
+            return Some(Impediment::Gone);
+        }
+        let keeper = self.keeper.as_ref()?;
+        keeper.is_detached(cx.now).then_some(Impediment::Detached)
+    }
+
+    /// Notes that a member can't do the duty.
+    fn impede(&mut self, cx: &mut Context<'_>, host: &str, impediment: Impediment) {
+        let Some(member) = cx.shared.view.get(host).cloned() else {
             return;
+        };
+        if self.impediments.get(&member) != Some(impediment) {
+            cx.shared.counters.increment(Counter::UsageImpeded);
+            cx.log_event(LogEvent::UsageImpeded, host, format!("{impediment:?}"));
         }
+        let period = match impediment {
+            Impediment::Gone => self.schedule.window + self.schedule.late,
+            Impediment::Detached => self.schedule.window,
+        };
+        self.impediments.add(&member, impediment, cx.now, period);
+    }
+
+    /// Collects a report.
+    fn collect(&mut self, cx: &Context<'_>, host: &Name, report: Report) {
         let first = self.schedule.first_open(cx.now);
         let last = self.schedule.window_at(cx.now) + 1;
-        self.collector.merge(host, report.clone(), first, last);
+        self.collector.merge(host, report, first, last);
     }
 
     /// Sends the request that is due for the duty.
@@ -185,6 +263,10 @@
         if let Some(request) = keeper.poll(cx.now, rank, counts) {
             cx.act(Action::Duty(request));
         }
+        if self.impediment(cx) == Some(Impediment::Detached) {
+            let host = cx.shared.identity.host.clone();
+            self.impede(cx, &host, Impediment::Detached);
+        }
     }
 
     /// Handles a reply of the platform.
@@ -200,7 +282,9 @@
         let Some(keeper) = &mut self.keeper else {
             return;
         };
-        match keeper.handle(cx.now, reply.clone()) {
+        let transition = keeper.handle(cx.now, reply.clone());
+        cx.shared.duty = keeper.standing(cx.now);
+        match transition {
             Transition::None => {}
             Transition::Taken(token) => {
                 cx.shared.counters.increment(Counter::DutiesTaken);
@@ -220,22 +304,3 @@
         }
     }
 }
-
-/// Nodes that collect counts, the preferred one first.
-fn candidates(view: &View) -> Vec<Member> {
-    let mut ranked: Vec<(u64, &Member)> = view
-        .live()
-        .map(|member| (name::rendezvous(CANDIDATE_KEY, &member.host), member))
-        .collect();
-    ranked.sort_unstable_by(|(a, first), (b, second)| (b, &second.host).cmp(&(a, &first.host)));
-    let mut domains: Vec<&Name> = Vec::new();
-    let (apart, together): (Vec<_>, Vec<_>) = ranked.into_iter().partition(|(_, member)| {
-        let Err(index) = domains.binary_search(&&member.failure_domain) else {
-            return false;
-        };
-        domains.insert(index, &member.failure_domain);
-        true
-    });
-    let chosen = apart.into_iter().chain(together).take(CANDIDATES);
-    chosen.map(|(_, member)| member.clone()).collect()
-}
--- a/buckthorn/src/usage/schedule.rs
+++ b/buckthorn/src/usage/schedule.rs
@@ -7,6 +7,10 @@
 /// Part of the time for handing in after which the holder no longer waits for missing counts.
 const CUTOFF_PART: f64 = 0.4;
 
+/// Part of the time for handing in after which the other candidates read the record, so that they know
+/// since when it has not changed when they take over.
+const OBSERVE_PART: f64 = 0.2;
+
 /// Part of the time for handing in after which the first of the other candidates takes over.
 const TAKEOVER_PART: f64 = 0.45;
 
@@ -44,6 +48,11 @@
         self.end(window) + self.late.mul_f64(CUTOFF_PART)
     }
 
+    /// Time from which the other candidates read whether a window was handed in.
+    pub fn observe(&self, window: u64) -> Time {
+        self.end(window) + self.late.mul_f64(OBSERVE_PART)
+    }
+
     /// Time from which the candidate of a rank takes over if a window was not handed in.
     pub fn takeover(&self, window: u64, rank: usize) -> Time {
         let part = TAKEOVER_PART + RANK_PART * rank as f64;
--- a/buckthorn/tests/input_message.rs
+++ b/buckthorn/tests/input_message.rs
@@ -30,6 +30,7 @@
 use buckthorn::routing::table::Table;
 use buckthorn::rpc::message::{Digest, Envelope, Message, StatusUpdate};
 use buckthorn::tenant;
+use buckthorn::usage::candidate::Impediment;
 use buckthorn::usage::schedule::Schedule;
 use buckthorn::usage::{self, collector, meter};
 use proptest::prelude::*;
@@ -448,6 +449,16 @@
     )
 }
 
+/// Counts of one lifetime of a node.
+fn any_usage() -> impl Strategy<Value = collector::Report> {
+    let parts = (any_number(), any_number(), any_name(), any_number());
+    parts.prop_map(|(incarnation, at, tenant, number)| collector::Report {
+        incarnation,
+        at: Time(at),
+        windows: vec![(number, vec![(tenant, number)]); 2],
+    })
+}
+
 /// Generates messages of every kind.
 fn any_message() -> impl Strategy<Value = Message> {
     let digest = || {
@@ -514,13 +525,9 @@
             let (asked_at, age) = (Time(asked_at), Duration::from_micros(age));
             Message::Confirmation { asked_at, next: next.into(), age }
         }),
-        1 => (any_number(), any_number(), any_name(), any_number()).prop_map(
-            |(incarnation, at, tenant, number)| Message::Usage(collector::Report {
-                incarnation,
-                at: Time(at),
-                windows: vec![(number, vec![(tenant, number)]); 2],
-            }),
-        ),
+        1 => any_usage().prop_map(Message::Usage),
+        1 => (any_name(), any_usage()).prop_map(|entry| Message::PastUsage(vec![entry; 2])),
+        1 => select(vec![Impediment::Gone, Impediment::Detached]).prop_map(Message::UsageImpeded),
         2 => (any::<u64>(), prop::collection::vec((0_u64..9, any::<u64>()), 0..80)).prop_map(
             |(id, suspects)| {
                 let suspects = suspects.into_iter().map(|(fingerprint, call)| Suspect {
--- a/buckthorn/tests/usage_duty.rs
+++ b/buckthorn/tests/usage_duty.rs
@@ -267,6 +267,29 @@
     assert_eq!(missed(&platform, from, now), [0; 0]);
 }
 
+#[test]
+fn a_holder_whose_token_was_refused_hands_nothing_in_by_it_again() {
+    let (mut now, mut nodes, mut platform) = settled();
+    // The platform has seen a higher token, but the store still names this holder.
+    platform.token = 2;
+    let request = next_hand_in(&mut now, &mut nodes[0], &mut platform);
+    let reply = platform.execute(now, request);
+    assert_eq!(reply, Reply::Fenced);
+    assert_eq!(nodes[0].keeper.handle(now, reply), Transition::Lost(1));
+    for _ in 0..100 {
+        now = now + TICK;
+        match nodes[0].decide(now, 0) {
+            Some(Request::HandIn { token, .. }) => assert!(token > 1, "handed in by token 1"),
+            Some(request) => {
+                let reply = platform.execute(now, request);
+                nodes[0].keeper.handle(now, reply);
+            }
+            None => {}
+        }
+    }
+    assert_eq!(nodes[0].keeper.token(), Some(2));
+}
+
 #[test]
 fn a_store_that_comes_back_from_an_older_copy_gives_out_no_token_twice() {
     let end = Position::new(3, 8);
@@ -277,6 +300,7 @@
         window: SCHEDULE.first_open(START),
         counts: Counts::new(),
         is_accepted: true,
+        since: START,
     };
     let mut keeper = Keeper::new("h1".into(), 1, SCHEDULE, LEASE);
     let read = Reply::Read(Snapshot {
