Give the retry budget to calls in progress first

What was left of a retry budget went to whoever asked first, although a call in progress that fails wastes all that its request has run, and the caller of a new request that was refused may return. When a budget cannot grant a retry to a call in progress, its credit is now held back for the next one; retries of new requests get what is beyond. Each that gives way releases half of what is held, so credit does not lie idle. Budgets that no call in progress asks work as before.

--- a/buckthorn/src/proxy/dispatch.rs
+++ b/buckthorn/src/proxy/dispatch.rs
@@ -133,6 +133,7 @@
             layer: layer(call),
             is_body_replayable: payload.is_kept(),
             is_poison: is_poison(plane, call, &failed),
+            is_in_progress: call.rank.is_in_progress(),
         };
         let is_budget_exempt = failed.is_out_of_rotation
             || call.max_backend_attempts.is_some() && !failed.may_have_reached_backend;
--- a/buckthorn/src/proxy/resume.rs
+++ b/buckthorn/src/proxy/resume.rs
@@ -138,6 +138,7 @@
                     layer: layer(&self.call),
                     is_body_replayable: true,
                     is_poison: self.plane.block_level(&self.call).is_some(),
+                    is_in_progress: self.call.rank.is_in_progress(),
                 },
             );
             self.plane.counters.increment(next.counter());
--- a/buckthorn/src/routing/budget.rs
+++ b/buckthorn/src/routing/budget.rs
@@ -9,6 +9,8 @@
 //! do not multiply along a chain of calls.
 //!
 //! [`decide`] checks the budget last, so that only retries that every other rule permits use it.
+//! Calls in progress come first: what a budget could not grant them is held back from retries of new
+//! requests, whose failure wastes less, until some of these have given way.
 
 use std::sync::atomic::{AtomicI64, AtomicU32, Ordering};
 use std::time::Duration;
@@ -59,6 +61,8 @@
     capacity: AtomicU32,
     /// Credit that a call adds.
     earned: u32,
+    /// Credit that is held back for calls in progress.
+    held: AtomicI64,
 }
 
 impl Budget {
@@ -74,6 +78,7 @@
             credit: AtomicI64::new(capacity as i64),
             capacity: AtomicU32::new(capacity),
             earned,
+            held: AtomicI64::new(0),
         }
     }
 
@@ -99,12 +104,34 @@
             .fetch_min(i64::from(capacity), Ordering::Relaxed);
     }
 
-    /// Takes the credit for one retry; returns false when too little is left.
+    /// Takes the credit for one retry of a new request; returns false when too little is left beside
+    /// what is held back. Half of that is then released, so that it does not lie idle.
     pub fn spend(&self) -> bool {
+        let held = self.held.load(Ordering::Relaxed);
+        let is_spent = self.take(held);
+        if !is_spent && held > 0 {
+            self.held.store(held / 2, Ordering::Relaxed);
+        }
+        is_spent
+    }
+
+    /// Takes the credit for one retry of a call in progress; returns false when too little is left,
+    /// and holds the credit back for the next one.
+    pub fn spend_in_progress(&self) -> bool {
+        let is_spent = self.take(0);
+        if !is_spent {
+            let capacity = i64::from(self.capacity.load(Ordering::Relaxed));
+            self.held.store(capacity, Ordering::Relaxed);
+        }
+        is_spent
+    }
+
+    /// Takes the credit for one retry and leaves at least `rest`.
+    fn take(&self, rest: i64) -> bool {
         self.credit
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |credit| {
                 let left = credit - i64::from(RETRY_COST);
-                (left >= 0).then_some(left)
+                (left >= rest).then_some(left)
             })
             .is_ok()
     }
@@ -186,6 +213,8 @@
     pub is_body_replayable: bool,
     /// Whether the request may have crashed the backend servers that it was sent to.
     pub is_poison: bool,
+    /// Whether a running request depends on the call.
+    pub is_in_progress: bool,
 }
 
 /// Why a call is retried.
@@ -274,9 +303,19 @@
 
 /// Decides whether a failed attempt is retried, and charges the budget if so.
 pub fn decide(budget: &Budget, attempt: &Attempt) -> Next {
-    match decide_without_budget(attempt) {
-        Next::Retry(_) if !budget.spend() => Next::GiveUp(Denial::Budget),
-        next => next,
+    let next = decide_without_budget(attempt);
+    if matches!(next, Next::GiveUp(_)) {
+        return next;
+    }
+    let is_granted = if attempt.is_in_progress {
+        budget.spend_in_progress()
+    } else {
+        budget.spend()
+    };
+    if is_granted {
+        next
+    } else {
+        Next::GiveUp(Denial::Budget)
     }
 }
 
--- a/buckthorn/tests/routing_budget.rs
+++ b/buckthorn/tests/routing_budget.rs
@@ -22,6 +22,7 @@
     layer: Layer::Outermost,
     is_body_replayable: true,
     is_poison: false,
+    is_in_progress: false,
 };
 
 #[test]
@@ -175,3 +176,55 @@
         NextHopDeadline::Expired
     );
 }
+
+/// A service that sheds more than half of its calls: most of them are calls of requests that run at
+/// the node's backend server, the others new requests of its callers.
+#[test]
+fn what_is_left_of_the_budget_goes_to_calls_in_progress() {
+    const SHED: f64 = 0.55;
+    const IN_PROGRESS: f64 = 0.75;
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let budget = Budget::with_capacity(2 * RETRY_COST, RETRY_COST / 5);
+    let [mut asked, mut granted] = [[0, 0]; 2];
+    for _ in 0..10_000 {
+        budget.earn();
+        if !rng.random_bool(SHED) {
+            continue;
+        }
+        let attempt = Attempt {
+            is_in_progress: rng.random_bool(IN_PROGRESS),
+            ..ATTEMPT
+        };
+        let is_granted = matches!(decide(&budget, &attempt), Next::Retry(_));
+        let group = usize::from(attempt.is_in_progress);
+        asked[group] += 1;
+        granted[group] += u32::from(is_granted);
+    }
+    let [new, in_progress] =
+        [0, 1].map(|group| f64::from(granted[group]) / f64::from(asked[group]));
+    assert!(in_progress > 5.0 * new, "{new}, {in_progress}");
+    // Hardly any credit lies idle.
+    let credit = 10_000 / 5;
+    assert!(granted[0] + granted[1] > credit * 19 / 20, "{granted:?}");
+}
+
+#[test]
+fn new_requests_get_the_credit_that_calls_in_progress_do_not_ask_for() {
+    let budget = Budget::with_capacity(2 * RETRY_COST, RETRY_COST / 2);
+    let in_progress = Attempt {
+        is_in_progress: true,
+        ..ATTEMPT
+    };
+    let is_granted = |attempt| matches!(decide(&budget, attempt), Next::Retry(_));
+    assert!(is_granted(&ATTEMPT) && is_granted(&ATTEMPT));
+    assert!(!is_granted(&in_progress));
+    budget.earn();
+    budget.earn();
+    assert!(!is_granted(&ATTEMPT) && is_granted(&in_progress));
+    let mut denied = 0;
+    while !is_granted(&ATTEMPT) {
+        budget.earn();
+        denied += 1;
+    }
+    assert!(denied < 8, "{denied}");
+}
--- a/buckthorn/tests/routing_repeat.rs
+++ b/buckthorn/tests/routing_repeat.rs
@@ -84,6 +84,7 @@
         layer: Layer::Outermost,
         is_body_replayable: true,
         is_poison: false,
+        is_in_progress: false,
     };
     matches!(decide(budget, &failed), Next::Retry(_))
 }
--- a/buckthorn_lab/src/experiment/mesh.rs
+++ b/buckthorn_lab/src/experiment/mesh.rs
@@ -631,6 +631,7 @@
                     layer: Layer::Outermost,
                     is_body_replayable: true,
                     is_poison: false,
+                    is_in_progress: false,
                 };
                 let next = service.map(|service| match response {
                     OwnerResponse::DomainOut => budget::decide_without_budget(&attempt),
--- a/buckthorn_lab/src/experiment/storm.rs
+++ b/buckthorn_lab/src/experiment/storm.rs
@@ -162,6 +162,7 @@
             },
             is_body_replayable: true,
             is_poison: false,
+            is_in_progress: false,
         };
         let is_retried = match is_naive {
             true => attempts_left > 0,
