Suspect a new version of failures that a sound one would hardly have

Cause: a version that fails under load was completed after 3 to 6 failures in about 150 calls while the old one had none in 1,180. The sequential test tolerates 1% of failures whatever the old version has, so that little evidence is left. Change: failures that a version which fails like the old one, or once in 250 calls, would have with a chance of one in 200 at most are a suspicion, which holds a completion but is no fault. Each of several routes takes more evidence than all together, since a sound version may be suspected on any of them. Figures: a_version_that_fails_seldom_under_load_is_not_completed fails without the change (20 of 20 completed) and passes with it.

--- a/buckthorn/src/rollout/comparison.rs
+++ b/buckthorn/src/rollout/comparison.rs
@@ -13,6 +13,7 @@
 
 use super::evaluation::MAX_ROUTES;
 use super::evidence::{self, Report, Tally};
+use super::poisson;
 use super::sequential::{CallCounts, SequentialTest};
 
 /// Level of a sequential test from which the new version is faulty.
@@ -22,6 +23,14 @@
 /// does more harm than to end the move of a sound one.
 const SUSPECT_LEVEL: f64 = 5.5;
 
+/// Probability by which so many failures of a sound version would occur, up to which they keep it from
+/// being completed.
+const SUSPECT_CHANCE: f64 = 0.005;
+
+/// Failure rate that a sound version may have when the old versions have none: the usual one call in
+/// 250.
+const USUAL_FAILURE_RATE: f64 = 0.004;
+
 /// Minimum number of failures for a fault. Three may occur by chance at the usual rate of one in
 /// 250 calls.
 const MIN_FAILURES: u64 = 4;
@@ -115,6 +124,10 @@
     failed: SequentialTest,
     /// Test of the new version's slow responses.
     slow: SequentialTest,
+    /// Failures of the new version outside of faults common to both versions.
+    own_failures: u64,
+    /// Failures that a sound version would have had instead of them.
+    expected_failures: f64,
 }
 
 /// Comparison of a move's versions.
@@ -247,12 +260,12 @@
 
     /// Description of the new version's fault, if there is one.
     pub fn fault(&self) -> Option<String> {
-        self.find_fault(FAULT_LEVEL)
+        self.find_fault(|evidence, rate, _| evidence.fault(rate, FAULT_LEVEL))
     }
 
     /// Description of the weaker evidence that keeps the new version from being completed.
     pub fn suspicion(&self) -> Option<String> {
-        self.find_fault(SUSPECT_LEVEL)
+        self.find_fault(RouteEvidence::suspicion)
     }
 
     /// Whether so many calls of the old versions fail that failures of the new one tell nothing.
@@ -262,15 +275,19 @@
             .is_none()
     }
 
-    /// Description of a fault for which the tests reach a level.
-    fn find_fault(&self, level: f64) -> Option<String> {
+    /// Description of a fault that a test finds, given the old versions' failure rate as far as they
+    /// have few calls on the route, and the number of routes tested.
+    fn find_fault(
+        &self,
+        test: impl Fn(&RouteEvidence, f64, usize) -> Option<String>,
+    ) -> Option<String> {
         let all_rate = self.all.usual_failure_rate(ASSUMED_FAILURE_RATE);
         let on_route = |evidence: &RouteEvidence| {
-            let fault = evidence.fault(all_rate, level)?;
+            let fault = test(evidence, all_rate, self.routes.len())?;
             Some(format!("{fault} on {}", evidence.route))
                 .filter(|_| !self.is_single_owner_fault(Some(&evidence.route)))
         };
-        let fault = self.all.fault(ASSUMED_FAILURE_RATE, level);
+        let fault = test(&self.all, ASSUMED_FAILURE_RATE, 1);
         fault
             .filter(|_| !self.is_single_owner_fault(None))
             .or_else(|| self.routes.iter().find_map(on_route))
@@ -342,6 +359,8 @@
             recent_old_responses: CallCounts::default(),
             failed: SequentialTest::default(),
             slow: SequentialTest::default(),
+            own_failures: 0,
+            expected_failures: 0.0,
         }
     }
 
@@ -367,7 +386,12 @@
     /// rate as far as they have few calls on the route.
     fn test(&mut self, added: &Tally, assumed_rate: f64, is_warm: bool) {
         match self.tolerated_failure_rate(assumed_rate) {
-            Some(tolerated) => self.failed.compare_to_rate(failures(added), tolerated),
+            Some(tolerated) => {
+                self.failed.compare_to_rate(failures(added), tolerated);
+                self.own_failures = self.own_failures.saturating_add(added.failed());
+                self.expected_failures +=
+                    added.calls() as f64 * self.sound_failure_rate(assumed_rate);
+            }
             None => self.failed = SequentialTest::default(),
         }
         if let Some(limit) = self.slow_limit().filter(|_| is_warm) {
@@ -399,6 +423,17 @@
         (usual < COMMON_FAILURE_RATE).then_some(tolerated)
     }
 
+    /// Failure rate that a sound version may have at present.
+    fn sound_failure_rate(&self, assumed_rate: f64) -> f64 {
+        (self.usual_failure_rate(assumed_rate) * TOLERATED_FAILURES).max(USUAL_FAILURE_RATE)
+    }
+
+    /// Whether a sound version would have had so many failures with this chance at most.
+    fn has_unlikely_failures(&self, assumed_rate: f64, max_chance: f64) -> bool {
+        let chance = poisson::tail(self.own_failures, self.expected_failures);
+        chance <= max_chance && self.recent_new.rate() >= self.sound_failure_rate(assumed_rate)
+    }
+
     /// Whether the new version fails more often than tolerated. Failures of both versions that begin
     /// at once may be reported by the new version's owners first, so that the recent rates are
     /// compared as well.
@@ -419,15 +454,28 @@
     /// Description of the new version's fault, if the tests reach a level.
     fn fault(&self, assumed_rate: f64, level: f64) -> Option<String> {
         if self.fails_too_often(assumed_rate, level) {
-            let (failed, calls) = (self.new.failed(), self.new.calls());
-            let usual = self.usual_failure_rate(assumed_rate) * 1_000.0;
-            return Some(format!(
-                "{failed} of {calls} calls failed, usual are {usual:.0} in 1000"
-            ));
+            return Some(self.describe_failures(assumed_rate));
         }
         self.latency_fault(level)
     }
 
+    /// Description of the evidence that keeps the new version from being completed. Each of several
+    /// routes takes more evidence, as a sound version may be suspected on any of them.
+    fn suspicion(&self, assumed_rate: f64, routes: usize) -> Option<String> {
+        let routes = routes as f64;
+        if self.has_unlikely_failures(assumed_rate, SUSPECT_CHANCE / routes) {
+            return Some(self.describe_failures(assumed_rate));
+        }
+        self.fault(assumed_rate, SUSPECT_LEVEL + routes.ln())
+    }
+
+    /// Describes the new version's failures beside the old versions' rate.
+    fn describe_failures(&self, assumed_rate: f64) -> String {
+        let (failed, calls) = (self.new.failed(), self.new.calls());
+        let usual = self.usual_failure_rate(assumed_rate) * 1_000.0;
+        format!("{failed} of {calls} calls failed, usual are {usual:.0} in 1000")
+    }
+
     /// Description of how the new version is slower than the old ones, if it is.
     fn latency_fault(&self, level: f64) -> Option<String> {
         let responses = self.new.responses();
--- a/buckthorn/src/rollout/mod.rs
+++ b/buckthorn/src/rollout/mod.rs
@@ -8,6 +8,7 @@
 pub mod evidence;
 pub mod exposure;
 pub mod plugin;
+mod poisson;
 pub mod quarantine;
 pub mod schedule;
 pub mod sequential;
--- a/buckthorn/tests/rollout_cutover.rs
+++ b/buckthorn/tests/rollout_cutover.rs
@@ -46,6 +46,8 @@
     FailsAtFullShare,
     /// One of twelve calls fails while it receives more than half of the traffic.
     FailsRarelyAtFullShare,
+    /// One of 20 calls fails while it receives more than half of the traffic.
+    FailsSeldomAtFullShare,
     /// Half of the calls to one of its backend servers fail while it receives more than half of the
     /// traffic.
     FailsAtOneServer,
@@ -274,6 +276,9 @@
                     Version::FailsRarelyAtFullShare => {
                         share > 0.5 && self.calls[1].is_multiple_of(12)
                     }
+                    Version::FailsSeldomAtFullShare => {
+                        share > 0.5 && self.calls[1].is_multiple_of(20)
+                    }
                     Version::FailsAtOneServer => {
                         share > 0.5 && server == 0 && self.rng.random_bool(0.5)
                     }
@@ -479,6 +484,19 @@
     }
 }
 
+/// Where calls spread well over the servers, a version that fails under load fails seldom before it is
+/// completed; the old version did not fail at all.
+#[test]
+fn a_version_that_fails_seldom_under_load_is_not_completed() {
+    let traffic = Traffic {
+        rate: 110,
+        failure_rate: 0.0,
+        latency: Duration::from_millis(100),
+    };
+    let phases = phases(Version::FailsSeldomAtFullShare, traffic);
+    assert_eq!(phases, [Some(Phase::RolledBack); 20]);
+}
+
 /// A version with slow responses in one of six cases was completed, as a fixed part of them was
 /// tolerated whatever the old version had.
 #[test]
