Try a version with few servers on one of them at the load of the busiest

Cause: a fault that shows only under load shows by the load of a server, and calls spread more evenly than before (the choice by expected completion). The steps between the first and the full share spread their calls over all servers, at an eighteenth to a half of that load. Change: a version with two to eight servers gets, in place of these steps and for as many calls, a share of one and a half times the mean of a server, on one server that all nodes choose alike. In virtual time a_version_that_fails_at_a_high_load_is_not_completed fails without the change.

--- a/buckthorn/src/rollout/cutover.rs
+++ b/buckthorn/src/rollout/cutover.rs
@@ -19,13 +19,13 @@
 use crate::counter::Counter;
 use crate::kernel::{Action, Context, Event, Plugin, PublishOutcome, Registry, TICK_INTERVAL};
 use crate::log_event::LogEvent;
-use crate::membership::member::Member;
+use crate::membership::member::{BackendServer, Member};
 use crate::name::Name;
 use crate::rpc::message::Message;
 
 use super::evaluator;
 use super::evidence::{Report, Tally};
-use super::exposure::{Bound, FIRST_SHARE};
+use super::exposure::{Bound, FIRST_SHARE, Schedule};
 use super::trial::{Conclusion, Trial};
 
 /// Interval at which an evaluator broadcasts findings and an owner sends counts; about a third of the
@@ -378,16 +378,29 @@
     (elapsed * 1_000 / entry.window.as_millis().max(1)) as u64
 }
 
+/// Number of backend servers of a move's new version that accept new calls.
+fn servers(cx: &Context<'_>, entry: &Move) -> usize {
+    let out = cx.shared.orders.domains_out();
+    let live = cx.shared.view.live();
+    let usable = live.filter(|member| out.binary_search(&member.failure_domain).is_err());
+    let servers = usable.filter_map(|member| member.backend_server.as_ref());
+    let is_new = |server: &&BackendServer| {
+        server.service == entry.service && server.version == entry.version && !server.is_draining
+    };
+    servers.filter(is_new).count()
+}
+
 /// Advances a running move; returns whether routing changed.
 fn advance(cx: &mut Context<'_>, state: &mut MoveState, entry: &Move, bound: Bound) -> bool {
     let part = elapsed_part(entry, cx.now);
+    let schedule = Schedule::new(servers(cx, entry));
     let rank = evaluator_index(cx, &entry.service, &entry.version);
     if let Some(rank) = rank
-        && evaluate(cx, state, entry, rank, bound).is_break()
+        && evaluate(cx, state, entry, rank, (&schedule, bound)).is_break()
     {
         return true;
     }
-    let share = state.trial.share(part, cx.now);
+    let share = state.trial.share(part, &schedule, cx.now);
     if share == entry.share {
         return false;
     }
@@ -442,10 +455,10 @@
     state: &mut MoveState,
     entry: &Move,
     rank: usize,
-    bound: Bound,
+    (schedule, bound): (&Schedule, Bound),
 ) -> ControlFlow<()> {
     let part = elapsed_part(entry, cx.now);
-    let max_share = match state.trial.conclude(part, bound, cx.now) {
+    let max_share = match state.trial.conclude(part, schedule, bound, cx.now) {
         Conclusion::RollBack(reason) => {
             cx.shared.counters.increment(Counter::Accusations);
             let detail = format!("{} rolled back: {reason}", entry.version);
--- a/buckthorn/src/rollout/trial.rs
+++ b/buckthorn/src/rollout/trial.rs
@@ -12,7 +12,7 @@
 
 use super::comparison::Comparison;
 use super::evidence::Report;
-use super::exposure::{Bound, FIRST_SHARE, Rate, Usage, scheduled_share};
+use super::exposure::{Bound, FIRST_SHARE, Rate, Schedule, Usage};
 
 /// Time for which an evaluator permits a share above the first one; two consecutive findings of it may
 /// be lost.
@@ -93,8 +93,8 @@
 
     /// Share of the new version in thousandths at an elapsed part of the window, as the schedule and
     /// the evaluators permit it.
-    pub fn share(&mut self, part: u64, now: Time) -> u16 {
-        let share = scheduled_share(part).min(self.permitted_share(now));
+    pub fn share(&mut self, part: u64, schedule: &Schedule, now: Time) -> u16 {
+        let share = schedule.share(part).min(self.permitted_share(now));
         if share < FULL_SHARE {
             self.full_since = None;
         } else {
@@ -154,7 +154,13 @@
     }
 
     /// Concludes from the counts how the move goes on.
-    pub fn conclude(&mut self, part: u64, bound: Bound, now: Time) -> Conclusion {
+    pub fn conclude(
+        &mut self,
+        part: u64,
+        schedule: &Schedule,
+        bound: Bound,
+        now: Time,
+    ) -> Conclusion {
         if let Some(fault) = self.comparison.fault() {
             return Conclusion::RollBack(fault);
         }
@@ -172,7 +178,7 @@
             latency: self.comparison.median_latency(),
             since: self.counted_since.unwrap_or(part),
         };
-        let is_spent = bound.is_spent(usage, part, scheduled_share(part));
+        let is_spent = bound.is_spent(usage, part, schedule);
         if !is_spent && part < COMPLETE_AT {
             return Conclusion::Permit(FULL_SHARE);
         }
--- a/buckthorn/src/routing/table.rs
+++ b/buckthorn/src/routing/table.rs
@@ -15,7 +15,8 @@
 use crate::config::verdict::Verdict;
 use crate::journal::fold::State;
 use crate::membership::view::View;
-use crate::name::Name;
+use crate::name::{self, Name};
+use crate::rollout::exposure;
 use crate::rollout::quarantine::Quarantine;
 
 use super::budget::Budget;
@@ -395,6 +396,18 @@
         .collect()
 }
 
+/// Returns those of a new version's backend servers that divide its calls at a share in thousandths.
+/// All nodes choose the same ones.
+fn on_trial(version: &Name, share: u16, mut endpoints: Vec<Endpoint>) -> Vec<Endpoint> {
+    let count = exposure::serving(endpoints.len(), share);
+    if count < endpoints.len() {
+        endpoints.sort_by_key(|endpoint| name::rendezvous(version, &endpoint.host));
+        endpoints.truncate(count);
+        endpoints.sort_by(|a, b| a.host.cmp(&b.host));
+    }
+    endpoints
+}
+
 /// Looks up the endpoints of a version.
 struct Resolver<'a> {
     view: &'a View,
@@ -433,6 +446,13 @@
             order::Phase::RolledBack => 0,
         });
         let new_share = if new.is_empty() { 0 } else { new_share };
+        let new = new
+            .into_iter()
+            .map(|(version, endpoints)| {
+                let endpoints = on_trial(&version, new_share, endpoints);
+                (version, endpoints)
+            })
+            .collect();
         let is_target = |version: &Name| entry.is_some_and(|entry| entry.version == *version);
         let mut shares = distribute(old, FULL_SHARE - new_share);
         shares.extend(distribute(new, new_share));
--- a/buckthorn/tests/rollout_cutover.rs
+++ b/buckthorn/tests/rollout_cutover.rs
@@ -16,7 +16,7 @@
 use buckthorn::name::Name;
 use buckthorn::rollout::cutover::{self, Finding};
 use buckthorn::rollout::evidence::{MAX_COUNT, Outcome, Recorder, Report, Tally};
-use buckthorn::rollout::exposure::Bound;
+use buckthorn::rollout::exposure::{self, Bound};
 use buckthorn::rpc::message::Message;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
@@ -48,6 +48,8 @@
     FailsRarelyAtFullShare,
     /// One of 20 calls fails while it receives more than half of the traffic.
     FailsSeldomAtFullShare,
+    /// Half of the calls fail at a server with more than 1.2 times the mean load at a full share.
+    FailsUnderHighLoad,
     /// Half of the calls to one of its backend servers fail while it receives more than half of the
     /// traffic.
     FailsAtOneServer,
@@ -258,7 +260,12 @@
             }
             let side = usize::from(is_new);
             self.calls[side] += 1;
-            let server = (self.calls[side] % self.servers as u64) as usize;
+            let serving = match side {
+                0 => self.servers,
+                _ => exposure::serving(self.servers, self.share(0)),
+            };
+            let server = (self.calls[side] % serving as u64) as usize;
+            let load = share * self.servers as f64 / serving as f64;
             let route = if number % 3 == 0 { "/a" } else { "/b" };
             let slowdown = match version {
                 Version::Slow if is_new => 8,
@@ -279,6 +286,7 @@
                     Version::FailsSeldomAtFullShare => {
                         share > 0.5 && self.calls[1].is_multiple_of(20)
                     }
+                    Version::FailsUnderHighLoad => load > 1.2 && self.calls[1].is_multiple_of(2),
                     Version::FailsAtOneServer => {
                         share > 0.5 && server == 0 && self.rng.random_bool(0.5)
                     }
@@ -497,6 +505,21 @@
     assert_eq!(phases, [Some(Phase::RolledBack); 20]);
 }
 
+/// A version that fails at the load of the busiest server did not fail while its calls spread evenly.
+#[test]
+fn a_version_that_fails_at_a_high_load_is_not_completed() {
+    for servers in [2, 3, 5, 8] {
+        for seed in 0..5 {
+            let mut mesh = Mesh::with_servers(servers);
+            mesh.rng = ChaCha8Rng::seed_from_u64(seed);
+            mesh.traffic.rate = 110;
+            mesh.run(Version::FailsUnderHighLoad, WINDOW);
+            let phase = mesh.phase();
+            assert_eq!(phase, Some(Phase::RolledBack), "{servers} servers, {seed}");
+        }
+    }
+}
+
 /// A version with slow responses in one of six cases was completed, as a fixed part of them was
 /// tolerated whatever the old version had.
 #[test]
