Ask a peer that has newer orders soon, unless reads are put off

The wait covers the time for which a node puts its reads off to batch orders, but it held also for nodes that put none off. With 0.35 of the bound by which the peer's read may be put off, and a second between probes, an order was in force after 2.7 s of 2 s at worst, before any delay by a busy processor. Change: such a node asks the peer after 0.1 of the bound, once. A peer's reply costs no read of the log. After 0.45 of the bound it reads anew and asks again, as before. orders.behind tells both.

--- a/buckthorn/src/config/intake.rs
+++ b/buckthorn/src/config/intake.rs
@@ -1,8 +1,8 @@
 //! Plug-in that receives operators' orders, which have a topic of their own.
 //!
-//! A node reads the topic itself or receives the orders from nodes that do ([`super::relay`]). A
-//! read that makes no progress is restarted when a peer has newer orders, and the peer is asked for
-//! them: probes carry the position up to which a node has read. A node that reads new orders after a
+//! A node reads the topic itself or receives the orders from nodes that do ([`super::relay`]). Probes
+//! carry the position up to which a node has read. A peer that has newer orders is asked for them soon
+//! unless this node puts its reads off, and a read that makes no progress is restarted later. A node that reads new orders after a
 //! failed read notifies a few peers at once, whose reads may hang for the same cause; they notify
 //! others in turn.
 
@@ -28,6 +28,11 @@
 /// than the delay by which reads are put off to batch orders.
 const READ_GRACE_PART: f64 = 0.45;
 
+/// Fraction of the time within which an order has to be in force after which a node that puts no read
+/// off asks a peer for the newer orders that it has. A read that succeeds ends sooner. Together with
+/// the delay of the peer's read and an interval of probes it is within that time.
+const ASK_GRACE_PART: f64 = 0.1;
+
 /// Peers that a node notifies of orders that it read after a failed read; each of them notifies as
 /// many.
 const NOTIFY_FANOUT: usize = 8;
@@ -36,6 +41,8 @@
 pub fn register(registry: &mut Registry, bound: Duration) {
     registry.add(Intake {
         read_grace: bound.mul_f64(READ_GRACE_PART),
+        ask_grace: bound.mul_f64(ASK_GRACE_PART),
+        read_at: None,
         ahead: None,
         is_monitor: true,
         relay: Relay::new(bound),
@@ -48,6 +55,10 @@
 pub struct Intake {
     /// Time by which a peer may be ahead before the log is read anew.
     read_grace: Duration,
+    /// Time by which a peer may be ahead before it is asked for its orders.
+    ask_grace: Duration,
+    /// When a read of the log last brought orders; the next one is put off.
+    read_at: Option<Time>,
     /// Peer that is known to have newer orders.
     ahead: Option<Ahead>,
     /// Whether reads use short waits, as last requested.
@@ -66,6 +77,8 @@
     host: Name,
     /// Time since which it, or another peer, is known to be ahead.
     since: Time,
+    /// Whether a peer was asked since.
+    is_asked: bool,
 }
 
 impl Plugin for Intake {
@@ -105,6 +118,7 @@
         if !cx.shared.is_synced || cx.shared.is_stopping {
             return;
         }
+        self.ask_peer(cx);
         let is_due = |ahead: &Ahead| cx.now.since(ahead.since) >= self.read_grace;
         let action = if !self.ahead.as_ref().is_some_and(is_due) {
             let shared = &cx.shared;
@@ -159,6 +173,7 @@
     /// Applies orders read from the log, and notifies followers and, after a failure, other peers.
     fn on_orders_read(&mut self, cx: &mut Context<'_>, batch: &OrderBatch) {
         self.relay.set_log_available(true);
+        self.read_at = Some(cx.now);
         let before = cx.shared.orders.next();
         let has_changed = self.apply(cx, batch);
         let next = cx.shared.orders.next();
@@ -315,13 +330,36 @@
     /// Records that a peer has newer orders. The node waits for its own read, or its readers, until the
     /// next tick after `read_grace`.
     fn record_ahead(&mut self, cx: &Context<'_>, host: &Name) {
-        let since = self.ahead.as_ref().map_or(cx.now, |ahead| ahead.since);
+        let known = self.ahead.as_ref();
+        let since = known.map_or(cx.now, |ahead| ahead.since);
+        let is_asked = known.is_some_and(|ahead| ahead.is_asked);
         self.ahead = Some(Ahead {
             host: host.clone(),
             since,
+            is_asked,
         });
     }
 
+    /// Asks the peer that has newer orders for them, once, when this node's own reads or readers should
+    /// have brought them.
+    fn ask_peer(&mut self, cx: &mut Context<'_>) {
+        let (now, read_grace) = (cx.now, self.read_grace);
+        if self.read_at.is_some_and(|at| now.since(at) < read_grace) {
+            return;
+        }
+        let ask_grace = self.ask_grace;
+        let is_due = |ahead: &&mut Ahead| !ahead.is_asked && now.since(ahead.since) >= ask_grace;
+        let Some(ahead) = self.ahead.as_mut().filter(is_due) else {
+            return;
+        };
+        ahead.is_asked = true;
+        let host = ahead.host.clone();
+        let next = cx.shared.orders.next();
+        let detail = format!("asked for its orders, as this node has read up to {next}");
+        cx.log_event(LogEvent::OrdersBehind, &host, detail);
+        self.execute(cx, RelayAction::Request(vec![host]));
+    }
+
     /// Reads the log anew and asks the peer that has newer orders for them, as the read may be slow
     /// again.
     fn catch_up(&mut self, cx: &mut Context<'_>) {
--- a/buckthorn/tests/config_relay.rs
+++ b/buckthorn/tests/config_relay.rs
@@ -472,6 +472,35 @@
     }
 }
 
+/// A node whose own read hung waited for it as long as for one that is put off, after it had heard from
+/// a peer. The peer may have put its read off for 0.35 of the bound, and probes come once a second.
+#[test]
+fn a_node_whose_read_hangs_has_an_order_in_time_when_it_hears_of_it_last() {
+    let mut mesh = Mesh::new(25);
+    let readers = mesh.readers();
+    let (slow, peer) = (readers[0], readers[1]);
+    mesh.nodes[slow].is_log_silent = true;
+    mesh.run(BOUND);
+    mesh.order(policy(2, 3));
+    let next = Position::from(mesh.log.len() as u64);
+    let from = mesh.members[peer].host.clone();
+    let heard_at = mesh.now;
+    let digest = Digest {
+        next,
+        view: 0,
+        quarantine: 0,
+        blocklist: 0,
+        is_synced: true,
+    };
+    let messages = vec![Message::Ack(digest)];
+    mesh.handle(slow, &Event::Replied { from, messages });
+    while mesh.nodes[slow].kernel.shared().orders.next() < next {
+        mesh.step();
+        let took = mesh.now.since(heard_at) + BOUND.mul_f64(0.35) + Duration::from_secs(1);
+        assert!(took <= BOUND, "in force after {took:?}");
+    }
+}
+
 #[test]
 fn followers_of_a_reader_that_lost_the_log_choose_another_or_read_it() {
     let mut mesh = Mesh::new(25);
