--- a/buckthorn/src/rollout/exposure.rs
+++ b/buckthorn/src/rollout/exposure.rs
@@ -1,6 +1,6 @@
 //! Bound on the calls that a version receives before it is known to be sound.
 //!
-//! The share of a new version follows [`SCHEDULE`], which spends less than a tenth of a window's
+//! The share of a new version follows a [`Schedule`], which spends less than a tenth of a window's
 //! calls when traffic is steady. An evaluator also counts the calls, as traffic may rise while the
 //! share is high.
 //!
