--- a/buckthorn/src/log_event.rs
+++ b/buckthorn/src/log_event.rs
@@ -52,7 +52,7 @@
     ConfigApplied "config.applied" "version" "A configuration version came into force.",
     ConfigRefused "config.refused" "subject, detail" "A record, snapshot or order was refused as a whole.",
     OrdersSource "orders.source" "subject, detail" "From now on, operators' orders are read from the log or received from peers that read it.",
-    OrdersBehind "orders.behind" "subject, detail" "A peer has newer orders that this node did not read in time; the node reads the log anew and asks the peer.",
+    OrdersBehind "orders.behind" "subject, detail" "A peer has newer orders that this node did not read in time; the node asks the peer, and later reads the log anew.",
     OrdersIgnored "orders.ignored" "subject, detail" "A policy that was read or received is not in force: its version, its position, and the policy in force.",
     PolicyConfirmation "policy.confirmation" "subject, detail" "The policy was last known to be the newest so long ago that keys of tenants may soon be refused (old), or is known to be again (current).",
     DutyTaken "duty.taken" "subject, detail" "This node holds a duty from now on, by the token named.",
