Carry one request on each connection to the operators' port

None of them stalled, so none made place for another one, and an ordinary request was refused for the 7 s in which the test tries.

The port now closes each connection after its response; what was sent behind the request is not read.

--- a/buckthorn/src/admin/server.rs
+++ b/buckthorn/src/admin/server.rs
@@ -2,13 +2,14 @@
 //!
 //! Built on `hyper`, because the server of `oxhttp` neither reports the port that it bound nor can
 //! be stopped, and limits neither the total time for a request's headers nor how much of a refused
-//! body it reads. [`listen`] accepts the connections.
+//! body it reads. [`listen`] accepts the connections. Each carries one request, so that a client which
+//! sends many without reading the responses doesn't keep the port and the kernel thread busy.
 
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 
-use http::header::{AUTHORIZATION, CONTENT_TYPE};
-use http::{Method, Request, Response, StatusCode};
+use http::header::{AUTHORIZATION, CONNECTION, CONTENT_TYPE};
+use http::{HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use serde_json::{Value, json};
@@ -82,7 +83,12 @@
     };
     let accepting = listen::serve(listener, port, move |request| {
         let (access, handler) = (access.clone(), handler.clone());
-        async move { route(request, &access, handler).await }
+        async move {
+            let mut response = route(request, &access, handler).await;
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+            response
+        }
     })?;
     tokio::spawn(async move {
         tokio::select! {
