--- a/review/stand_in_2/cold.rs
+++ b/review/stand_in_2/cold.rs
@@ -32,9 +32,7 @@
         upstream: Settings {
             service: service.into(),
             id: id.into(),
-            version: "v1",
             work: Duration::from_millis(40),
-            fails_on: None,
             reads_after: Duration::ZERO,
             deadly: None,
         },
--- a/review/stand_in_2/main.rs
+++ b/review/stand_in_2/main.rs
@@ -8,7 +8,6 @@
 mod mesh;
 mod poison;
 mod record;
-mod rollout;
 mod store;
 mod upload;
 mod upstream;
@@ -48,7 +47,6 @@
         "crowd" => crowd::run(&record, is_troubled),
         "poison" => poison::run(&record, is_troubled, true),
         "poison-whole" => poison::run(&record, is_troubled, false),
-        "rollout" => rollout::run(&record, is_troubled),
         "upload" => upload::run(&record, is_troubled),
         _ => Err(std::io::Error::other(format!("no case {case}"))),
     });
--- a/review/stand_in_2/mesh.rs
+++ b/review/stand_in_2/mesh.rs
@@ -71,13 +71,6 @@
 impl Mesh {
     /// Starts a deployment with this configuration and waits until all nodes are ready.
     pub fn start(machines: Vec<Machine>, config: &str, record: &Record) -> io::Result<Self> {
-        let mesh = Self::prepare(machines, config, record)?;
-        mesh.await_ready()?;
-        Ok(mesh)
-    }
-
-    /// Starts a deployment with this configuration.
-    pub fn prepare(machines: Vec<Machine>, config: &str, record: &Record) -> io::Result<Self> {
         let process = std::process::id();
         let folder = std::env::temp_dir().join(format!("review-{process}"));
         fs::create_dir_all(&folder)?;
@@ -94,6 +87,7 @@
             let node = mesh.start_node(&ip, index, machine, record)?;
             mesh.nodes.push(node);
         }
+        mesh.await_ready()?;
         Ok(mesh)
     }
 
@@ -234,12 +228,6 @@
         let kilobytes = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
         kilobytes.unwrap_or(0) / 1_024
     }
-
-    /// Ends a node and its backend server for good, as when their machine is lost.
-    pub fn lose(&mut self, index: usize, record: &Record) {
-        self.nodes[index].upstream.lose();
-        self.kill(index, record);
-    }
 }
 
 impl Drop for Mesh {
@@ -269,14 +257,6 @@
     )
 }
 
-/// Returns a request with an empty body.
-pub fn post(path: &str, id: &str) -> String {
-    format!(
-        "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nBuckthornworks-Request-Id: {id}\r\n\
-         Buckthornworks-Deadline-Milliseconds: 2500\r\nContent-Length: 0\r\n\r\n"
-    )
-}
-
 /// Returns a configuration with a safe and an unsafe route to a service.
 pub fn config(service: &str) -> String {
     let route = |kind: &str| {
--- a/review/stand_in_2/poison.rs
+++ b/review/stand_in_2/poison.rs
@@ -54,9 +54,7 @@
         upstream: Settings {
             service: SERVICE.into(),
             id: format!("i-{}", index + 1),
-            version: "v1",
             work: Duration::from_millis(40),
-            fails_on: None,
             reads_after: Duration::ZERO,
             deadly: is_troubled.then(|| body.clone()),
         },
--- a/review/stand_in_2/store.rs
+++ b/review/stand_in_2/store.rs
@@ -60,18 +60,6 @@
         self.shared.changed.notify_all();
     }
 
-    /// Returns the records of a topic, oldest first.
-    pub fn records(&self, topic: &str) -> Vec<(String, String)> {
-        let Ok(topics) = self.shared.topics.lock() else {
-            return Vec::new();
-        };
-        let records = topics.get(topic).into_iter().flat_map(|held| &held.records);
-        let text = |value: &[u8]| String::from_utf8_lossy(value).into_owned();
-        records
-            .map(|(key, value)| (key.clone(), text(value)))
-            .collect()
-    }
-
     /// Serves one connection.
     fn serve(&self, mut connection: Connection) {
         while let Ok(Some(head)) = connection.read_head() {
--- a/review/stand_in_2/upstream.rs
+++ b/review/stand_in_2/upstream.rs
@@ -38,12 +38,8 @@
     pub service: String,
     /// Identifier.
     pub id: String,
-    /// Version of its software.
-    pub version: &'static str,
     /// Time that a request takes.
     pub work: Duration,
-    /// Part of a path on which every second request fails, if any.
-    pub fails_on: Option<&'static str>,
     /// Time from the head of a request until the server reads on, if its body is long.
     pub reads_after: Duration,
     /// Body whose requests crash the server, if any.
@@ -64,12 +60,6 @@
     pub crashes: Mutex<Vec<Instant>>,
     /// End of its cold time in Unix milliseconds.
     cold_until: AtomicU64,
-    /// Requests on the path on which every second one fails.
-    number: AtomicU64,
-    /// Whether it has started and sends liveness reports.
-    pub is_reporting: AtomicBool,
-    /// Whether it is lost for good.
-    is_lost: AtomicBool,
     /// Liveness reports that were acknowledged.
     pub reports: AtomicU64,
     /// Whether it is away after a crash.
@@ -98,9 +88,6 @@
             runs: Mutex::default(),
             crashes: Mutex::default(),
             cold_until: AtomicU64::new(0),
-            number: AtomicU64::new(0),
-            is_reporting: AtomicBool::new(true),
-            is_lost: AtomicBool::new(false),
             reports: AtomicU64::new(0),
             is_down: AtomicBool::new(false),
             born: AtomicU64::new(unix_ms()),
@@ -114,14 +101,6 @@
         Ok(upstream)
     }
 
-    /// Ends the server for good.
-    pub fn lose(&self) {
-        self.record.line(format!("{} is lost", self.settings.id));
-        self.is_reporting.store(false, Ordering::SeqCst);
-        self.is_lost.store(true, Ordering::SeqCst);
-        self.is_down.store(true, Ordering::SeqCst);
-    }
-
     /// Turns the server cold for a time, which its next liveness report and its health responses tell.
     pub fn turn_cold(&self, time: Duration) {
         let until = unix_ms() + time.as_millis() as u64;
@@ -165,9 +144,6 @@
                     let _ = stream.shutdown(Shutdown::Both);
                 }
             }
-            if self.is_lost.load(Ordering::SeqCst) {
-                return;
-            }
             thread::sleep(CRASH_TIME);
             self.born.store(unix_ms(), Ordering::SeqCst);
             self.is_down.store(false, Ordering::SeqCst);
@@ -243,17 +219,6 @@
             return None;
         }
         thread::sleep(self.settings.work);
-        let fails_on = self.settings.fails_on;
-        if fails_on.is_some_and(|path| head.target().1.contains(path))
-            && self.number.fetch_add(1, Ordering::SeqCst) % 2 == 1
-        {
-            self.record.line(format!("{name} fails {id}"));
-            let answer = format!(
-                "HTTP/1.1 500 Failure\r\nBuckthornworks-Request-Id: {id}\r\n\
-                 Buckthornworks-Response-Signature: {name}.{id}\r\nContent-Length: 0\r\n\r\n"
-            );
-            return Some(answer.into_bytes());
-        }
         let text = format!("done by {name}");
         let answer = format!(
             "HTTP/1.1 200 OK\r\nBuckthornworks-Request-Id: {id}\r\n\
@@ -268,8 +233,7 @@
     fn report(&self, control: SocketAddr) {
         let (mut born, mut sequence) = (0, 0);
         loop {
-            let is_reporting = self.is_reporting.load(Ordering::SeqCst);
-            if is_reporting && !self.is_down.load(Ordering::SeqCst) {
+            if !self.is_down.load(Ordering::SeqCst) {
                 let lifetime = self.born.load(Ordering::SeqCst);
                 sequence = if lifetime == born { sequence + 1 } else { 1 };
                 born = lifetime;
@@ -280,10 +244,7 @@
                 }
             }
             let until = Instant::now() + HEARTBEAT_INTERVAL;
-            while Instant::now() < until
-                && self.born.load(Ordering::SeqCst) == born
-                && self.is_reporting.load(Ordering::SeqCst) == is_reporting
-            {
+            while Instant::now() < until && self.born.load(Ordering::SeqCst) == born {
                 thread::sleep(Duration::from_millis(20));
             }
         }
@@ -291,17 +252,12 @@
 
     /// Sends one liveness report; returns whether it was acknowledged.
     fn send_report(&self, control: SocketAddr, born: u64, sequence: u64) -> bool {
-        let Settings {
-            service,
-            id,
-            version,
-            ..
-        } = &self.settings;
+        let Settings { service, id, .. } = &self.settings;
         let cold = self.cold_ms() as f64 / 1_000.0;
         self.record
             .line(format!("{id} reports that it stays cold for {cold} s"));
         let body = format!(
-            r#"{{"service":"{service}","address":"{}","zone":"za","version":"{version}","slots":9,"state":"ready","coldRemainingS":{cold},"sequence":{sequence},"born":{born}}}"#,
+            r#"{{"service":"{service}","address":"{}","zone":"za","version":"v1","slots":9,"state":"ready","coldRemainingS":{cold},"sequence":{sequence},"born":{born}}}"#,
             self.address
         );
         let request = format!(
